--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# The commands of this project. README.md says what each is for.
+
+TOOL := go tool -modfile=tools/go.mod
+# Tests listed in KNOWN-RED.txt are passed over and printed.
+RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
+SKIP := $(if $(RED),-skip '^($(RED))$$',)
+SEED ?= 1
+RUNS ?= 10000
+
+.PHONY: build demo test lint fmt generate prove measure fuzz ci
+
+build:
+	go build -o bin ./cmd/...
+
+demo: build
+	bin/camphor-demo -bin bin
+
+test:
+	@if [ -n "$(RED)" ]; then echo "passed over (KNOWN-RED.txt):"; cat KNOWN-RED.txt; fi
+	go test -race -timeout 20m $(SKIP) ./...
+
+fmt:
+	@out=$$(gofmt -l cmd internal); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+lint:
+	go vet ./...
+	$(TOOL) staticcheck ./...
+	$(TOOL) revive -config revive.toml -set_exit_status -exclude internal/gen/... ./...
+
+generate:
+	$(TOOL) buf lint
+	$(TOOL) buf generate
+
+# The state machines of the step functions, with many runs from one seed.
+prove:
+	go test -count=1 -timeout 60m ./internal/control/... ./internal/routing/... ./internal/check/... -run 'Machine' -rapid.checks=$(RUNS) -rapid.seed=$(SEED) -rapid.nofailfile
+
+ci: fmt lint test
--- /dev/null
+++ b/cmd/camphor-standin/main.go
@@ -0,0 +1,136 @@
+// Command camphor-standin stands in for what camphorspoke meets at its
+// interfaces: a model engine, a plain service, or the platform.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/gen/camphorspoke/v1/camphorspokev1connect"
+	"camphorspoke/internal/standin/engine"
+	"camphorspoke/internal/standin/plain"
+	"camphorspoke/internal/standin/platform"
+	"camphorspoke/internal/world/fault"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &ffcli.Command{
+		ShortUsage:  "camphor-standin engine|plain|platform [flags]",
+		Subcommands: []*ffcli.Command{engineCommand(), plainCommand(), platformCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "camphor-standin:", err)
+		os.Exit(2)
+	}
+}
+
+// serve runs until ctx ends.
+func serve(ctx context.Context, address string, h http.Handler) error {
+	s := &http.Server{
+		Addr:              address,
+		Handler:           h,
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+	context.AfterFunc(ctx, func() { s.Close() })
+	if err := s.ListenAndServe(); ctx.Err() == nil {
+		return fault.Wrap(fault.BadSetting, "-listen="+address, err)
+	}
+	return nil
+}
+
+func engineCommand() *ffcli.Command {
+	e := &engine.Engine{}
+	fs := flag.NewFlagSet("engine", flag.ContinueOnError)
+	listen := fs.String("listen", "127.0.0.1:7801", "address to listen on")
+	fs.StringVar(&e.Name, "name", "engine", "name of the engine")
+	fs.IntVar(&e.Slots, "slots", 8, "requests that run at once")
+	fs.Uint64Var(&e.CacheTokens, "cache-tokens", 400_000, "memory of the prefix cache")
+	fs.IntVar(&e.PrefillPerSecond, "prefill", 20_000, "prompt tokens computed in a second")
+	fs.DurationVar(&e.TokenEvery, "token-every", 2*time.Millisecond, "time between tokens")
+	fs.DurationVar(&e.EventLag, "event-lag", 500*time.Millisecond, "delay of cache events")
+	fs.Float64Var(&e.EventGap, "event-gap", 0.1, "share of cache events that is lost")
+	fs.BoolVar(&e.CheckFence, "check-fence", false, "refuse old fencing numbers")
+	return &ffcli.Command{
+		Name:    "engine",
+		FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			mux := http.NewServeMux()
+			mux.Handle(camphorspokev1connect.NewEngineServiceHandler(e))
+			mux.HandleFunc("/peak", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, e.Peak()) })
+			return serve(ctx, *listen, mux)
+		},
+	}
+}
+
+func plainCommand() *ffcli.Command {
+	s := &plain.Service{}
+	fs := flag.NewFlagSet("plain", flag.ContinueOnError)
+	listen := fs.String("listen", "127.0.0.1:7851", "address to listen on")
+	fs.DurationVar(&s.Delay, "delay", 5*time.Millisecond, "how long a call takes")
+	return &ffcli.Command{
+		Name:    "plain",
+		FlagSet: fs,
+		Exec:    func(ctx context.Context, _ []string) error { return serve(ctx, *listen, s) },
+	}
+}
+
+func platformCommand() *ffcli.Command {
+	p := &platform.Platform{}
+	fs := flag.NewFlagSet("platform", flag.ContinueOnError)
+	listen := fs.String("listen", "127.0.0.1:7900", "address to listen on")
+	servers := fs.String("servers", "", "name/service/address/domain/slots/cacheTokens,...")
+	fs.DurationVar(&p.Lag, "lag", 300*time.Millisecond, "how much later a change shows in the list")
+	return &ffcli.Command{
+		Name:    "platform",
+		FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			rows, err := parseServers(*servers)
+			if err != nil {
+				return err
+			}
+			p.Servers = rows
+			mux := http.NewServeMux()
+			mux.Handle(camphorspokev1connect.NewPlatformServiceHandler(p))
+			mux.HandleFunc("POST /change", p.ServeChange)
+			return serve(ctx, *listen, mux)
+		},
+	}
+}
+
+func parseServers(list string) ([]*pb.ListedServer, error) {
+	var out []*pb.ListedServer
+	for row := range strings.SplitSeq(list, ",") {
+		f := strings.Split(row, "/")
+		if len(f) != 6 {
+			return nil, fault.New(fault.BadSetting, "-servers="+row, "accepted: name/service/address/domain/slots/cacheTokens,...")
+		}
+		slots, err1 := strconv.ParseUint(f[4], 10, 32)
+		cache, err2 := strconv.ParseUint(f[5], 10, 64)
+		if err1 != nil || err2 != nil {
+			return nil, fault.New(fault.BadSetting, "-servers="+row, "accepted: whole numbers for slots and cacheTokens")
+		}
+		out = append(out, &pb.ListedServer{
+			Name:          f[0],
+			Service:       f[1],
+			Address:       f[2],
+			FailureDomain: f[3],
+			Slots:         uint32(slots),
+			CacheTokens:   cache,
+		})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/check/fleet/fleet.go
@@ -0,0 +1,497 @@
+// Package fleet starts a whole fleet as separate processes on loopback, for
+// the demo and the process tests. No program of the fleet itself uses it.
+package fleet
+
+// This file defines Fleet and its shapes.
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/gen/camphorspoke/v1/camphorspokev1connect"
+	"camphorspoke/internal/world/fault"
+)
+
+// Shape is the size of a deployment.
+type Shape struct {
+	Name    string
+	Domains []string
+	Daemons int
+	// Replicas is how many of the daemons have a data folder.
+	Replicas int
+	// EngineService has Engines model engines, PlainService has Plains servers.
+	EngineService string
+	Engines       int
+	PlainService  string
+	Plains        int
+	Slots         int
+	CacheTokens   int
+	// EngineFlags are given to each engine, and DaemonFlags to each daemon.
+	EngineFlags []string
+	DaemonFlags []string
+	PlainFlags  []string
+}
+
+// Skeena returns the shape of Skeena's deployment.
+func Skeena() Shape {
+	return Shape{
+		Name:          "skeena",
+		Domains:       []string{"terrace", "smithers", "kitimat"},
+		Daemons:       10,
+		Replicas:      3,
+		EngineService: "assist-models",
+		Engines:       9,
+		PlainService:  "dispatch-app",
+		Plains:        3,
+		Slots:         8,
+		CacheTokens:   400_000,
+	}
+}
+
+// Hanbit returns the shape of Hanbit's deployment.
+func Hanbit() Shape {
+	return Shape{
+		Name:          "hanbit",
+		Domains:       []string{"a", "b", "c", "d"},
+		Daemons:       10,
+		Replicas:      3,
+		EngineService: "fit-llm",
+		Engines:       9,
+		PlainService:  "coop-app",
+		Plains:        4,
+		Slots:         8,
+		CacheTokens:   400_000,
+	}
+}
+
+// Process is one process of the fleet.
+type Process struct {
+	Name    string
+	Address string
+	cmd     *exec.Cmd
+	args    []string
+	done    chan struct{}
+	err     error
+}
+
+// Exited reports whether the process has ended, and how.
+func (p *Process) Exited() (bool, error) {
+	select {
+	case <-p.done:
+		return true, p.err
+	default:
+		return false, nil
+	}
+}
+
+// Wait waits for the process to end.
+func (p *Process) Wait(limit time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		return fault.New(fault.Internal, p.Name, "did not end in time")
+	}
+}
+
+// Signal sends a signal.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Shape    Shape
+	Dir      string
+	Platform *Process
+	Engines  []*Process
+	Plains   []*Process
+	Daemons  []*Process
+
+	bin string
+	mu  sync.Mutex
+	all []*Process
+}
+
+// Start starts every process of a shape from the programs in bin, with logs
+// and data below dir. The clean-up function kills what still runs.
+func Start(bin, dir string, s Shape) (*Fleet, func(), error) {
+	f := &Fleet{
+		Shape: s,
+		Dir:   dir,
+		bin:   bin,
+	}
+	if err := f.startAll(); err != nil {
+		f.kill()
+		return nil, nil, err
+	}
+	return f, f.kill, nil
+}
+
+func (f *Fleet) startAll() error {
+	ports, err := freePorts(1 + f.Shape.Engines + f.Shape.Plains + 3*f.Shape.Daemons)
+	if err != nil {
+		return err
+	}
+	take := func() string {
+		p := ports[0]
+		ports = ports[1:]
+		return p
+	}
+	platform := take()
+	var rows []string
+	for i := range f.Shape.Engines {
+		name, addr := fmt.Sprintf("%s-%d", f.Shape.EngineService, i+1), take()
+		args := append([]string{"engine", "-name", name, "-listen", addr, "-slots", fmt.Sprint(f.Shape.Slots), "-cache-tokens", fmt.Sprint(f.Shape.CacheTokens)}, f.Shape.EngineFlags...)
+		p, err := f.run("camphor-standin", name, addr, args)
+		if err != nil {
+			return err
+		}
+		f.Engines = append(f.Engines, p)
+		rows = append(rows, f.row(name, f.Shape.EngineService, addr, i))
+	}
+	for i := range f.Shape.Plains {
+		name, addr := fmt.Sprintf("%s-%d", f.Shape.PlainService, i+1), take()
+		p, err := f.run("camphor-standin", name, addr, append([]string{"plain", "-listen", addr}, f.Shape.PlainFlags...))
+		if err != nil {
+			return err
+		}
+		f.Plains = append(f.Plains, p)
+		rows = append(rows, f.row(name, f.Shape.PlainService, addr, i))
+	}
+	f.Platform, err = f.run("camphor-standin", "platform", platform, []string{"platform", "-listen", platform, "-servers", strings.Join(rows, ",")})
+	if err != nil {
+		return err
+	}
+	return f.startDaemons(take)
+}
+
+func (f *Fleet) row(name, service, addr string, i int) string {
+	return fmt.Sprintf("%s/%s/%s/%s/%d/%d", name, service, addr, f.Shape.Domains[i%len(f.Shape.Domains)], f.Shape.Slots, f.Shape.CacheTokens)
+}
+
+func (f *Fleet) startDaemons(take func() string) error {
+	var control []string
+	addresses := make([]string, f.Shape.Replicas)
+	for i := range addresses {
+		addresses[i] = take()
+		control = append(control, fmt.Sprintf("e%d=%s", i+1, addresses[i]))
+	}
+	for i := range f.Shape.Daemons {
+		name, listen := fmt.Sprintf("e%d", i+1), take()
+		args := append([]string{
+			"-instance", name, "-failure-domain", f.Shape.Domains[i%len(f.Shape.Domains)],
+			"-listen", listen, "-peer-listen", take(), "-control", strings.Join(control, ","),
+			"-platform", "http://" + f.Platform.Address,
+		}, f.Shape.DaemonFlags...)
+		if i < f.Shape.Replicas {
+			args = append(args, "-control-listen", addresses[i], "-data-dir", f.DataDir(i))
+		}
+		p, err := f.run("camphord", name, listen, args)
+		if err != nil {
+			return err
+		}
+		f.Daemons = append(f.Daemons, p)
+	}
+	return nil
+}
+
+// DataDir returns the data folder of the i-th daemon.
+func (f *Fleet) DataDir(i int) string { return filepath.Join(f.Dir, fmt.Sprintf("data-e%d", i+1)) }
+
+// Restart starts the i-th daemon again with the settings it had.
+func (f *Fleet) Restart(i int) error {
+	old := f.Daemons[i]
+	p, err := f.run("camphord", old.Name, old.Address, old.args)
+	if err != nil {
+		return err
+	}
+	f.Daemons[i] = p
+	return nil
+}
+
+func (f *Fleet) run(program, name, address string, args []string) (*Process, error) {
+	log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, name, err)
+	}
+	defer log.Close()
+	cmd := exec.Command(filepath.Join(f.bin, program), args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return nil, fault.Wrap(fault.Internal, name, err)
+	}
+	p := &Process{
+		Name:    name,
+		Address: address,
+		cmd:     cmd,
+		args:    args,
+		done:    make(chan struct{}),
+	}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	f.mu.Lock()
+	f.all = append(f.all, p)
+	f.mu.Unlock()
+	return p, nil
+}
+
+// kill ends every process that still runs, by its own id.
+func (f *Fleet) kill() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.all {
+		if ended, _ := p.Exited(); !ended {
+			_ = p.Signal(syscall.SIGCONT)
+			_ = p.cmd.Process.Kill()
+		}
+		<-p.done
+	}
+}
+
+func freePorts(n int) ([]string, error) {
+	var out []string
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fault.Wrap(fault.Internal, "ports", err)
+		}
+		open = append(open, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Addresses returns the addresses of the daemons.
+func (f *Fleet) Addresses() []string {
+	var out []string
+	for _, d := range f.Daemons {
+		out = append(out, d.Address)
+	}
+	return out
+}
+
+// AwaitReady waits until the directory of every daemon has a fresh view that
+// lists all backend servers with an owner.
+func (f *Fleet) AwaitReady(limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	for _, d := range f.Daemons {
+		for {
+			err := f.ready(d)
+			if err == nil {
+				break
+			}
+			if time.Now().After(deadline) {
+				return fault.Wrap(fault.Internal, d.Name, err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) ready(d *Process) error {
+	if ended, err := d.Exited(); ended {
+		return fault.Wrap(fault.Internal, d.Name, errors.Join(errors.New("it has ended"), err))
+	}
+	s, err := Dump(d.Address)
+	if err != nil {
+		return err
+	}
+	owned := 0
+	for _, b := range s.BackendServers {
+		if b.Owner != "" && !b.Gone {
+			owned++
+		}
+	}
+	if !s.Member.RulesFresh || owned < f.Shape.Engines+f.Shape.Plains || len(s.Instances) < f.Shape.Daemons {
+		return fault.New(fault.NoEngine, d.Name, fmt.Sprintf("fresh %t, %d servers owned, %d instances", s.Member.RulesFresh, owned, len(s.Instances)))
+	}
+	return nil
+}
+
+// State is the part of a daemon's dump that checks read.
+type State struct {
+	UptimeMs int64 `json:"uptimeMs"`
+	Member   struct {
+		Instance    string `json:"instance"`
+		RuleVersion uint64 `json:"ruleVersion"`
+		RulesFresh  bool   `json:"rulesFresh"`
+		LeaseLeftMs int64  `json:"leaseLeftMs"`
+	} `json:"member"`
+	Router struct {
+		InFlight       int `json:"inFlight"`
+		BackendServers []struct {
+			Name string `json:"backendServer"`
+			Load int    `json:"load"`
+		} `json:"backendServers"`
+	} `json:"router"`
+	Replica *struct {
+		Role      string `json:"role"`
+		Leader    string `json:"leader"`
+		Term      uint64 `json:"term"`
+		Commit    uint64 `json:"commit"`
+		LastIndex uint64 `json:"lastIndex"`
+		Members   []struct {
+			Name    string `json:"name"`
+			Learner bool   `json:"learner"`
+		} `json:"members"`
+	} `json:"replica"`
+	BackendServers []struct {
+		Name    string `json:"name"`
+		Service string `json:"service"`
+		Owner   string `json:"owner"`
+		Gone    bool   `json:"gone"`
+		Drained bool   `json:"drained"`
+	} `json:"backendServers"`
+	Instances []struct {
+		Name string `json:"name"`
+	} `json:"instances"`
+	ControlBytes map[string]uint64 `json:"controlBytes"`
+	Violations   map[string]uint64 `json:"violations"`
+}
+
+// Operator returns a client for operators at a daemon.
+func Operator(address string) camphorspokev1connect.OperatorServiceClient {
+	return camphorspokev1connect.NewOperatorServiceClient(&http.Client{
+		Timeout: 8 * time.Second,
+	}, "http://"+address)
+}
+
+// Dump returns the state of a daemon.
+func Dump(address string) (*State, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	r, err := Operator(address).Dump(ctx, connect.NewRequest(&pb.DumpRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	s := &State{}
+	if err := json.Unmarshal(r.Msg.GetJson(), s); err != nil {
+		return nil, fault.Wrap(fault.Internal, address, err)
+	}
+	return s, nil
+}
+
+// Leader returns the index of the daemon that leads the control group.
+func (f *Fleet) Leader() (int, error) {
+	for i := range f.Shape.Replicas {
+		if ended, _ := f.Daemons[i].Exited(); ended {
+			continue
+		}
+		if s, err := Dump(f.Daemons[i].Address); err == nil && s.Replica != nil && s.Replica.Role == "leader" {
+			return i, nil
+		}
+	}
+	return 0, fault.New(fault.NoQuorum, "control", "no replica leads")
+}
+
+// Executions returns how often each request key ran, over all plain servers.
+func (f *Fleet) Executions() (map[string]int, error) {
+	out := make(map[string]int)
+	for _, p := range f.Plains {
+		r, err := http.Get("http://" + p.Address + "/counts")
+		if err != nil {
+			return nil, fault.Wrap(fault.Internal, p.Name, err)
+		}
+		counts := make(map[string]int)
+		b, err := io.ReadAll(r.Body)
+		r.Body.Close()
+		if err == nil {
+			err = json.Unmarshal(b, &counts)
+		}
+		if err != nil {
+			return nil, fault.Wrap(fault.Internal, p.Name, err)
+		}
+		for k, n := range counts {
+			out[k] += n
+		}
+	}
+	return out, nil
+}
+
+// EngineLoads returns the load of each engine as it counts itself.
+func (f *Fleet) EngineLoads() []int {
+	var out []int
+	for _, e := range f.Engines {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		c := camphorspokev1connect.NewEngineServiceClient(http.DefaultClient, "http://"+e.Address)
+		r, err := c.Load(ctx, connect.NewRequest(&pb.LoadRequest{}))
+		cancel()
+		if err == nil {
+			out = append(out, int(r.Msg.GetRunning()+r.Msg.GetQueued()))
+		}
+	}
+	return out
+}
+
+// PlatformChange makes the platform's list say something else of a server.
+func (f *Fleet) PlatformChange(server, what string) error {
+	r, err := http.Post("http://"+f.Platform.Address+"/change?name="+server+"&what="+what, "", nil)
+	if err != nil {
+		return fault.Wrap(fault.Internal, server, err)
+	}
+	return r.Body.Close()
+}
+
+// Rules returns a rule file for a shape; note goes into a comment.
+func (s Shape) Rules(note string) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "service %s type=engine bound=1.25 retry=20%% # operations: %s\n", s.EngineService, note)
+	fmt.Fprintf(&b, "service %s type=plain bound=3 retry=20%% # operations: %s\n", s.PlainService, note)
+	fmt.Fprintf(&b, "nonidempotent %s call=book-visit # billing: a visit is charged once\n", s.PlainService)
+	fmt.Fprintf(&b, "kind summary class=urgent # floor lead: the customer is waiting\n")
+	fmt.Fprintf(&b, "kind lookup class=normal # floor lead: everyday traffic\n")
+	fmt.Fprintf(&b, "kind overnight class=batch # office: ready by morning\n")
+	for i := range 10 {
+		share := 1
+		if i < 2 {
+			share = 4
+		}
+		fmt.Fprintf(&b, "account %s-%d share=%d limit=200 # sales: contract %d\n", s.Name, i, share, i)
+	}
+	return []byte(b.String())
+}
+
+// Apply hands the fleet a rule file on a base version.
+func (f *Fleet) Apply(base uint64, content []byte) (*pb.ApplyRulesResponse, error) {
+	var last error
+	for _, d := range f.Daemons {
+		if ended, _ := d.Exited(); ended {
+			continue
+		}
+		r, err := Operator(d.Address).ApplyRules(context.Background(), connect.NewRequest(&pb.ApplyRulesRequest{
+			BaseVersion: base,
+			Content:     content,
+		}))
+		if err == nil {
+			return r.Msg, nil
+		}
+		last = err
+		if fault.KindOf(err) == fault.RuleConflict {
+			break
+		}
+	}
+	return nil, last
+}
--- /dev/null
+++ b/internal/check/replay/replay.go
@@ -0,0 +1,289 @@
+// Package replay runs recorded traces through the decision code.
+//
+// A trace is a file of JSON lines. Each line names a part (gate, claim or
+// stream) and one step of it, with the time where the part has one; the replay
+// prints a line with the outcome of each step. The same trace always gives the
+// same outcomes, so a stated outcome can be kept beside it.
+package replay
+
+// This file defines Trace.
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/control/ledger"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing"
+	"camphorspoke/internal/routing/admission"
+	"camphorspoke/internal/routing/stream"
+	"camphorspoke/internal/world/fault"
+)
+
+// step is one line of a trace; each part reads its own fields.
+type step struct {
+	Part string `json:"part"`
+	Do   string `json:"do"`
+	AtMs int64  `json:"atMs"`
+
+	// Fields of a gate.
+	Server      string  `json:"backendServer"`
+	Slots       int     `json:"slots"`
+	ID          string  `json:"id"`
+	Account     string  `json:"clientAccount"`
+	Share       int     `json:"share"`
+	Class       int     `json:"class"`
+	Cost        int     `json:"cost"`
+	Bound       float64 `json:"bound"`
+	OthersLoad  int     `json:"othersLoad"`
+	Servers     int     `json:"servers"`
+	Limit       int     `json:"accountLimit"`
+	RemainingMs int64   `json:"remainingMs"`
+
+	// Fields of a claim.
+	Service     string `json:"service"`
+	Key         string `json:"key"`
+	KeyTime     int64  `json:"keyTime"`
+	Holder      string `json:"holder"`
+	Incarnation uint64 `json:"incarnation"`
+	Attempt     uint64 `json:"attempt"`
+	Outcome     string `json:"outcome"`
+	Reason      string `json:"reason"`
+	Operator    bool   `json:"operator"`
+	Base        uint64 `json:"base"`
+	Content     string `json:"content"`
+
+	// Fields of a stream.
+	Request  string `json:"request"`
+	Sequence uint64 `json:"sequence"`
+	Count    uint64 `json:"count"`
+	Window   int    `json:"window"`
+}
+
+// Trace replays traces; the zero value works.
+type Trace struct {
+	checker invariant.Checker
+	gates   map[string]*admission.Gate
+	running map[string]routing.Request
+	ledger  ledger.Ledger
+	index   uint64
+	streams map[string]*stream.Assembler
+}
+
+// Run replays the trace in r and writes the outcomes to w. It fails on a line
+// that it can't read and on a violated invariant.
+func (t *Trace) Run(name string, r io.Reader, w io.Writer) error {
+	t.gates = make(map[string]*admission.Gate)
+	t.running = make(map[string]routing.Request)
+	t.streams = make(map[string]*stream.Assembler)
+	t.ledger.Checker = &t.checker
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, 1<<20)
+	for line := 1; sc.Scan(); line++ {
+		text := strings.TrimSpace(sc.Text())
+		if text == "" || strings.HasPrefix(text, "//") {
+			continue
+		}
+		var s step
+		d := json.NewDecoder(strings.NewReader(text))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&s); err != nil {
+			return fault.Wrap(fault.BadRequest, fmt.Sprintf("%s:%d:1", name, line), err)
+		}
+		out, err := t.step(s)
+		if err != nil {
+			return fault.Wrap(fault.BadRequest, fmt.Sprintf("%s:%d:1", name, line), err)
+		}
+		fmt.Fprintf(w, "%d %s %s: %s\n", line, s.Part, s.Do, out)
+	}
+	if err := sc.Err(); err != nil {
+		return fault.Wrap(fault.BadRequest, name, err)
+	}
+	if v := t.checker.Counts(); len(v) > 0 {
+		return fault.New(fault.Internal, name, fmt.Sprintf("violated invariants: %v", v))
+	}
+	return nil
+}
+
+func (t *Trace) step(s step) (string, error) {
+	switch s.Part {
+	case "gate":
+		return t.gate(s)
+	case "claim":
+		return t.claim(s)
+	case "stream":
+		return t.stream(s)
+	}
+	return "", fault.New(fault.BadRequest, s.Part, "use gate, claim or stream")
+}
+
+func (t *Trace) gate(s step) (string, error) {
+	g := t.gates[s.Server]
+	if g == nil {
+		g = &admission.Gate{
+			Server:  s.Server,
+			Slots:   s.Slots,
+			Checker: &t.checker,
+		}
+		t.gates[s.Server] = g
+	}
+	now := time.Duration(s.AtMs) * time.Millisecond
+	switch s.Do {
+	case "offer":
+		r := routing.Request{
+			ID:      s.ID,
+			Account: s.Account,
+			Share:   s.Share,
+			Class:   s.Class,
+			Cost:    s.Cost,
+		}
+		t.running[s.ID] = r
+		d := g.Offer(now, r, admission.Terms{
+			Bound:        s.Bound,
+			OthersLoad:   s.OthersLoad,
+			Servers:      s.Servers,
+			AccountLimit: s.Limit,
+			Remaining:    time.Duration(s.RemainingMs) * time.Millisecond,
+		})
+		return describe(d, g.Load()), nil
+	case "finish":
+		next := g.Finish(now, t.running[s.ID])
+		ids := make([]string, len(next))
+		for i, n := range next {
+			ids[i] = n.ID
+		}
+		return fmt.Sprintf("starts %v, load %d", ids, g.Load()), nil
+	}
+	return "", fault.New(fault.BadRequest, s.Do, "use offer or finish")
+}
+
+func describe(d routing.Decision, load int) string {
+	switch {
+	case d.Refused != "":
+		return fmt.Sprintf("refused %s, load %d", d.Refused, load)
+	case d.Started:
+		return fmt.Sprintf("started, load %d", load)
+	}
+	return fmt.Sprintf("queued, load %d", load)
+}
+
+// outcomes maps the names used in traces.
+func outcome(name string) pb.Outcome {
+	switch name {
+	case "done":
+		return pb.Outcome_OUTCOME_DONE
+	case "notRun":
+		return pb.Outcome_OUTCOME_NOT_RUN
+	case "inDoubt":
+		return pb.Outcome_OUTCOME_IN_DOUBT
+	}
+	return pb.Outcome_OUTCOME_UNSPECIFIED
+}
+
+func (t *Trace) claim(s step) (string, error) {
+	c := &pb.Command{}
+	switch s.Do {
+	case "claim":
+		c.Kind = &pb.Command_ClaimKey{
+			ClaimKey: &pb.ClaimKey{
+				ClientAccount: s.Account,
+				Service:       s.Service,
+				Key:           s.Key,
+				Holder:        s.Holder,
+				Incarnation:   s.Incarnation,
+				Attempt:       s.Attempt,
+				KeyTime:       s.KeyTime,
+			},
+		}
+	case "settle":
+		c.Kind = &pb.Command_SettleKey{
+			SettleKey: &pb.SettleKey{
+				ClientAccount: s.Account,
+				Service:       s.Service,
+				Key:           s.Key,
+				Holder:        s.Holder,
+				Incarnation:   s.Incarnation,
+				Attempt:       s.Attempt,
+				Outcome:       outcome(s.Outcome),
+				Reason:        s.Reason,
+				Operator:      s.Operator,
+			},
+		}
+	case "expire":
+		c.Kind = &pb.Command_ExpireClaims{
+			ExpireClaims: &pb.ExpireClaims{
+				Before: s.KeyTime,
+			},
+		}
+	case "edit":
+		c.Kind = &pb.Command_EditRules{
+			EditRules: &pb.EditRules{
+				BaseVersion: s.Base,
+				Content:     []byte(s.Content),
+			},
+		}
+	default:
+		return "", fault.New(fault.BadRequest, s.Do, "use claim, settle, expire or edit")
+	}
+	t.index++
+	return describeResult(t.ledger.Apply(t.index, c)), nil
+}
+
+func describeResult(r *pb.Result) string {
+	switch {
+	case r.GetFailure() != "" && r.GetRuleVersion() != 0:
+		return fmt.Sprintf("refused %s, version %d", r.GetFailure(), r.GetRuleVersion())
+	case r.GetFailure() != "":
+		return "refused " + r.GetFailure()
+	case r.GetRuleVersion() != 0:
+		return fmt.Sprintf("version %d, repeated %t", r.GetRuleVersion(), r.GetRepeated())
+	case r.GetGranted():
+		return "granted"
+	case r.GetClaim() == nil:
+		return "ok"
+	case !r.GetClaim().GetSettled():
+		return "held by " + r.GetClaim().GetHolder()
+	}
+	return "settled " + strings.TrimPrefix(r.GetClaim().GetOutcome().String(), "OUTCOME_")
+}
+
+func (t *Trace) stream(s step) (string, error) {
+	a := t.streams[s.ID]
+	if a == nil {
+		a = &stream.Assembler{
+			RequestID: s.ID,
+			Window:    s.Window,
+		}
+		t.streams[s.ID] = a
+	}
+	switch s.Do {
+	case "frame", "end":
+		out, err := a.Accept(&pb.GenerateResponse{
+			RequestId: s.Request,
+			Sequence:  s.Sequence,
+			End:       s.Do == "end",
+			Count:     s.Count,
+		})
+		if err != nil {
+			return "failed " + fault.KindOf(err), nil
+		}
+		return fmt.Sprintf("delivers %d, next %d, whole %t", len(out), a.Next, a.Done()), nil
+	case "resume":
+		t.streams[s.ID] = &stream.Assembler{
+			RequestID: s.ID,
+			Next:      a.Next,
+		}
+		return fmt.Sprintf("from %d", a.Next), nil
+	case "close":
+		if err := a.Close(); err != nil {
+			return "failed " + fault.KindOf(err), nil
+		}
+		return "whole", nil
+	}
+	return "", fault.New(fault.BadRequest, s.Do, "use frame, end, resume or close")
+}
--- /dev/null
+++ b/internal/control/ledger/ledger.go
@@ -0,0 +1,170 @@
+// Package ledger is the replicated state machine: what the control group
+// remembers.
+//
+// Apply is deterministic: it reads no clock, makes no random choice and parses
+// no rule file, so every replica holds the same state at the same index. Each
+// row of a table carries the index at which it last changed, and Changes gives
+// a router only the rows that changed since the index it has seen.
+package ledger
+
+// This file defines Ledger and the dispatch of commands.
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"camphorspoke/internal/check/invariant"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/world/fault"
+)
+
+// claimKey identifies a request: keys are scoped by account and service.
+type claimKey struct {
+	account, service, key string
+}
+
+// Ledger holds the state. Apply has one caller; reads may run beside it.
+type Ledger struct {
+	// Checker counts violated invariants; nil counts none.
+	Checker *invariant.Checker
+
+	mu            sync.RWMutex
+	applied       uint64
+	ruleVersion   uint64
+	rules         []byte
+	edits         []*pb.RuleEdit
+	servers       map[string]*pb.BackendServer
+	instances     map[string]*pb.Instance
+	claims        map[claimKey]*pb.Claim
+	orders        map[uint64]*pb.EngineOrder
+	fencing       uint64
+	expiredBefore int64
+	// listIndex is the index of the last change of which routers are listed.
+	listIndex uint64
+}
+
+// Apply applies one committed command and returns its result.
+func (l *Ledger) Apply(index uint64, c *pb.Command) *pb.Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Checker.Holds(index > l.applied, "appliedIndexRises", "index %d after %d", index, l.applied)
+	l.applied = index
+	l.init()
+	r := l.apply(index, c)
+	r.Index = index
+	return r
+}
+
+func (l *Ledger) init() {
+	if l.servers != nil {
+		return
+	}
+	l.servers = make(map[string]*pb.BackendServer)
+	l.instances = make(map[string]*pb.Instance)
+	l.claims = make(map[claimKey]*pb.Claim)
+	l.orders = make(map[uint64]*pb.EngineOrder)
+}
+
+func (l *Ledger) apply(index uint64, c *pb.Command) *pb.Result {
+	switch k := c.GetKind().(type) {
+	case *pb.Command_EditRules:
+		return l.editRules(k.EditRules)
+	case *pb.Command_RegisterInstance:
+		return l.registerInstance(index, k.RegisterInstance.GetInstance())
+	case *pb.Command_UpdateServers:
+		return l.updateServers(index, k.UpdateServers.GetServers())
+	case *pb.Command_Assign:
+		return l.assign(index, k.Assign.GetAssignments())
+	case *pb.Command_ClaimKey:
+		return l.claim(k.ClaimKey)
+	case *pb.Command_SettleKey:
+		return l.settle(k.SettleKey)
+	case *pb.Command_DrainServer:
+		return l.drain(index, k.DrainServer)
+	case *pb.Command_PlaceOrder:
+		return l.placeOrder(k.PlaceOrder)
+	case *pb.Command_FinishOrder:
+		return l.finishOrder(k.FinishOrder)
+	case *pb.Command_ExpireClaims:
+		return l.expireClaims(k.ExpireClaims.GetBefore())
+	default:
+		return &pb.Result{}
+	}
+}
+
+func failure(kind fault.Kind, subject string) *pb.Result {
+	return &pb.Result{
+		Failure: kind,
+		Subject: subject,
+	}
+}
+
+// Snapshot returns the whole state, in a fixed order.
+func (l *Ledger) Snapshot() *pb.LedgerState {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	s := &pb.LedgerState{
+		AppliedIndex:        l.applied,
+		RuleVersion:         l.ruleVersion,
+		Rules:               l.rules,
+		Edits:               slices.Clone(l.edits),
+		FencingNumber:       l.fencing,
+		ClaimsExpiredBefore: l.expiredBefore,
+		ListIndex:           l.listIndex,
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.servers)) {
+		s.Servers = append(s.Servers, l.servers[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.instances)) {
+		s.Instances = append(s.Instances, l.instances[name])
+	}
+	for _, c := range l.claims {
+		s.Claims = append(s.Claims, c)
+	}
+	slices.SortFunc(s.Claims, compareClaims)
+	for _, id := range slices.Sorted(maps.Keys(l.orders)) {
+		s.Orders = append(s.Orders, l.orders[id])
+	}
+	return s
+}
+
+// Encode returns the state as bytes.
+func (l *Ledger) Encode() ([]byte, error) {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(l.Snapshot())
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, "ledger", err)
+	}
+	return b, nil
+}
+
+// Restore replaces the state by an encoded one. A bad encoding changes nothing.
+func (l *Ledger) Restore(data []byte) error {
+	s := &pb.LedgerState{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		return fault.Wrap("damagedSnapshot", "ledger", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Checker.Holds(s.GetRuleVersion() >= l.ruleVersion, "ruleVersionRises", "snapshot holds %d after %d", s.GetRuleVersion(), l.ruleVersion)
+	l.servers = nil
+	l.init()
+	l.applied, l.ruleVersion, l.rules, l.edits = s.GetAppliedIndex(), s.GetRuleVersion(), s.GetRules(), s.GetEdits()
+	l.fencing, l.expiredBefore = s.GetFencingNumber(), s.GetClaimsExpiredBefore()
+	l.listIndex = s.GetListIndex()
+	for _, b := range s.GetServers() {
+		l.servers[b.GetName()] = b
+	}
+	for _, i := range s.GetInstances() {
+		l.instances[i.GetName()] = i
+	}
+	for _, c := range s.GetClaims() {
+		l.claims[keyOf(c)] = c
+	}
+	for _, o := range s.GetOrders() {
+		l.orders[o.GetId()] = o
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/ledger/tables.go
@@ -0,0 +1,182 @@
+package ledger
+
+// This file defines the tables of instances, backend servers and their owners.
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/world/fault"
+)
+
+// Tables is a copy of the rows that changed after an index.
+type Tables struct {
+	Index     uint64
+	Servers   []*pb.BackendServer
+	Instances []*pb.Instance
+}
+
+// Changes returns the rows that changed after since. Rows are never changed
+// in place, so they may be read without a lock.
+func (l *Ledger) Changes(since uint64) Tables {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	t := Tables{
+		Index: l.applied,
+	}
+	for _, b := range l.servers {
+		if b.GetChangedIndex() > since {
+			t.Servers = append(t.Servers, b)
+		}
+	}
+	for _, i := range l.instances {
+		if i.GetChangedIndex() > since {
+			t.Instances = append(t.Instances, i)
+		}
+	}
+	return t
+}
+
+// Server returns the row of a backend server, or nil.
+func (l *Ledger) Server(name string) *pb.BackendServer {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.servers[name]
+}
+
+// Instance returns the row of an instance, or nil.
+func (l *Ledger) Instance(name string) *pb.Instance {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.instances[name]
+}
+
+// Routers returns the instances that are listed and not gone, by name.
+func (l *Ledger) Routers() []*pb.Instance {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var out []*pb.Instance
+	for _, i := range l.instances {
+		if !i.GetGone() {
+			out = append(out, i)
+		}
+	}
+	slices.SortFunc(out, func(a, b *pb.Instance) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	return out
+}
+
+// ListIndex returns the index of the last change of which routers are listed.
+func (l *Ledger) ListIndex() uint64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.listIndex
+}
+
+func (l *Ledger) registerInstance(index uint64, i *pb.Instance) *pb.Result {
+	row := proto.Clone(i).(*pb.Instance)
+	row.ChangedIndex = index
+	if old := l.instances[i.GetName()]; old == nil || old.GetGone() != i.GetGone() {
+		l.listIndex = index
+	}
+	l.instances[i.GetName()] = row
+	return &pb.Result{}
+}
+
+// updateServers takes rows of the platform's list; what the operators and the
+// control group decided about a server (drain, owner) stays as it was.
+func (l *Ledger) updateServers(index uint64, rows []*pb.BackendServer) *pb.Result {
+	for _, r := range rows {
+		row := proto.Clone(r).(*pb.BackendServer)
+		row.Owner, row.OwnerIncarnation, row.Epoch, row.Drained = "", 0, 0, false
+		if old := l.servers[r.GetName()]; old != nil {
+			row.Owner, row.OwnerIncarnation, row.Epoch = old.GetOwner(), old.GetOwnerIncarnation(), old.GetEpoch()
+			row.Drained = old.GetDrained()
+		}
+		row.ChangedIndex = index
+		l.servers[r.GetName()] = row
+	}
+	return &pb.Result{}
+}
+
+// assign gives backend servers to owners; the index becomes the epoch.
+func (l *Ledger) assign(index uint64, as []*pb.Assignment) *pb.Result {
+	for _, a := range as {
+		old := l.servers[a.GetBackendServer()]
+		if old == nil {
+			continue
+		}
+		l.Checker.Holds(index > old.GetEpoch(), "epochRises", "%s: epoch %d after %d", a.GetBackendServer(), index, old.GetEpoch())
+		row := proto.Clone(old).(*pb.BackendServer)
+		row.Owner, row.OwnerIncarnation = a.GetOwner(), a.GetOwnerIncarnation()
+		row.Epoch, row.ChangedIndex = index, index
+		l.servers[a.GetBackendServer()] = row
+	}
+	return &pb.Result{}
+}
+
+func (l *Ledger) drain(index uint64, d *pb.DrainServer) *pb.Result {
+	old := l.servers[d.GetBackendServer()]
+	if old == nil || old.GetGone() {
+		return failure(fault.UnknownServer, d.GetBackendServer())
+	}
+	row := proto.Clone(old).(*pb.BackendServer)
+	row.Drained, row.ChangedIndex = d.GetDrain(), index
+	l.servers[d.GetBackendServer()] = row
+	return &pb.Result{}
+}
+
+func (l *Ledger) placeOrder(o *pb.PlaceOrder) *pb.Result {
+	if s := l.servers[o.GetBackendServer()]; s == nil || s.GetGone() {
+		return failure(fault.UnknownServer, o.GetBackendServer())
+	}
+	l.fencing++
+	l.orders[l.fencing] = &pb.EngineOrder{
+		Id:            l.fencing,
+		BackendServer: o.GetBackendServer(),
+		Action:        o.GetAction(),
+		Argument:      o.GetArgument(),
+		Reason:        o.GetReason(),
+		FencingNumber: l.fencing,
+	}
+	return &pb.Result{
+		OrderId:       l.fencing,
+		FencingNumber: l.fencing,
+	}
+}
+
+// maxFinishedOrders is how many finished orders are kept for operators.
+const maxFinishedOrders = 200
+
+func (l *Ledger) finishOrder(f *pb.FinishOrder) *pb.Result {
+	old := l.orders[f.GetOrderId()]
+	if old == nil || old.GetFinished() {
+		return &pb.Result{}
+	}
+	row := proto.Clone(old).(*pb.EngineOrder)
+	row.Finished, row.Problem = true, f.GetProblem()
+	l.orders[f.GetOrderId()] = row
+	ids := slices.Sorted(maps.Keys(l.orders))
+	for _, id := range ids[:max(0, len(ids)-maxFinishedOrders)] {
+		if l.orders[id].GetFinished() {
+			delete(l.orders, id)
+		}
+	}
+	return &pb.Result{}
+}
+
+// OpenOrders returns the orders not yet carried out, oldest first.
+func (l *Ledger) OpenOrders() []*pb.EngineOrder {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var out []*pb.EngineOrder
+	for _, id := range slices.Sorted(maps.Keys(l.orders)) {
+		if o := l.orders[id]; !o.GetFinished() {
+			out = append(out, o)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/raftlog/election.go
@@ -0,0 +1,251 @@
+package raftlog
+
+// This file defines elections, the leader lease and leadership transfer.
+
+import (
+	"time"
+
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/world/fault"
+)
+
+// Tick lets time pass: elections, heartbeats, check-quorum.
+func (n *Node) Tick(now time.Duration) {
+	if n.role == leader {
+		n.tickLeader(now)
+		return
+	}
+	if now < n.electionAt || !n.isVoter() {
+		return
+	}
+	n.campaign(now, preCandidate, false)
+}
+
+func (n *Node) tickLeader(now time.Duration) {
+	if now-n.quorumAcked(now) > 2*n.cfg.Election && now-n.leaderSince > 2*n.cfg.Election {
+		// Check-quorum: a leader that a quorum no longer answers stops believing.
+		n.becomeFollower(now, n.term, "")
+		return
+	}
+	if n.transferTo != "" && now >= n.transferEnd {
+		n.transferTo = ""
+	}
+	if now >= n.heartbeatAt {
+		n.broadcast(now)
+	}
+}
+
+// campaign asks the voters for a pre-vote or a vote.
+func (n *Node) campaign(now time.Duration, as role, transfer bool) {
+	n.resetElection(now)
+	n.role = as
+	n.leaderName = ""
+	n.votes = map[string]bool{n.cfg.Name: true}
+	kind, term := pb.RaftKind_RAFT_KIND_PRE_VOTE, n.term+1
+	if as == candidate {
+		n.term++
+		n.vote = n.cfg.Name
+		kind = pb.RaftKind_RAFT_KIND_VOTE
+	}
+	for _, m := range n.voters() {
+		if m.GetName() == n.cfg.Name {
+			continue
+		}
+		n.send(&pb.RaftMessage{
+			Kind:       kind,
+			To:         m.GetName(),
+			ToIdentity: m.GetIdentity(),
+			Term:       term,
+			LogIndex:   n.log.last(),
+			LogTerm:    n.log.lastTerm(),
+			Transfer:   transfer,
+		})
+	}
+	n.countVotes(now)
+}
+
+func (n *Node) countVotes(now time.Duration) {
+	granted, total := 0, 0
+	for _, m := range n.voters() {
+		total++
+		if n.votes[m.GetName()] {
+			granted++
+		}
+	}
+	if granted*2 <= total {
+		return
+	}
+	switch n.role {
+	case preCandidate:
+		n.campaign(now, candidate, false)
+	case candidate:
+		n.becomeLeader(now)
+	}
+}
+
+// stepVoteRequest answers a request for a vote or a pre-vote.
+func (n *Node) stepVoteRequest(now time.Duration, m *pb.RaftMessage) {
+	pre := m.GetKind() == pb.RaftKind_RAFT_KIND_PRE_VOTE
+	sticky := n.role == leader || now-n.leaderSeen < n.cfg.Election
+	if sticky && !m.GetTransfer() {
+		// Within the lease of a leader no vote is granted and no term adopted.
+		return
+	}
+	if !pre && m.GetTerm() > n.term {
+		n.becomeFollower(now, m.GetTerm(), "")
+	}
+	upToDate := m.GetLogTerm() > n.log.lastTerm() ||
+		m.GetLogTerm() == n.log.lastTerm() && m.GetLogIndex() >= n.log.last()
+	var grant bool
+	if pre {
+		grant = upToDate && m.GetTerm() > n.term
+	} else {
+		grant = upToDate && m.GetTerm() == n.term && (n.vote == "" || n.vote == m.GetFrom())
+	}
+	kind := pb.RaftKind_RAFT_KIND_PRE_VOTE_REPLY
+	term := m.GetTerm()
+	if !pre {
+		kind, term = pb.RaftKind_RAFT_KIND_VOTE_REPLY, n.term
+		if grant {
+			n.vote = m.GetFrom()
+			n.resetElection(now)
+		}
+	}
+	if pre && !grant {
+		term = n.term
+	}
+	n.send(&pb.RaftMessage{
+		Kind:       kind,
+		To:         m.GetFrom(),
+		ToIdentity: m.GetIdentity(),
+		Term:       term,
+		Reject:     !grant,
+	})
+}
+
+func (n *Node) stepVoteReply(now time.Duration, m *pb.RaftMessage) {
+	if !n.known(m) {
+		return
+	}
+	pre := m.GetKind() == pb.RaftKind_RAFT_KIND_PRE_VOTE_REPLY
+	if m.GetReject() {
+		if m.GetTerm() > n.term {
+			n.becomeFollower(now, m.GetTerm(), "")
+		}
+		return
+	}
+	switch {
+	case pre && n.role == preCandidate && m.GetTerm() == n.term+1:
+	case !pre && n.role == candidate && m.GetTerm() == n.term:
+	default:
+		return
+	}
+	n.votes[m.GetFrom()] = true
+	n.countVotes(now)
+}
+
+func (n *Node) becomeFollower(now time.Duration, term uint64, leaderName string) {
+	if term > n.term {
+		n.term, n.vote = term, ""
+	}
+	if n.role != follower || n.leaderName != leaderName {
+		n.resetElection(now)
+	}
+	n.role = follower
+	n.leaderName = leaderName
+	n.peers, n.sentAt, n.transferTo = nil, nil, ""
+}
+
+func (n *Node) becomeLeader(now time.Duration) {
+	n.role = leader
+	n.leaderName = n.cfg.Name
+	n.leaderSince = now
+	n.transferTo = ""
+	n.sentAt = make(map[uint64]time.Duration)
+	n.peers = nil
+	n.syncPeers(now)
+	// An entry of its own term lets the leader commit those before it.
+	n.appendOwn(pb.RaftEntryKind_RAFT_ENTRY_KIND_COMMAND, nil)
+	n.broadcast(now)
+}
+
+// quorumAcked returns the latest time at which a message was sent that a
+// quorum has acknowledged.
+func (n *Node) quorumAcked(now time.Duration) time.Duration {
+	var acks []time.Duration
+	for _, m := range n.voters() {
+		if m.GetName() == n.cfg.Name {
+			acks = append(acks, now)
+			continue
+		}
+		if p := n.peers[m.GetName()]; p != nil {
+			acks = append(acks, p.ackedSend)
+		}
+	}
+	return quorumOf(acks)
+}
+
+// LeaseUntil returns until when no other leader can exist; zero when this
+// replica is not a leader that has committed in its term.
+func (n *Node) LeaseUntil(now time.Duration) time.Duration {
+	if n.role != leader || n.transferTo != "" {
+		return 0
+	}
+	if t, _ := n.log.term(n.commit); t != n.term {
+		return 0
+	}
+	span := n.cfg.Election * (100 - MaxDriftPercent) / 100
+	return n.quorumAcked(now) + span
+}
+
+// LeaseValid reports whether the leader lease holds now.
+func (n *Node) LeaseValid(now time.Duration) bool { return now < n.LeaseUntil(now) }
+
+// Transfer hands leadership to the most advanced voter. From then on this
+// replica has no lease and takes no proposal until the transfer times out.
+func (n *Node) Transfer(now time.Duration) error {
+	if n.role != leader {
+		return fault.New(fault.NotLeader, n.leaderName, "only a leader transfers leadership")
+	}
+	best := ""
+	for _, m := range n.voters() {
+		p := n.peers[m.GetName()]
+		if m.GetName() == n.cfg.Name || p == nil || now-p.ackedSend > n.cfg.Election {
+			continue
+		}
+		if best == "" || p.match > n.peers[best].match {
+			best = m.GetName()
+		}
+	}
+	if best == "" {
+		return fault.New(fault.NoQuorum, n.cfg.Name, "no other replica can lead")
+	}
+	n.transferTo = best
+	n.transferEnd = now + 2*n.cfg.Election
+	n.broadcast(now)
+	n.maybeFinishTransfer()
+	return nil
+}
+
+// maybeFinishTransfer tells the target to campaign once it has every entry.
+func (n *Node) maybeFinishTransfer() {
+	if n.transferTo == "" {
+		return
+	}
+	m, p := n.member(n.transferTo), n.peers[n.transferTo]
+	if m == nil || p == nil || p.match != n.log.last() {
+		return
+	}
+	n.send(&pb.RaftMessage{
+		Kind:       pb.RaftKind_RAFT_KIND_TIMEOUT_NOW,
+		To:         m.GetName(),
+		ToIdentity: m.GetIdentity(),
+	})
+}
+
+func (n *Node) stepTimeoutNow(now time.Duration, m *pb.RaftMessage) {
+	if m.GetTerm() != n.term || !n.isVoter() || n.role == leader {
+		return
+	}
+	n.campaign(now, candidate, true)
+}
--- /dev/null
+++ b/internal/control/replica/replica.go
@@ -0,0 +1,569 @@
+// Package replica runs one control replica: it drives the replicated log with
+// the disk, the clock and the network, and applies what is committed.
+//
+// One goroutine owns the log. It collects what has arrived, lets the step
+// function take it, syncs, sends and applies, in that order; so one sync
+// serves all proposals that arrived while the last one was under way.
+package replica
+
+// This file defines Replica and its loop.
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/control"
+	"camphorspoke/internal/control/ledger"
+	"camphorspoke/internal/control/raftlog"
+	"camphorspoke/internal/control/wal"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/world/fault"
+)
+
+const (
+	// DefaultSnapshotEvery is how many entries are applied between snapshots.
+	DefaultSnapshotEvery = 2000
+	// keepEntries stay in the log after a snapshot, for replicas a little behind.
+	keepEntries  = 500
+	tickInterval = 20 * time.Millisecond
+	repairEvery  = 500 * time.Millisecond
+	inboxLength  = 4096
+)
+
+// Config says who the replica is.
+type Config struct {
+	Name    string
+	DataDir string
+	// Peers are the addresses of all configured replicas, by name.
+	Peers     map[string]string
+	Transport control.Transport
+	Logger    logrus.FieldLogger
+	Checker   *invariant.Checker
+	// Seed makes election timeouts repeatable; zero draws one.
+	Seed          uint64
+	SnapshotEvery uint64
+	Election      time.Duration
+	Heartbeat     time.Duration
+}
+
+// Status is what the loop last published.
+type Status struct {
+	Role          string
+	Leader        string
+	LeaderAddress string
+	Term          uint64
+	Commit        uint64
+	Applied       uint64
+	LastIndex     uint64
+	FirstIndex    uint64
+	Members       []*pb.RaftMember
+	// LeaseUntil is on the clock of Now.
+	LeaseUntil time.Duration
+	Empty      bool
+}
+
+// Replica is a running control replica.
+type Replica struct {
+	Ledger *ledger.Ledger
+
+	cfg      Config
+	log      *wal.Log
+	node     *raftlog.Node
+	identity uint64
+	start    time.Time
+
+	inbox     chan *pb.RaftMessage
+	proposals chan *proposal
+	changes   chan *change
+	stop      chan struct{}
+	done      chan struct{}
+	status    atomic.Pointer[Status]
+	failed    atomic.Pointer[error]
+
+	waiting      map[uint64]*proposal
+	sinceSnap    uint64
+	nextRepair   time.Duration
+	bootstrapped chan *pb.RaftMembers
+	bootstraps   bool
+}
+
+type proposal struct {
+	data   []byte
+	term   uint64
+	result chan outcome
+}
+
+type outcome struct {
+	result *pb.Result
+	err    error
+}
+
+// change is a request to run f on the log's goroutine.
+type change struct {
+	f    func(n *raftlog.Node, now time.Duration) error
+	done chan error
+}
+
+// Start opens the data folder and runs the replica. The clean-up function
+// stops it and closes the folder.
+func Start(cfg Config) (*Replica, func(), error) {
+	log, contents, closeLog, err := wal.Open(cfg.DataDir)
+	if err != nil {
+		return nil, nil, err
+	}
+	if cfg.SnapshotEvery == 0 {
+		cfg.SnapshotEvery = DefaultSnapshotEvery
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	r := &Replica{
+		Ledger: &ledger.Ledger{
+			Checker: cfg.Checker,
+		},
+		cfg:          cfg,
+		log:          log,
+		identity:     contents.Identity,
+		start:        time.Now(),
+		inbox:        make(chan *pb.RaftMessage, inboxLength),
+		proposals:    make(chan *proposal, inboxLength),
+		changes:      make(chan *change),
+		stop:         make(chan struct{}),
+		done:         make(chan struct{}),
+		waiting:      make(map[uint64]*proposal),
+		bootstrapped: make(chan *pb.RaftMembers, 1),
+	}
+	if err := r.load(contents); err != nil {
+		closeLog()
+		return nil, nil, err
+	}
+	go r.run()
+	cleanup := func() {
+		close(r.stop)
+		<-r.done
+		closeLog()
+	}
+	return r, cleanup, nil
+}
+
+func (r *Replica) load(c *wal.Contents) error {
+	if c.CutBytes > 0 {
+		r.cfg.Logger.Warnf("control: cut a torn tail of %d bytes", c.CutBytes)
+	}
+	if r.identity == 0 {
+		r.identity = rand.Uint64() | 1
+		if err := r.log.Append(&pb.WalRecord{
+			Identity: r.identity,
+		}); err != nil {
+			return err
+		}
+	}
+	if c.Snapshot != nil {
+		if err := r.Ledger.Restore(c.Snapshot.GetData()); err != nil {
+			return err
+		}
+	}
+	r.node = r.newNode(raftlog.Stored{
+		HardState: c.HardState,
+		Snapshot:  c.Snapshot,
+		Entries:   c.Entries,
+	})
+	r.publish()
+	return nil
+}
+
+func (r *Replica) newNode(st raftlog.Stored) *raftlog.Node {
+	return raftlog.New(raftlog.Config{
+		Name:        r.cfg.Name,
+		Identity:    r.identity,
+		Election: r.cfg.Election,
+		Heartbeat:   r.cfg.Heartbeat,
+		Rand:        rand.New(rand.NewPCG(r.cfg.Seed, r.identity)),
+		Checker:     r.cfg.Checker,
+	}, st, r.Now())
+}
+
+// Now returns the replica's monotonic clock.
+func (r *Replica) Now() time.Duration { return time.Since(r.start) }
+
+// Status returns what the loop last published.
+func (r *Replica) Status() *Status { return r.status.Load() }
+
+// Identity returns the identity of the replica's disk.
+func (r *Replica) Identity() uint64 { return r.identity }
+
+// Leads reports whether this replica leads and its lease holds.
+func (r *Replica) Leads() bool { return r.Now() < r.Status().LeaseUntil }
+
+// Failed returns the failure that stopped the replica, or nil.
+func (r *Replica) Failed() error {
+	if e := r.failed.Load(); e != nil {
+		return *e
+	}
+	return nil
+}
+
+// Deliver hands in a message from another replica; it is dropped when the
+// replica is behind, as a network would.
+func (r *Replica) Deliver(m *pb.RaftMessage) {
+	select {
+	case r.inbox <- m:
+	default:
+	}
+}
+
+// Propose commits a command and returns its result. A NoQuorum failure means
+// that the command may still be committed: ask again with the same command.
+func (r *Replica) Propose(ctx context.Context, c *pb.Command) (*pb.Result, error) {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, "command", err)
+	}
+	p := &proposal{
+		data:   data,
+		result: make(chan outcome, 1),
+	}
+	select {
+	case r.proposals <- p:
+	case <-ctx.Done():
+		return nil, fault.Wrap(fault.NotLeader, r.cfg.Name, ctx.Err())
+	case <-r.done:
+		return nil, fault.New(fault.NotLeader, r.cfg.Name, "this replica has stopped")
+	}
+	select {
+	case o := <-p.result:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, fault.Wrap(fault.NoQuorum, r.cfg.Name, ctx.Err())
+	case <-r.done:
+		return nil, fault.New(fault.NoQuorum, r.cfg.Name, "this replica stopped before the answer")
+	}
+}
+
+// Change runs f on the log's goroutine: transfers and changes of membership.
+func (r *Replica) Change(ctx context.Context, f func(n *raftlog.Node, now time.Duration) error) error {
+	c := &change{
+		f:    f,
+		done: make(chan error, 1),
+	}
+	select {
+	case r.changes <- c:
+	case <-ctx.Done():
+		return fault.Wrap(fault.NoQuorum, r.cfg.Name, ctx.Err())
+	case <-r.done:
+		return fault.New(fault.NoQuorum, r.cfg.Name, "this replica has stopped")
+	}
+	return <-c.done
+}
+
+func (r *Replica) run() {
+	defer close(r.done)
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	var batch []*proposal
+	for {
+		select {
+		case <-r.stop:
+			r.failAll()
+			return
+		case m := <-r.inbox:
+			r.node.Step(r.Now(), m)
+		case p := <-r.proposals:
+			batch = append(batch, p)
+		case c := <-r.changes:
+			c.done <- c.f(r.node, r.Now())
+		case m := <-r.bootstrapped:
+			r.bootstrap(m)
+		case <-tick.C:
+			r.tick()
+		}
+		batch = r.drain(batch)
+		r.propose(batch)
+		batch = batch[:0]
+		if err := r.work(); err != nil {
+			// The disk failed: nothing more may be promised.
+			r.cfg.Logger.WithError(err).Error("control: replica stopped")
+			r.failed.Store(&err)
+			r.status.Store(&Status{
+				Role: "failed",
+			})
+			r.failAll()
+			return
+		}
+	}
+}
+
+// drain takes what has arrived in the meantime, so that one sync serves it.
+func (r *Replica) drain(batch []*proposal) []*proposal {
+	for range inboxLength {
+		select {
+		case m := <-r.inbox:
+			r.node.Step(r.Now(), m)
+		case p := <-r.proposals:
+			batch = append(batch, p)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (r *Replica) propose(batch []*proposal) {
+	if len(batch) == 0 {
+		return
+	}
+	data := make([][]byte, len(batch))
+	for i, p := range batch {
+		data[i] = p.data
+	}
+	first, term, err := r.node.Propose(r.Now(), data...)
+	for i, p := range batch {
+		if err != nil {
+			p.result <- outcome{
+				err: err,
+			}
+			continue
+		}
+		p.term = term
+		r.waiting[first+uint64(i)] = p
+	}
+}
+
+func (r *Replica) failAll() {
+	for i, p := range r.waiting {
+		delete(r.waiting, i)
+		p.result <- outcome{
+			err: fault.New(fault.NoQuorum, r.cfg.Name, "leadership was lost before the answer"),
+		}
+	}
+}
+
+func (r *Replica) tick() {
+	now := r.Now()
+	r.node.Tick(now)
+	if now < r.nextRepair {
+		return
+	}
+	r.nextRepair = now + repairEvery
+	if next := r.node.NextRepair(now); next != nil {
+		if err := r.node.ProposeMembers(now, next); err == nil {
+			r.cfg.Logger.Info("control: repairing the members")
+		}
+	}
+	r.maybeBootstrap()
+}
+
+// work carries out what the node asks for until it asks for nothing.
+func (r *Replica) work() error {
+	for {
+		ready := r.node.Ready()
+		if ready.Empty() {
+			break
+		}
+		if err := r.persist(&ready); err != nil {
+			return err
+		}
+		r.node.Synced(r.Now())
+		for _, m := range ready.Messages {
+			if a := r.address(m.GetTo()); a != "" {
+				r.cfg.Transport.Send(a, m)
+			}
+		}
+		for _, e := range ready.Committed {
+			r.applyEntry(e)
+		}
+		if err := r.maybeSnapshot(); err != nil {
+			return err
+		}
+	}
+	if !r.node.IsLeader() && len(r.waiting) > 0 {
+		r.failAll()
+	}
+	r.publish()
+	return nil
+}
+
+func (r *Replica) address(name string) string {
+	for _, m := range r.node.Members().GetMembers() {
+		if m.GetName() == name && m.GetAddress() != "" {
+			return m.GetAddress()
+		}
+	}
+	return r.cfg.Peers[name]
+}
+
+func (r *Replica) persist(ready *raftlog.Ready) error {
+	if ready.Snapshot != nil {
+		if err := r.log.SaveSnapshot(ready.Snapshot); err != nil {
+			return err
+		}
+		if err := r.rotate(ready.HardState); err != nil {
+			return err
+		}
+		return r.Ledger.Restore(ready.Snapshot.GetData())
+	}
+	if ready.HardState == nil && len(ready.Entries) == 0 {
+		return nil
+	}
+	return r.log.Append(&pb.WalRecord{
+		HardState: ready.HardState,
+		Entries:   ready.Entries,
+	})
+}
+
+func (r *Replica) rotate(hs *pb.RaftHardState) error {
+	return r.log.Rotate(&pb.WalRecord{
+		Identity:  r.identity,
+		HardState: hs,
+		Entries:   r.node.Retained(),
+	})
+}
+
+func (r *Replica) applyEntry(e *pb.RaftEntry) {
+	r.sinceSnap++
+	result := &pb.Result{}
+	if e.GetKind() == pb.RaftEntryKind_RAFT_ENTRY_KIND_COMMAND && len(e.GetData()) > 0 {
+		c := &pb.Command{}
+		err := proto.Unmarshal(e.GetData(), c)
+		r.cfg.Checker.Holds(err == nil, "commandsDecode", "entry %d: %v", e.GetIndex(), err)
+		result = r.Ledger.Apply(e.GetIndex(), c)
+	}
+	p := r.waiting[e.GetIndex()]
+	if p == nil {
+		return
+	}
+	delete(r.waiting, e.GetIndex())
+	if p.term != e.GetTerm() {
+		p.result <- outcome{
+			err: fault.New(fault.NotLeader, r.node.Leader(), "another leader's entry took the place"),
+		}
+		return
+	}
+	p.result <- outcome{
+		result: result,
+	}
+}
+
+func (r *Replica) maybeSnapshot() error {
+	if r.sinceSnap < r.cfg.SnapshotEvery {
+		return nil
+	}
+	r.sinceSnap = 0
+	data, err := r.Ledger.Encode()
+	if err != nil {
+		return err
+	}
+	index := r.node.Applied()
+	snap := &pb.RaftSnapshot{
+		Index:   index,
+		Term:    r.node.TermAt(index),
+		Members: r.node.MembersAt(index),
+		Data:    data,
+	}
+	if err := r.log.SaveSnapshot(snap); err != nil {
+		return err
+	}
+	r.node.Compact(snap, keepEntries)
+	return r.rotate(r.node.HardState())
+}
+
+func (r *Replica) publish() {
+	now := r.Now()
+	r.status.Store(&Status{
+		Role:          r.node.Role(),
+		Leader:        r.node.Leader(),
+		LeaderAddress: r.address(r.node.Leader()),
+		Term:          r.node.Term(),
+		Commit:        r.node.Commit(),
+		Applied:       r.node.Applied(),
+		LastIndex:     r.node.LastIndex(),
+		FirstIndex:    r.node.FirstIndex(),
+		Members:       r.node.Members().GetMembers(),
+		LeaseUntil:    r.node.LeaseUntil(now),
+		Empty:         r.node.Term() == 0 && r.node.LastIndex() == 0,
+	})
+}
+
+// maybeBootstrap starts a new group. Only the replica whose name sorts first
+// does it, and only when every configured replica says its disk is empty.
+func (r *Replica) maybeBootstrap() {
+	if r.bootstraps || !r.Status().Empty || len(r.cfg.Peers) == 0 {
+		return
+	}
+	names := slices.Sorted(maps.Keys(r.cfg.Peers))
+	if names[0] != r.cfg.Name {
+		return
+	}
+	r.bootstraps = true
+	go func() {
+		for {
+			if m := r.askAll(names); m != nil {
+				r.bootstrapped <- m
+				return
+			}
+			select {
+			case <-r.stop:
+				return
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+	}()
+}
+
+// askAll returns the members of a new group, or nil unless all are empty.
+func (r *Replica) askAll(names []string) *pb.RaftMembers {
+	members := &pb.RaftMembers{}
+	for _, name := range names {
+		identity := r.identity
+		if name != r.cfg.Name {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			st, err := r.cfg.Transport.State(ctx, r.cfg.Peers[name])
+			cancel()
+			if err != nil || !st.GetEmpty() || st.GetInstance() != name {
+				return nil
+			}
+			identity = st.GetIdentity()
+		}
+		members.Members = append(members.Members, &pb.RaftMember{
+			Name:     name,
+			Address:  r.cfg.Peers[name],
+			Identity: identity,
+		})
+	}
+	return members
+}
+
+// bootstrap writes the first entry, unless a group was joined meanwhile.
+func (r *Replica) bootstrap(m *pb.RaftMembers) {
+	if r.node.Term() != 0 || r.node.LastIndex() != 0 {
+		return
+	}
+	e, err := raftlog.BootstrapEntry(m)
+	if err != nil {
+		r.cfg.Logger.WithError(err).Error("control: cannot start a group")
+		return
+	}
+	st := raftlog.Stored{
+		HardState: &pb.RaftHardState{
+			Term: 1,
+		},
+		Entries: []*pb.RaftEntry{e},
+	}
+	if err := r.log.Append(&pb.WalRecord{
+		HardState: st.HardState,
+		Entries:   st.Entries,
+	}); err != nil {
+		r.cfg.Logger.WithError(err).Error("control: cannot start a group")
+		return
+	}
+	r.node = r.newNode(st)
+	r.cfg.Logger.Infof("control: started a group of %d", len(m.GetMembers()))
+}
--- /dev/null
+++ b/internal/daemon/server/dump.go
@@ -0,0 +1,124 @@
+package server
+
+// This file defines the dump of a process's state.
+
+import (
+	"os"
+
+	"camphorspoke/internal/control/replica"
+	"camphorspoke/internal/daemon/membership"
+	"camphorspoke/internal/daemon/router"
+	"camphorspoke/internal/daemon/version"
+)
+
+type dump struct {
+	Version      string            `json:"version"`
+	ProcessID    int               `json:"processId"`
+	UptimeMs     int64             `json:"uptimeMs"`
+	Member       membership.State  `json:"member"`
+	Router       router.State      `json:"router"`
+	Replica      *replicaDump      `json:"replica,omitempty"`
+	Servers      []serverDump      `json:"backendServers"`
+	Instances    []instanceDump    `json:"instances"`
+	ControlBytes map[string]uint64 `json:"controlBytes"`
+	Violations   map[string]uint64 `json:"violations"`
+}
+
+type replicaDump struct {
+	Role       string       `json:"role"`
+	Leader     string       `json:"leader"`
+	Term       uint64       `json:"term"`
+	Commit     uint64       `json:"commit"`
+	LastIndex  uint64       `json:"lastIndex"`
+	FirstIndex uint64       `json:"firstIndex"`
+	Members    []memberDump `json:"members"`
+	OpenOrders int          `json:"openOrders"`
+	OpenClaims int          `json:"openClaims"`
+}
+
+type memberDump struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Learner bool   `json:"learner,omitempty"`
+}
+
+type serverDump struct {
+	Name          string `json:"name"`
+	Service       string `json:"service"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
+	Owner         string `json:"owner"`
+	Epoch         uint64 `json:"epoch"`
+	Leaving       bool   `json:"leaving,omitempty"`
+	Drained       bool   `json:"drained,omitempty"`
+	Gone          bool   `json:"gone,omitempty"`
+}
+
+type instanceDump struct {
+	Name          string `json:"name"`
+	CallerAddress string `json:"callerAddress"`
+	FailureDomain string `json:"failureDomain"`
+	Leaving       bool   `json:"leaving,omitempty"`
+	Gone          bool   `json:"gone,omitempty"`
+}
+
+func (in *instance) dump() any {
+	d := dump{
+		Version:      version.String(),
+		ProcessID:    os.Getpid(),
+		UptimeMs:     in.now().Milliseconds(),
+		Member:       in.agent.State(),
+		Router:       in.router.State(),
+		ControlBytes: in.wire.Bytes(),
+		Violations:   in.checker.Counts(),
+	}
+	v := in.agent.View()
+	for _, s := range v.Servers {
+		d.Servers = append(d.Servers, serverDump{
+			Name:          s.GetName(),
+			Service:       s.GetService(),
+			Address:       s.GetAddress(),
+			FailureDomain: s.GetFailureDomain(),
+			Owner:         s.GetOwner(),
+			Epoch:         s.GetEpoch(),
+			Leaving:       s.GetLeaving(),
+			Drained:       s.GetDrained(),
+			Gone:          s.GetGone(),
+		})
+	}
+	for _, i := range v.Instances {
+		d.Instances = append(d.Instances, instanceDump{
+			Name:          i.GetName(),
+			CallerAddress: i.GetCallerAddress(),
+			FailureDomain: i.GetFailureDomain(),
+			Leaving:       i.GetLeaving(),
+			Gone:          i.GetGone(),
+		})
+	}
+	if in.replica != nil {
+		d.Replica = dumpReplica(in.replica)
+	}
+	return d
+}
+
+func dumpReplica(r *replica.Replica) *replicaDump {
+	st := r.Status()
+	d := &replicaDump{
+		Role:       st.Role,
+		Leader:     st.Leader,
+		Term:       st.Term,
+		Commit:     st.Commit,
+		LastIndex:  st.LastIndex,
+		FirstIndex: st.FirstIndex,
+		OpenOrders: len(r.Ledger.OpenOrders()),
+		OpenClaims: len(r.Ledger.Claims(false)),
+	}
+	for _, m := range st.Members {
+		d.Members = append(d.Members, memberDump{
+			Name:    m.GetName(),
+			Address: m.GetAddress(),
+			Learner: m.GetLearner(),
+		})
+	}
+	return d
+}
--- /dev/null
+++ b/internal/edge/controlserver/controlserver.go
@@ -0,0 +1,116 @@
+// Package controlserver serves the control group to routers and replicas.
+package controlserver
+
+// This file defines Server.
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"camphorspoke/internal/control"
+	"camphorspoke/internal/control/manager"
+	"camphorspoke/internal/control/raftlog"
+	"camphorspoke/internal/control/replica"
+	"camphorspoke/internal/edge/status"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/world/fault"
+)
+
+// Server implements the ControlService.
+type Server struct {
+	pb.UnimplementedControlServiceServer
+
+	Name      string
+	Replica   *replica.Replica
+	Manager   *manager.Manager
+	Transport control.Transport
+}
+
+var _ pb.ControlServiceServer = (*Server)(nil)
+
+// Heartbeat renews a router's lease.
+func (s *Server) Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	resp, err := s.Manager.Heartbeat(ctx, r)
+	return resp, status.FromFault(err)
+}
+
+// Propose commits a command.
+func (s *Server) Propose(ctx context.Context, r *pb.ProposeRequest) (*pb.ProposeResponse, error) {
+	result, err := s.Manager.Propose(ctx, r.GetCommand())
+	if err != nil {
+		return nil, status.FromFault(err)
+	}
+	return &pb.ProposeResponse{
+		Result: result,
+	}, nil
+}
+
+// Query reads the leader's state.
+func (s *Server) Query(_ context.Context, r *pb.QueryRequest) (*pb.QueryResponse, error) {
+	resp, err := s.Manager.Query(r)
+	return resp, status.FromFault(err)
+}
+
+// ApplyRules takes an edit of the rule file.
+func (s *Server) ApplyRules(ctx context.Context, r *pb.ApplyRulesRequest) (*pb.ApplyRulesResponse, error) {
+	resp, err := s.Manager.ApplyRules(ctx, r)
+	return resp, status.FromFault(err)
+}
+
+// Raft takes the messages of another replica.
+func (s *Server) Raft(stream grpc.ClientStreamingServer[pb.RaftRequest, pb.RaftResponse]) error {
+	for {
+		r, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&pb.RaftResponse{})
+		}
+		if err != nil {
+			return err
+		}
+		s.Replica.Deliver(r.GetMessage())
+	}
+}
+
+// ReplicaState says who this replica is.
+func (s *Server) ReplicaState(context.Context, *pb.ReplicaStateRequest) (*pb.ReplicaStateResponse, error) {
+	st := s.Replica.Status()
+	return &pb.ReplicaStateResponse{
+		Instance: s.Name,
+		Empty:    st.Empty,
+		Identity: s.Replica.Identity(),
+		Leader:   st.Leader,
+	}, nil
+}
+
+// ChangeReplica adds a replica as a learner, to be promoted once it has caught
+// up, or removes one.
+func (s *Server) ChangeReplica(ctx context.Context, r *pb.ChangeReplicaRequest) (*pb.ChangeReplicaResponse, error) {
+	if !s.Manager.Leads() {
+		return nil, status.FromFault(fault.New(fault.NotLeader, s.Replica.Status().LeaderAddress, "ask the leader"))
+	}
+	var identity uint64
+	if !r.GetRemove() {
+		st, err := s.Transport.State(ctx, r.GetAddress())
+		if err != nil {
+			return nil, status.FromFault(fault.Wrap(fault.BadRequest, r.GetAddress(), err))
+		}
+		if st.GetInstance() != r.GetInstance() {
+			return nil, status.FromFault(fault.New(fault.BadRequest, r.GetAddress(), "another instance answers at this address"))
+		}
+		identity = st.GetIdentity()
+	}
+	err := s.Replica.Change(ctx, func(n *raftlog.Node, now time.Duration) error {
+		if r.GetRemove() {
+			return n.ProposeMembers(now, n.Without(r.GetInstance()))
+		}
+		return n.ProposeMembers(now, n.WithLearner(r.GetInstance(), r.GetAddress(), identity))
+	})
+	if err != nil {
+		return nil, status.FromFault(err)
+	}
+	return &pb.ChangeReplicaResponse{}, nil
+}
--- /dev/null
+++ b/internal/edge/engine/engine.go
@@ -0,0 +1,114 @@
+// Package engine adapts model engines.
+package engine
+
+// This file defines Client.
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"camphorspoke/internal/edge"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/gen/camphorspoke/v1/camphorspokev1connect"
+)
+
+// Client reaches engines by address; the zero value works.
+type Client struct {
+	// HTTP carries the calls; nil uses the default client.
+	HTTP connect.HTTPClient
+
+	clients sync.Map
+}
+
+var _ edge.Engine = (*Client)(nil)
+
+func (c *Client) at(address string) camphorspokev1connect.EngineServiceClient {
+	if v, ok := c.clients.Load(address); ok {
+		return v.(camphorspokev1connect.EngineServiceClient)
+	}
+	hc := c.HTTP
+	if hc == nil {
+		hc = http.DefaultClient
+	}
+	v, _ := c.clients.LoadOrStore(address, camphorspokev1connect.NewEngineServiceClient(hc, "http://"+address))
+	return v.(camphorspokev1connect.EngineServiceClient)
+}
+
+type frames struct {
+	stream *connect.ServerStreamForClient[pb.InferResponse]
+}
+
+func (f frames) Receive() (*pb.InferResponse, bool) {
+	if !f.stream.Receive() {
+		return nil, false
+	}
+	return f.stream.Msg(), true
+}
+
+func (f frames) Err() error { return f.stream.Err() }
+func (f frames) Close()     { f.stream.Close() }
+
+// Infer opens the stream of an answer.
+func (c *Client) Infer(ctx context.Context, address string, r *pb.InferRequest) (edge.Frames, error) {
+	s, err := c.at(address).Infer(ctx, connect.NewRequest(r))
+	if err != nil {
+		return nil, err
+	}
+	return frames{
+		stream: s,
+	}, nil
+}
+
+// Cancel ends a request.
+func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
+	_, err := c.at(address).Cancel(ctx, connect.NewRequest(&pb.CancelRequest{
+		RequestId: requestID,
+	}))
+	return err
+}
+
+// ExportCache reads the KV cache of a chat.
+func (c *Client) ExportCache(ctx context.Context, address, chat string) (*pb.ExportCacheResponse, error) {
+	r, err := c.at(address).ExportCache(ctx, connect.NewRequest(&pb.ExportCacheRequest{
+		Chat: chat,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg, nil
+}
+
+// ImportCache writes the KV cache of a chat.
+func (c *Client) ImportCache(ctx context.Context, address string, r *pb.ImportCacheRequest) error {
+	_, err := c.at(address).ImportCache(ctx, connect.NewRequest(r))
+	return err
+}
+
+// CacheEvents returns the cache events after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]*pb.CacheEvent, error) {
+	r, err := c.at(address).CacheEvents(ctx, connect.NewRequest(&pb.CacheEventsRequest{
+		After: after,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg.GetEvents(), nil
+}
+
+// Load returns the load that the engine reports, with a lag.
+func (c *Client) Load(ctx context.Context, address string) (*pb.LoadResponse, error) {
+	r, err := c.at(address).Load(ctx, connect.NewRequest(&pb.LoadRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg, nil
+}
+
+// Order sends an order with its fencing number.
+func (c *Client) Order(ctx context.Context, address string, r *pb.OrderRequest) error {
+	_, err := c.at(address).Order(ctx, connect.NewRequest(r))
+	return err
+}
--- /dev/null
+++ b/internal/edge/operator/operator.go
@@ -0,0 +1,169 @@
+// Package operator serves operators over Connect. Any daemon takes their
+// requests and hands them to the leader of the control group.
+package operator
+
+// This file defines Handler.
+
+import (
+	"context"
+	"encoding/json"
+
+	"connectrpc.com/connect"
+
+	"camphorspoke/internal/control"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/gen/camphorspoke/v1/camphorspokev1connect"
+	"camphorspoke/internal/rules/parse"
+	"camphorspoke/internal/world/fault"
+)
+
+// Handler implements the OperatorService.
+type Handler struct {
+	Control control.Client
+	// Dumped returns the state of this process.
+	Dumped func() any
+}
+
+var _ camphorspokev1connect.OperatorServiceHandler = (*Handler)(nil)
+
+// ApplyRules takes an edit of the rule file.
+func (h *Handler) ApplyRules(ctx context.Context, r *connect.Request[pb.ApplyRulesRequest]) (*connect.Response[pb.ApplyRulesResponse], error) {
+	if _, err := parse.Rules("rules", r.Msg.GetContent()); err != nil {
+		return nil, fault.Connect(&fault.Fault{
+			Kind:   fault.BadRules,
+			Advice: err.Error(),
+		})
+	}
+	resp, err := h.Control.ApplyRules(ctx, r.Msg)
+	return answer(resp, err)
+}
+
+// ShowRules returns the rule file in force.
+func (h *Handler) ShowRules(ctx context.Context, _ *connect.Request[pb.ShowRulesRequest]) (*connect.Response[pb.ShowRulesResponse], error) {
+	q, err := h.Control.Query(ctx, &pb.QueryRequest{
+		Rules: true,
+	})
+	return answer(&pb.ShowRulesResponse{
+		Version: q.GetRuleVersion(),
+		Content: q.GetRules(),
+	}, err)
+}
+
+func answer[T any](m *T, err error) (*connect.Response[T], error) {
+	if err != nil {
+		return nil, fault.Connect(err)
+	}
+	return connect.NewResponse(m), nil
+}
+
+// propose commits a command and turns a refusal into a fault.
+func (h *Handler) propose(ctx context.Context, c *pb.Command, advice string) (*pb.Result, error) {
+	r, err := h.Control.Propose(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	if r.GetFailure() != "" {
+		return nil, fault.New(r.GetFailure(), r.GetSubject(), advice)
+	}
+	return r, nil
+}
+
+func needReason(reason string) error {
+	if reason == "" {
+		return fault.New(fault.BadRequest, "reason", "say why; the reason is kept")
+	}
+	return nil
+}
+
+// Drain starts or ends the draining of a backend server.
+func (h *Handler) Drain(ctx context.Context, r *connect.Request[pb.DrainRequest]) (*connect.Response[pb.DrainResponse], error) {
+	if err := needReason(r.Msg.GetReason()); err != nil {
+		return nil, fault.Connect(err)
+	}
+	_, err := h.propose(ctx, &pb.Command{
+		Kind: &pb.Command_DrainServer{
+			DrainServer: &pb.DrainServer{
+				BackendServer: r.Msg.GetBackendServer(),
+				Drain:         r.Msg.GetDrain(),
+				Reason:        r.Msg.GetReason(),
+			},
+		},
+	}, "name a backend server that camphor status lists")
+	return answer(&pb.DrainResponse{}, err)
+}
+
+// OrderEngine places an order.
+func (h *Handler) OrderEngine(ctx context.Context, r *connect.Request[pb.OrderEngineRequest]) (*connect.Response[pb.OrderEngineResponse], error) {
+	switch r.Msg.GetAction() {
+	case "load", "adapter", "version", "role":
+	default:
+		return nil, fault.Connect(fault.New(fault.BadRequest, r.Msg.GetAction(), "use load, adapter, version or role"))
+	}
+	if err := needReason(r.Msg.GetReason()); err != nil {
+		return nil, fault.Connect(err)
+	}
+	res, err := h.propose(ctx, &pb.Command{
+		Kind: &pb.Command_PlaceOrder{
+			PlaceOrder: &pb.PlaceOrder{
+				BackendServer: r.Msg.GetBackendServer(),
+				Action:        r.Msg.GetAction(),
+				Argument:      r.Msg.GetArgument(),
+				Reason:        r.Msg.GetReason(),
+			},
+		},
+	}, "name a backend server that camphor status lists")
+	return answer(&pb.OrderEngineResponse{
+		OrderId:       res.GetOrderId(),
+		FencingNumber: res.GetFencingNumber(),
+	}, err)
+}
+
+// ListClaims lists claims on request keys.
+func (h *Handler) ListClaims(ctx context.Context, r *connect.Request[pb.ListClaimsRequest]) (*connect.Response[pb.ListClaimsResponse], error) {
+	q, err := h.Control.Query(ctx, &pb.QueryRequest{
+		Claims:    true,
+		AllClaims: r.Msg.GetAll(),
+	})
+	return answer(&pb.ListClaimsResponse{
+		Claims: q.GetClaims(),
+	}, err)
+}
+
+// SettleClaim records an operator's decision on a claim.
+func (h *Handler) SettleClaim(ctx context.Context, r *connect.Request[pb.SettleClaimRequest]) (*connect.Response[pb.SettleClaimResponse], error) {
+	if err := needReason(r.Msg.GetReason()); err != nil {
+		return nil, fault.Connect(err)
+	}
+	if r.Msg.GetOutcome() == pb.Outcome_OUTCOME_UNSPECIFIED {
+		return nil, fault.Connect(fault.New(fault.BadRequest, "outcome", "use done, notRun or inDoubt"))
+	}
+	_, err := h.propose(ctx, &pb.Command{
+		Kind: &pb.Command_SettleKey{
+			SettleKey: &pb.SettleKey{
+				ClientAccount: r.Msg.GetClientAccount(),
+				Service:       r.Msg.GetService(),
+				Key:           r.Msg.GetKey(),
+				Outcome:       r.Msg.GetOutcome(),
+				Reason:        r.Msg.GetReason(),
+				Operator:      true,
+			},
+		},
+	}, "the claim is settled, or its holder may still run it: only the holder may say that it was not run")
+	return answer(&pb.SettleClaimResponse{}, err)
+}
+
+// ChangeReplica changes the members of the control group.
+func (h *Handler) ChangeReplica(ctx context.Context, r *connect.Request[pb.ChangeReplicaRequest]) (*connect.Response[pb.ChangeReplicaResponse], error) {
+	return answer(&pb.ChangeReplicaResponse{}, h.Control.ChangeReplica(ctx, r.Msg))
+}
+
+// Dump returns the state of this process as JSON.
+func (h *Handler) Dump(context.Context, *connect.Request[pb.DumpRequest]) (*connect.Response[pb.DumpResponse], error) {
+	b, err := json.MarshalIndent(h.Dumped(), "", "  ")
+	if err != nil {
+		return nil, fault.Connect(fault.Wrap(fault.Internal, "dump", err))
+	}
+	return connect.NewResponse(&pb.DumpResponse{
+		Json: b,
+	}), nil
+}
--- /dev/null
+++ b/internal/edge/platform/platform.go
@@ -0,0 +1,32 @@
+// Package platform adapts the platform's list of backend servers.
+package platform
+
+// This file defines Client.
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"camphorspoke/internal/edge"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/gen/camphorspoke/v1/camphorspokev1connect"
+	"camphorspoke/internal/world/fault"
+)
+
+// Client reads the list at a base URL.
+type Client struct {
+	BaseURL string
+}
+
+var _ edge.Platform = Client{}
+
+// List returns the servers listed now.
+func (c Client) List(ctx context.Context) ([]*pb.ListedServer, error) {
+	r, err := camphorspokev1connect.NewPlatformServiceClient(http.DefaultClient, c.BaseURL).List(ctx, connect.NewRequest(&pb.ListRequest{}))
+	if err != nil {
+		return nil, fault.Wrap("platformList", c.BaseURL, err)
+	}
+	return r.Msg.GetServers(), nil
+}
--- /dev/null
+++ b/internal/edge/status/status.go
@@ -0,0 +1,59 @@
+// Package status carries faults across gRPC.
+package status
+
+// This file defines the translation in both directions.
+
+import (
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/world/fault"
+)
+
+// FromFault returns err as a gRPC error that carries a FailureDetail.
+func FromFault(err error) error {
+	if err == nil {
+		return nil
+	}
+	var f *fault.Fault
+	if !errors.As(err, &f) {
+		f = fault.Wrap(fault.Internal, "", err)
+	}
+	st, derr := status.New(codes.Aborted, f.Error()).WithDetails(&pb.FailureDetail{
+		Kind:         f.Kind,
+		Outcome:      f.Outcome(),
+		Subject:      f.Subject,
+		Advice:       f.Advice,
+		RetryAfterMs: uint32(f.RetryAfter.Milliseconds()),
+		RuleVersion:  f.RuleVersion,
+	})
+	if derr != nil {
+		return status.Error(codes.Aborted, f.Error())
+	}
+	return st.Err()
+}
+
+// ToFault returns the fault that a gRPC error carries; ok is false for an
+// error of the transport, which says nothing of what the peer did.
+func ToFault(err error) (f *fault.Fault, ok bool) {
+	st, is := status.FromError(err)
+	if !is {
+		return nil, false
+	}
+	for _, d := range st.Details() {
+		if fd, is := d.(*pb.FailureDetail); is {
+			return &fault.Fault{
+				Kind:        fd.GetKind(),
+				Subject:     fd.GetSubject(),
+				Advice:      fd.GetAdvice(),
+				RetryAfter:  time.Duration(fd.GetRetryAfterMs()) * time.Millisecond,
+				RuleVersion: fd.GetRuleVersion(),
+			}, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/routing/view/view.go
@@ -0,0 +1,101 @@
+// Package view is what a router knows of the world at one moment.
+package view
+
+// This file defines View.
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing"
+	"camphorspoke/internal/rules/file"
+)
+
+// View is an immutable copy of the tables; a change makes a new one.
+type View struct {
+	// Index is the log index up to which the tables are known.
+	Index       uint64
+	RuleVersion uint64
+	RuleText    []byte
+	Rules       *file.File
+	Servers     map[string]*pb.BackendServer
+	Instances   map[string]*pb.Instance
+
+	byService map[string][]*pb.BackendServer
+}
+
+// WithTables returns a view with rows replaced; whole drops the old rows.
+func (v *View) WithTables(index uint64, whole bool, servers []*pb.BackendServer, instances []*pb.Instance) *View {
+	next := *v
+	next.Index = index
+	next.Servers, next.Instances = make(map[string]*pb.BackendServer), make(map[string]*pb.Instance)
+	if !whole {
+		maps.Copy(next.Servers, v.Servers)
+		maps.Copy(next.Instances, v.Instances)
+	}
+	for _, s := range servers {
+		next.Servers[s.GetName()] = s
+	}
+	for _, i := range instances {
+		next.Instances[i.GetName()] = i
+	}
+	next.index()
+	return &next
+}
+
+// WithRules returns a view with another rule file.
+func (v *View) WithRules(version uint64, text []byte, f *file.File) *View {
+	next := *v
+	next.RuleVersion, next.RuleText, next.Rules = version, text, f
+	return &next
+}
+
+func (v *View) index() {
+	v.byService = make(map[string][]*pb.BackendServer)
+	for _, s := range v.Servers {
+		if !s.GetGone() {
+			v.byService[s.GetService()] = append(v.byService[s.GetService()], s)
+		}
+	}
+	for _, ss := range v.byService {
+		slices.SortFunc(ss, func(a, b *pb.BackendServer) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	}
+}
+
+// Open returns the servers of a service that take new work.
+func (v *View) Open(service string) []*pb.BackendServer {
+	var out []*pb.BackendServer
+	for _, s := range v.byService[service] {
+		if !s.GetLeaving() && !s.GetDrained() {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Weighted returns the servers of a service that take new work, with weights.
+func (v *View) Weighted(service string) []routing.Server {
+	open := v.Open(service)
+	out := make([]routing.Server, len(open))
+	for i, s := range open {
+		out[i] = routing.Server{
+			Name:   s.GetName(),
+			Weight: float64(max(s.GetSlots(), 1)),
+		}
+	}
+	return out
+}
+
+// Routers returns the listed instances, by name.
+func (v *View) Routers() []*pb.Instance {
+	var out []*pb.Instance
+	for _, i := range v.Instances {
+		if !i.GetGone() {
+			out = append(out, i)
+		}
+	}
+	slices.SortFunc(out, func(a, b *pb.Instance) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	return out
+}
--- /dev/null
+++ b/internal/rules/parse/parse.go
@@ -0,0 +1,292 @@
+// Package parse reads the rule file.
+//
+// The file holds one rule a line: a verb, a name, settings as key=value, and
+// a comment "# WHO: why" naming who asked for the rule. Blank lines and lines
+// that hold a comment only are allowed. The grammar:
+//
+//	service NAME type=engine|plain [bound=1.25] [retry=10%] [retention=24h]
+//	        [move=64MiB] [fence=checked|ignored]         # WHO: why
+//	account NAME share=N [limit=N]                       # WHO: why
+//	kind NAME class=urgent|normal|batch                  # WHO: why
+//	nonidempotent SERVICE call=NAME                      # WHO: why
+//
+// A file is taken whole or refused whole; every problem is reported as
+// file:line:column, as a compiler would.
+package parse
+
+// This file defines the parser and its Error.
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"camphorspoke/internal/rules/file"
+)
+
+// MaxBytes is the largest rule file.
+const MaxBytes = 8 << 20
+
+// MaxProblems is the most problems reported for one file.
+const MaxProblems = 20
+
+// Error lists what is wrong with a rule file.
+type Error struct {
+	Problems []problem
+}
+
+type problem struct {
+	name      string
+	line, col int
+	message   string
+}
+
+func (p problem) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s", p.name, p.line, p.col, p.message)
+}
+
+// Error implements error, one problem a line.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Rules parses content; name is used in positions.
+func Rules(name string, content []byte) (*file.File, error) {
+	p := &parser{
+		name: name,
+		out: &file.File{
+			Services: make(map[string]file.Service),
+			Accounts: make(map[string]file.Account),
+			Kinds:    make(map[string]int),
+			Authors:  make(map[int]string),
+		},
+		calls: make(map[string][]call),
+	}
+	if len(content) > MaxBytes {
+		p.fail(1, 1, "the file is larger than %d bytes", MaxBytes)
+		return nil, &p.err
+	}
+	for i, text := range strings.Split(string(content), "\n") {
+		p.line = i + 1
+		p.parseLine(strings.TrimSuffix(text, "\r"))
+	}
+	p.attachCalls()
+	if len(p.err.Problems) > 0 {
+		return nil, &p.err
+	}
+	return p.out, nil
+}
+
+type call struct {
+	name      string
+	line, col int
+}
+
+type parser struct {
+	name  string
+	line  int
+	out   *file.File
+	calls map[string][]call
+	err   Error
+}
+
+// word is a token of a line with its column, counted from 1.
+type word struct {
+	text string
+	col  int
+}
+
+func (p *parser) fail(line, col int, format string, args ...any) {
+	if len(p.err.Problems) >= MaxProblems {
+		return
+	}
+	p.err.Problems = append(p.err.Problems, problem{
+		name:    p.name,
+		line:    line,
+		col:     col,
+		message: fmt.Sprintf(format, args...),
+	})
+}
+
+func (p *parser) parseLine(text string) {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' && c != '\t' || c == 0x7f {
+			p.fail(p.line, i+1, "control character %#02x", c)
+			return
+		}
+	}
+	rule, comment, found := strings.Cut(text, "#")
+	words := split(rule)
+	if len(words) == 0 {
+		return
+	}
+	if !found {
+		p.fail(p.line, len(text)+1, "the rule has no comment: end the line with \"# WHO: why\"")
+		return
+	}
+	who, why, ok := strings.Cut(comment, ":")
+	who = strings.TrimSpace(who)
+	if !ok || who == "" || strings.TrimSpace(why) == "" {
+		p.fail(p.line, len(rule)+1, "the comment must name who asked and why: \"# WHO: why\"")
+		return
+	}
+	p.out.Authors[p.line] = who
+	if len(words) < 2 {
+		p.fail(p.line, words[0].col+len(words[0].text), "%q needs a name", words[0].text)
+		return
+	}
+	if !validName(words[1].text) {
+		p.fail(p.line, words[1].col, "bad name %q: use letters, digits, '-', '_' and '.', at most 64", words[1].text)
+		return
+	}
+	p.parseRule(words)
+}
+
+func (p *parser) parseRule(words []word) {
+	verb, name := words[0], words[1]
+	s, ok := p.settings(words[2:])
+	if !ok {
+		return
+	}
+	switch verb.text {
+	case "service":
+		p.service(name, s)
+	case "account":
+		p.account(name, s)
+	case "kind":
+		p.kind(name, s)
+	case "nonidempotent":
+		p.nonIdempotent(name, s)
+	default:
+		p.fail(p.line, verb.col, "unknown rule %q: use service, account, kind or nonidempotent", verb.text)
+		return
+	}
+	s.refuseRest()
+}
+
+func (p *parser) service(name word, s *settings) {
+	if _, dup := p.out.Services[name.text]; dup {
+		p.fail(p.line, name.col, "service %q has a rule already", name.text)
+		return
+	}
+	typ := s.choice("type", "", "engine", "plain")
+	svc := file.Service{
+		Name:          name.text,
+		Plain:         typ == "plain",
+		Bound:         s.float("bound", file.DefaultBound, 1, 100),
+		NonIdempotent: make(map[string]bool),
+		Retention:     s.duration("retention", file.DefaultRetention, time.Minute, 31*24*time.Hour),
+		RetryPercent:  s.percent("retry", file.DefaultRetryPercent),
+		MoveBytes:     s.bytes("move", file.DefaultMoveBytes),
+		CheckedFence:  s.choice("fence", "ignored", "checked", "ignored") == "checked",
+	}
+	p.out.Services[name.text] = svc
+}
+
+func (p *parser) account(name word, s *settings) {
+	if _, dup := p.out.Accounts[name.text]; dup {
+		p.fail(p.line, name.col, "account %q has a rule already", name.text)
+		return
+	}
+	p.out.Accounts[name.text] = file.Account{
+		Name:  name.text,
+		Share: s.integer("share", -1, 1, 1_000_000),
+		Limit: s.integer("limit", 0, 1, 1_000_000),
+	}
+}
+
+func (p *parser) kind(name word, s *settings) {
+	if _, dup := p.out.Kinds[name.text]; dup {
+		p.fail(p.line, name.col, "kind %q has a rule already", name.text)
+		return
+	}
+	class := file.Normal
+	switch s.choice("class", "", "urgent", "normal", "batch") {
+	case "urgent":
+		class = file.Urgent
+	case "batch":
+		class = file.Batch
+	}
+	p.out.Kinds[name.text] = class
+}
+
+func (p *parser) nonIdempotent(name word, s *settings) {
+	w, ok := s.take("call")
+	if !ok {
+		p.fail(p.line, s.end, "call= is missing")
+		return
+	}
+	if !validName(w.text) {
+		p.fail(p.line, w.col, "bad call %q", w.text)
+		return
+	}
+	p.calls[name.text] = append(p.calls[name.text], call{
+		name: w.text,
+		line: p.line,
+		col:  name.col,
+	})
+}
+
+// attachCalls runs last, so that the order of lines does not matter.
+func (p *parser) attachCalls() {
+	for service, calls := range p.calls {
+		svc, ok := p.out.Services[service]
+		for _, c := range calls {
+			switch {
+			case !ok:
+				p.fail(c.line, c.col, "service %q has no rule", service)
+			case !svc.Plain:
+				p.fail(c.line, c.col, "service %q is not plain: only plain services have calls", service)
+			case svc.NonIdempotent[c.name]:
+				p.fail(c.line, c.col, "call %q of %q is listed already", c.name, service)
+			default:
+				svc.NonIdempotent[c.name] = true
+			}
+		}
+	}
+}
+
+func split(s string) []word {
+	var words []word
+	start := -1
+	for i := 0; i <= len(s); i++ {
+		if i < len(s) && s[i] != ' ' && s[i] != '\t' {
+			if start < 0 {
+				start = i
+			}
+			continue
+		}
+		if start >= 0 {
+			words = append(words, word{
+				text: s[start:i],
+				col:  start + 1,
+			})
+			start = -1
+		}
+	}
+	return words
+}
+
+func validName(s string) bool {
+	if s == "" || len(s) > 64 {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+		if !letter && c != '-' && c != '_' && c != '.' {
+			return false
+		}
+	}
+	return true
+}
+
+func finite(f float64) bool { return !math.IsNaN(f) && !math.IsInf(f, 0) }
+
+func parseFloat(s string) (float64, error) { return strconv.ParseFloat(s, 64) }
