--- a/internal/client/caller/caller.go
+++ b/internal/client/caller/caller.go
@@ -22,7 +22,7 @@
 const (
 	lookupLimit = 2 * time.Second
 	maxTries    = 12
-	pauseFirst    = 50 * time.Millisecond
+	pauseFirst  = 50 * time.Millisecond
 	pauseMax    = 800 * time.Millisecond
 )
 
--- a/internal/control/raftlog/raftlog.go
+++ b/internal/control/raftlog/raftlog.go
@@ -50,10 +50,10 @@
 	Name     string
 	Identity uint64
 	// Election is the shortest election timeout; the longest is twice it.
-	Election time.Duration
-	Heartbeat   time.Duration
-	Rand        *rand.Rand
-	Checker     *invariant.Checker
+	Election  time.Duration
+	Heartbeat time.Duration
+	Rand      *rand.Rand
+	Checker   *invariant.Checker
 }
 
 // Stored is what a replica had on disk when it started.
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -182,12 +182,12 @@
 
 func (r *Replica) newNode(st raftlog.Stored) *raftlog.Node {
 	return raftlog.New(raftlog.Config{
-		Name:        r.cfg.Name,
-		Identity:    r.identity,
-		Election: r.cfg.Election,
-		Heartbeat:   r.cfg.Heartbeat,
-		Rand:        rand.New(rand.NewPCG(r.cfg.Seed, r.identity)),
-		Checker:     r.cfg.Checker,
+		Name:      r.cfg.Name,
+		Identity:  r.identity,
+		Election:  r.cfg.Election,
+		Heartbeat: r.cfg.Heartbeat,
+		Rand:      rand.New(rand.NewPCG(r.cfg.Seed, r.identity)),
+		Checker:   r.cfg.Checker,
 	}, st, r.Now())
 }
 
--- a/internal/edge/controlclient/controlclient.go
+++ b/internal/edge/controlclient/controlclient.go
@@ -20,7 +20,7 @@
 
 const (
 	retryFirst = 20 * time.Millisecond
-	retryMax = 300 * time.Millisecond
+	retryMax   = 300 * time.Millisecond
 	// attemptLimit bounds one try, so that a frozen replica is passed over.
 	attemptLimit = time.Second
 	// applyLimit bounds one try of a rule edit, which waits for routers.
--- a/internal/routing/breaker/breaker.go
+++ b/internal/routing/breaker/breaker.go
@@ -14,7 +14,7 @@
 
 const (
 	threshold = 3
-	openFirst   = 500 * time.Millisecond
+	openFirst = 500 * time.Millisecond
 	openMax   = 30 * time.Second
 	// calmAfter is the quiet time after which earlier trips are forgotten.
 	calmAfter = time.Minute
--- a/internal/routing/retry/retry.go
+++ b/internal/routing/retry/retry.go
@@ -16,7 +16,7 @@
 	maxRows = 100_000
 
 	backoffFirst = 10 * time.Millisecond
-	backoffMax = 500 * time.Millisecond
+	backoffMax   = 500 * time.Millisecond
 )
 
 // Budget lets a share of the requests of an account at a service be retried.
