--- a/cmd/camphor-standin/main.go
+++ b/cmd/camphor-standin/main.go
@@ -71,6 +71,7 @@
 			mux := http.NewServeMux()
 			mux.Handle(camphorspokev1connect.NewEngineServiceHandler(e))
 			mux.HandleFunc("/peak", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, e.Peak()) })
+			mux.HandleFunc("/lastnew", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, e.LastNew().UnixMilli()) })
 			return serve(ctx, *listen, mux)
 		},
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,6 +19,14 @@
 	State(ctx context.Context, address string) (*pb.ReplicaStateResponse, error)
 }
 
+// Storage keeps a replica's log. What a call has returned for is durable.
+type Storage interface {
+	Append(rec *pb.WalRecord) error
+	// Rotate starts a new segment with everything that a snapshot lacks.
+	Rotate(head *pb.WalRecord) error
+	SaveSnapshot(s *pb.RaftSnapshot) error
+}
+
 // Client reaches the leader of the control group, wherever it is.
 type Client interface {
 	Propose(ctx context.Context, c *pb.Command) (*pb.Result, error)
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -51,8 +51,9 @@
 type Manager struct {
 	cfg Config
 
-	// planning admits one plan at a time; it is taken before mu.
-	planning sync.Mutex
+	// planning admits one plan at a time; it is taken before mu. It is a
+	// channel because a plan waits for the log and a waiter may give up.
+	planning chan struct{}
 	// unanswered is set while an assignment may be committed unseen.
 	unanswered bool
 
@@ -73,7 +74,8 @@
 // Start runs a manager; the clean-up function stops it.
 func Start(cfg Config) (*Manager, func()) {
 	m := &Manager{
-		cfg: cfg,
+		cfg:      cfg,
+		planning: make(chan struct{}, 1),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/internal/control/manager/plan.go
+++ b/internal/control/manager/plan.go
@@ -50,10 +50,14 @@
 
 // plan decides and commits the next changes of ownership, one plan at a time.
 func (m *Manager) plan(ctx context.Context) {
-	m.planning.Lock()
-	defer m.planning.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
 	defer cancel()
+	select {
+	case m.planning <- struct{}{}:
+		defer func() { <-m.planning }()
+	case <-ctx.Done():
+		return
+	}
 	if m.unanswered && !m.barrier(ctx) {
 		return
 	}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -40,8 +40,12 @@
 
 // Config says who the replica is.
 type Config struct {
-	Name    string
+	Name string
+	// DataDir is the data folder; it is not used when Storage is set.
 	DataDir string
+	// Storage and Stored replace the data folder.
+	Storage control.Storage
+	Stored  *wal.Contents
 	// Peers are the addresses of all configured replicas, by name.
 	Peers     map[string]string
 	Transport control.Transport
@@ -75,7 +79,7 @@
 	Ledger *ledger.Ledger
 
 	cfg      Config
-	log      *wal.Log
+	log      control.Storage
 	node     *raftlog.Node
 	identity uint64
 	start    time.Time
@@ -115,7 +119,7 @@
 // Start opens the data folder and runs the replica. The clean-up function
 // stops it and closes the folder.
 func Start(cfg Config) (*Replica, func(), error) {
-	log, contents, closeLog, err := wal.Open(cfg.DataDir)
+	log, contents, closeLog, err := openStorage(cfg)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -154,6 +158,13 @@
 	return r, cleanup, nil
 }
 
+func openStorage(cfg Config) (control.Storage, *wal.Contents, func(), error) {
+	if cfg.Storage != nil {
+		return cfg.Storage, cfg.Stored, func() {}, nil
+	}
+	return wal.Open(cfg.DataDir)
+}
+
 func (r *Replica) load(c *wal.Contents) error {
 	if c.CutBytes > 0 {
 		r.cfg.Logger.Warnf("control: cut a torn tail of %d bytes", c.CutBytes)
--- a/internal/control/wal/wal.go
+++ b/internal/control/wal/wal.go
@@ -23,10 +23,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"camphorspoke/internal/control"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/world/fault"
 )
 
+var _ control.Storage = (*Log)(nil)
+
 // Contents is what a data folder held when it was opened.
 type Contents struct {
 	// Identity is zero when the folder was empty.
@@ -214,7 +217,7 @@
 		if err := proto.Unmarshal(payload, rec); err != nil {
 			return at, damaged(path, at, err.Error())
 		}
-		if err := c.add(rec); err != "" {
+		if err := c.Add(rec); err != "" {
 			return at, damaged(path, at, err)
 		}
 		at += size
@@ -222,8 +225,9 @@
 	return at, nil
 }
 
-// add applies one record: later entries replace those at and after their index.
-func (c *Contents) add(rec *pb.WalRecord) string {
+// Add applies one record: later entries replace those at and after their
+// index. It returns what is wrong with the record, or an empty string.
+func (c *Contents) Add(rec *pb.WalRecord) string {
 	if rec.GetResets() {
 		c.Entries = nil
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -56,6 +56,8 @@
 	fence    uint64
 	orders   map[uint64]int
 	peak     int
+	// lastNew is when the last new request arrived.
+	lastNew time.Time
 }
 
 var _ camphorspokev1connect.EngineServiceHandler = (*Engine)(nil)
@@ -88,6 +90,13 @@
 	return e.peak
 }
 
+// LastNew returns when the last new request arrived.
+func (e *Engine) LastNew() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastNew
+}
+
 // Infer streams the frames of a request, starting it unless it is known.
 func (e *Engine) Infer(ctx context.Context, r *connect.Request[pb.InferRequest], out *connect.ServerStream[pb.InferResponse]) error {
 	q := e.find(r.Msg)
@@ -163,6 +172,7 @@
 		cancel:   cancel,
 	}
 	e.streams[r.GetRequestId()] = q
+	e.lastNew = time.Now()
 	go e.produce(ctx, q, r)
 	return q
 }
