Say 'not run' of a request key only with proof from the log

Cause: a caller whose first try of a key ended in doubt asked again through another router, which refused before any claim (overloaded, or rules not fresh) and said 'not run'. That was true of its own attempt only: the first one had run. Trace: TestClaimingRouterFails, [inDoubt notRun], executed once.

Ruled out: a second dispatch (no key ran twice), a wrong record (claims showed the key as done). A read of the log before the answer would not do: the first router may be frozen before its claim and run later.

Change: the refusing router claims the key and records it as not run, or answers what the log has; with the log away, in doubt. An expired key is in doubt, too.

--- a/internal/client/caller/caller.go
+++ b/internal/client/caller/caller.go
@@ -123,7 +123,7 @@
 func passing(err error) bool {
 	switch fault.KindOf(err) {
 	case fault.UnknownService, fault.UnknownAccount, fault.UnknownKind, fault.BadChat, fault.BadRequest,
-		fault.BadKey, fault.KeyExpired, fault.BodyTooLarge, fault.NotRun, fault.ClaimSettled:
+		fault.BadKey, fault.KeyExpired, fault.BodyTooLarge, fault.NotRun, fault.KeyNotRun, fault.ClaimSettled:
 		return false
 	}
 	return true
--- a/internal/daemon/router/call.go
+++ b/internal/daemon/router/call.go
@@ -5,12 +5,17 @@
 // A non-idempotent call is claimed in the control log before its one
 // dispatch, by the router that dispatches it. The steps and what each leaves:
 //
-//	before the claim is granted   not run; a repeat may claim the key
-//	claim granted, not dispatched recorded as not run by the holder alone
+//	claim granted, not dispatched recorded as not run, by the holder alone
 //	dispatched                    recorded as done, or in doubt
 //
 // A holder that dies or freezes leaves the claim open: repeats are told that
 // the call is in doubt and nothing dispatches it again.
+//
+// A refusal before the claim proves only that this attempt did not run. The
+// caller may have sent the key before, to a router that is frozen and will
+// claim it yet. So "not run" is said of a key only once the log has it: the
+// refusing router claims the key itself and records it as not run. When the
+// control group can't be reached, the key is in doubt until it is asked again.
 
 import (
 	"context"
@@ -99,6 +104,9 @@
 	defer r.inFlight.Add(-1)
 	began := r.cfg.Now()
 	resp, err := r.call(ctx, req)
+	if err != nil {
+		resp, err = r.prove(ctx, req, err)
+	}
 	r.cfg.Metrics.Request(ctx, req.GetService(), outcomeName(err), r.cfg.Now()-began)
 	return resp, err
 }
@@ -126,6 +134,63 @@
 	}
 }
 
+// prove turns a refusal of a call that may not be repeated into what the log
+// knows of its key: recorded as not run from now on, the outcome of an earlier
+// attempt, or in doubt while the log can't be asked.
+func (r *Router) prove(ctx context.Context, req *pb.CallRequest, err error) (*pb.CallResponse, error) {
+	if fault.MayHaveRun(err) || !needsProof(fault.KindOf(err)) || req.GetKey() == "" {
+		return nil, err
+	}
+	v := r.Agent.View()
+	if v.Rules != nil && !v.Rules.Services[req.GetService()].NonIdempotent[req.GetCall()] {
+		return nil, err
+	}
+	keyTime, badKey := parseKey(req.GetKey())
+	if badKey != nil {
+		return nil, err
+	}
+	p := callPlan{
+		req:     req,
+		keyTime: keyTime,
+	}
+	attempt := r.attempt.Add(1)
+	// The caller may have gone; the proof is worth having all the same.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimLimit)
+	defer cancel()
+	result, lost := r.claim(ctx, p, attempt)
+	settle := r.settlement(p, attempt)
+	settle.Outcome = pb.Outcome_OUTCOME_NOT_RUN
+	switch {
+	case lost != nil:
+		r.settleLater(settle)
+		return nil, &fault.Fault{
+			Kind:       fault.InDoubt,
+			Subject:    req.GetKey(),
+			Advice:     "this attempt was not run, but whether an earlier one was can't be told now; ask again with the same key",
+			RetryAfter: 500 * time.Millisecond,
+			Cause:      errors.Join(err, lost),
+		}
+	case result.GetFailure() != "":
+		return nil, fault.New(result.GetFailure(), req.GetKey(), "the control group refused the key")
+	case !result.GetGranted():
+		return recorded(result.GetClaim())
+	}
+	r.settle(settle)
+	f := fault.New(fault.KeyNotRun, req.GetKey(), "refused and recorded as not run; use a new key to try again")
+	f.Cause = err
+	return nil, f
+}
+
+// needsProof reports whether a refusal leaves open what became of a key. Bad
+// input does not: no attempt with it can have been taken.
+func needsProof(k fault.Kind) bool {
+	switch k {
+	case fault.KeyNotRun, fault.BadKey, fault.BadRequest, fault.BodyTooLarge, fault.UnknownService, fault.UnknownAccount:
+		return false
+	}
+	return true
+}
+
 // attemptCall tries the servers of a service until one takes the call.
 func (r *Router) attemptCall(ctx context.Context, p callPlan) (*pb.CallResponse, error) {
 	v := r.Agent.View()
@@ -257,26 +322,14 @@
 	attempt := r.attempt.Add(1)
 	claimCtx, cancel := context.WithTimeout(ctx, claimLimit)
 	defer cancel()
-	result, err := r.cfg.Control.Propose(claimCtx, &pb.Command{
-		Kind: &pb.Command_ClaimKey{
-			ClaimKey: &pb.ClaimKey{
-				ClientAccount: p.req.GetClientAccount(),
-				Service:       p.req.GetService(),
-				Key:           p.req.GetKey(),
-				Holder:        r.cfg.Instance,
-				Incarnation:   r.cfg.Incarnation,
-				Attempt:       attempt,
-				KeyTime:       p.keyTime,
-			},
-		},
-	})
+	result, err := r.claim(claimCtx, p, attempt)
 	settle := r.settlement(p, attempt)
 	if err != nil {
 		// Nothing was dispatched and nothing will be. Should the claim have
 		// been taken all the same, its holder says so in the log.
 		settle.Outcome = pb.Outcome_OUTCOME_NOT_RUN
 		r.settleLater(settle)
-		return nil, fault.Wrap(fault.NotRun, p.req.GetKey(), err)
+		return nil, fault.Wrap(fault.NoQuorum, p.req.GetKey(), err)
 	}
 	if result.GetFailure() != "" {
 		return nil, fault.New(result.GetFailure(), p.req.GetKey(), "the control group refused the key")
@@ -287,6 +340,22 @@
 	return r.dispatchClaimed(ctx, p, s, settle)
 }
 
+func (r *Router) claim(ctx context.Context, p callPlan, attempt uint64) (*pb.Result, error) {
+	return r.cfg.Control.Propose(ctx, &pb.Command{
+		Kind: &pb.Command_ClaimKey{
+			ClaimKey: &pb.ClaimKey{
+				ClientAccount: p.req.GetClientAccount(),
+				Service:       p.req.GetService(),
+				Key:           p.req.GetKey(),
+				Holder:        r.cfg.Instance,
+				Incarnation:   r.cfg.Incarnation,
+				Attempt:       attempt,
+				KeyTime:       p.keyTime,
+			},
+		},
+	})
+}
+
 func (r *Router) settlement(p callPlan, attempt uint64) *pb.SettleKey {
 	return &pb.SettleKey{
 		ClientAccount: p.req.GetClientAccount(),
@@ -302,7 +371,7 @@
 	if ctx.Err() != nil || !r.mayDispatch(s.GetName()) {
 		settle.Outcome = pb.Outcome_OUTCOME_NOT_RUN
 		r.settle(settle)
-		return nil, fault.New(fault.NotRun, p.req.GetKey(), "the claim came too late to dispatch; use a new key")
+		return nil, fault.New(fault.KeyNotRun, p.req.GetKey(), "the claim came too late to dispatch; use a new key")
 	}
 	body, err := r.run(ctx, p, s)
 	switch {
@@ -313,6 +382,7 @@
 		}
 	case fault.KindOf(err) == fault.NotRun:
 		settle.Outcome = pb.Outcome_OUTCOME_NOT_RUN
+		err = fault.Wrap(fault.KeyNotRun, p.req.GetKey(), err)
 	default:
 		settle.Outcome = pb.Outcome_OUTCOME_IN_DOUBT
 	}
@@ -343,7 +413,7 @@
 			Recorded: true,
 		}, nil
 	case c.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN:
-		return nil, fault.New(fault.NotRun, c.GetKey(), "recorded as not run; use a new key to try again")
+		return nil, fault.New(fault.KeyNotRun, c.GetKey(), "recorded as not run; use a new key to try again")
 	default:
 		return nil, fault.New(fault.InDoubt, c.GetKey(), "recorded as in doubt; ask an operator to settle it")
 	}
--- a/internal/world/fault/fault.go
+++ b/internal/world/fault/fault.go
@@ -46,9 +46,12 @@
 	AccountLimit    Kind = "accountLimit"
 	RetryBudget     Kind = "retryBudget"
 	NotRun          Kind = "notRun"
-	Leaving         Kind = "leaving"
-	ClaimSettled    Kind = "claimSettled"
-	BadSetting      Kind = "badSetting"
+	// KeyNotRun is proof from the control log that a request key did not run
+	// and never will.
+	KeyNotRun    Kind = "keyNotRun"
+	Leaving      Kind = "leaving"
+	ClaimSettled Kind = "claimSettled"
+	BadSetting   Kind = "badSetting"
 
 	// OverBound, NotOwner, NotCached, HeldBack and Unreachable ask to try
 	// elsewhere; Unreachable means that nothing was sent.
@@ -79,15 +82,18 @@
 		return class{code: connect.CodeNotFound, outcome: notRun}
 	case BadChat, BadRequest, BadKey, BadRules, BadSetting:
 		return class{code: connect.CodeInvalidArgument, outcome: notRun}
-	case KeyExpired, ClaimSettled:
+	case ClaimSettled:
 		return class{code: connect.CodeFailedPrecondition, outcome: notRun}
+	case KeyExpired:
+		// What became of the key is no longer known.
+		return class{code: connect.CodeFailedPrecondition, outcome: pb.Outcome_OUTCOME_IN_DOUBT}
 	case BodyTooLarge, Overloaded, AccountLimit, RetryBudget:
 		return class{code: connect.CodeResourceExhausted, outcome: notRun}
 	case RuleConflict:
 		return class{code: connect.CodeAborted, outcome: notRun}
 	case DeadlineTooNear:
 		return class{code: connect.CodeDeadlineExceeded, outcome: notRun}
-	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, Leaving, OverBound, NotOwner, NotCached, HeldBack, Unreachable:
+	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, OverBound, NotOwner, NotCached, HeldBack, Unreachable:
 		return class{code: connect.CodeUnavailable, outcome: notRun}
 	case InDoubt, LinkBroken:
 		return class{code: connect.CodeUnknown, outcome: pb.Outcome_OUTCOME_IN_DOUBT}
