Freeze a server under reassignment instead of hiding its owner

Cause: while a reassignment was pending, answers cleared the owner in the row of the server. If the assignment was then never committed (the leader changed), the row in the ledger had not changed, was not sent again, and that router saw no owner for good. Now the answer names the frozen servers beside the true rows, and the next answer lifts it.

--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -3,8 +3,8 @@
 // edits, follows the platform's list and carries out engine orders.
 //
 // The invariant it keeps is one owner a server. A lease is granted only while
-// the leader lease holds, and an answer never names the asker as the owner of
-// a server whose reassignment is pending: between the decision that an owner's
+// the leader lease holds, and an answer freezes every server whose reassignment is
+// pending: between the decision that an owner's
 // lease has run out and the commit of the next owner, a late heartbeat must
 // not revive the old one. Lock order: planning, then mu; mu is never held
 // while the log is asked.
@@ -14,6 +14,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -150,7 +152,8 @@
 	resp := &pb.HeartbeatResponse{
 		LeaseMs:   uint32(lease.Length.Milliseconds()),
 		Index:     changes.Index,
-		Servers:   m.hidePending(changes.Servers),
+		Servers:   changes.Servers,
+		Frozen:    slices.Sorted(maps.Keys(m.pending)),
 		Instances: changes.Instances,
 		Whole:     req.GetSeenIndex() == 0,
 		Term:      m.term,
@@ -169,22 +172,6 @@
 	return resp, nil
 }
 
-// hidePending clears the owner of servers whose reassignment is under way.
-func (m *Manager) hidePending(rows []*pb.BackendServer) []*pb.BackendServer {
-	out := make([]*pb.BackendServer, 0, len(rows)+len(m.pending))
-	for _, r := range rows {
-		if !m.pending[r.GetName()] {
-			out = append(out, r)
-		}
-	}
-	for name := range m.pending {
-		if s := m.cfg.Replica.Ledger.Server(name); s != nil {
-			out = append(out, withoutOwner(s))
-		}
-	}
-	return out
-}
-
 // otherLoads returns what the other routers last reported.
 func (m *Manager) otherLoads(now time.Duration, h lease.Holder) []*pb.LoadReport {
 	var out []*pb.LoadReport
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -298,6 +298,7 @@
 			delete(a.releasing, name)
 		}
 	}
+	a.book.Freeze(resp.GetFrozen())
 	if ok {
 		a.known = true
 		a.freshUntil = max(a.freshUntil, sent+FreshFor)
--- a/internal/routing/ownership/ownership.go
+++ b/internal/routing/ownership/ownership.go
@@ -10,6 +10,7 @@
 // This file defines Book.
 
 import (
+	"slices"
 	"time"
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
@@ -23,11 +24,16 @@
 	until time.Duration
 	// released holds the epoch up to which a server was given up.
 	released map[string]uint64
+	// frozen holds the servers that the leader is about to reassign.
+	frozen []string
 }
 
 // Renew takes a lease granted on a heartbeat sent at sent.
 func (b *Book) Renew(sent, length time.Duration) { b.until = max(b.until, sent+length) }
 
+// Freeze replaces the servers that the leader is about to reassign.
+func (b *Book) Freeze(names []string) { b.frozen = names }
+
 // Until returns when the lease ends.
 func (b *Book) Until() time.Duration { return b.until }
 
@@ -39,7 +45,7 @@
 
 // Admits reports whether this process may admit work to s now.
 func (b *Book) Admits(now time.Duration, s *pb.BackendServer) bool {
-	return now < b.until && b.Assigned(s) && !s.GetGone() && !s.GetLeaving() && !s.GetDrained()
+	return now < b.until && b.Assigned(s) && !slices.Contains(b.frozen, s.GetName()) && !s.GetGone() && !s.GetLeaving() && !s.GetDrained()
 }
 
 // Release gives s up for good in its present epoch.
