Release a server in a named epoch, and propose an assignment in its own term

Cause: a router whose release was carried out, but whose answer was lost, said 'releasing' again. If the server had come back to it in a later epoch, the leader took the old word for the new epoch and gave the server away while its owner admitted. The word now names its epoch. An assignment that waits in a queue while leadership is lost and regained is now refused, too.

Ruled out: leases counted wrongly (trials with that guard removed fail otherwise), a stale table (tablesRise holds).

--- a/internal/control/manager/plan.go
+++ b/internal/control/manager/plan.go
@@ -27,10 +27,12 @@
 	if !m.leads(m.cfg.Replica.Now()) {
 		return
 	}
-	for _, name := range req.GetReleasing() {
-		s := m.cfg.Replica.Ledger.Server(name)
-		if s.GetOwner() == req.GetInstance() && s.GetOwnerIncarnation() == req.GetIncarnation() {
-			m.released[name] = s.GetEpoch()
+	for _, r := range req.GetReleasing() {
+		s := m.cfg.Replica.Ledger.Server(r.GetBackendServer())
+		// The word may be old: the server may be the router's again since, in
+		// a later epoch that it has not given up.
+		if s.GetEpoch() == r.GetEpoch() && s.GetOwner() == req.GetInstance() && s.GetOwnerIncarnation() == req.GetIncarnation() {
+			m.released[s.GetName()] = s.GetEpoch()
 		}
 	}
 }
@@ -61,11 +63,11 @@
 	if m.unanswered && !m.barrier(ctx) {
 		return
 	}
-	as := m.decide()
+	term, as := m.decide()
 	if len(as) == 0 {
 		return
 	}
-	_, err := m.cfg.Replica.Propose(ctx, &pb.Command{
+	_, err := m.cfg.Replica.ProposeIn(ctx, term, &pb.Command{
 		Kind: &pb.Command_Assign{
 			Assign: &pb.Assign{
 				Assignments: as,
@@ -102,13 +104,14 @@
 	return true
 }
 
-// decide returns the assignments to commit and marks their servers pending.
-func (m *Manager) decide() []*pb.Assignment {
+// decide returns the assignments to commit in the present term, and marks
+// their servers pending.
+func (m *Manager) decide() (term uint64, as []*pb.Assignment) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.cfg.Replica.Now()
 	if !m.leads(now) {
-		return nil
+		return 0, nil
 	}
 	m.leases.Prune(now)
 	var servers []*pb.BackendServer
@@ -134,7 +137,7 @@
 	for _, a := range p.Assign {
 		m.pending[a.GetBackendServer()] = true
 	}
-	return p.Assign
+	return m.term, p.Assign
 }
 
 // free reports whether the owner of s can no longer be admitting.
--- a/internal/control/raftlog/machine_test.go
+++ b/internal/control/raftlog/machine_test.go
@@ -55,8 +55,6 @@
 	disk *disk
 	// rate makes the member's clock drift against the others.
 	rate float64
-	// lost marks a disk that was lost and is not yet a voter again.
-	lost bool
 }
 
 type group struct {
@@ -276,16 +274,6 @@
 	return true
 }
 
-func (g *group) down() int {
-	n := 0
-	for _, m := range g.members {
-		if m.node == nil {
-			n++
-		}
-	}
-	return n
-}
-
 // act does one random thing. Disks are lost one at a time, and only from a
 // whole group: losing a quorum of disks loses data in any design.
 func (g *group) act(kind int) {
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -100,7 +100,9 @@
 }
 
 type proposal struct {
-	data   []byte
+	data []byte
+	// onlyIn, above zero, is the only term in which it may be proposed.
+	onlyIn uint64
 	term   uint64
 	result chan outcome
 }
@@ -234,12 +236,19 @@
 // Propose commits a command and returns its result. A NoQuorum failure means
 // that the command may still be committed: ask again with the same command.
 func (r *Replica) Propose(ctx context.Context, c *pb.Command) (*pb.Result, error) {
+	return r.ProposeIn(ctx, 0, c)
+}
+
+// ProposeIn commits a command that was decided on in a term, in that term
+// only; zero is any term.
+func (r *Replica) ProposeIn(ctx context.Context, term uint64, c *pb.Command) (*pb.Result, error) {
 	data, err := proto.Marshal(c)
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, "command", err)
 	}
 	p := &proposal{
 		data:   data,
+		onlyIn: term,
 		result: make(chan outcome, 1),
 	}
 	select {
@@ -328,6 +337,15 @@
 }
 
 func (r *Replica) propose(batch []*proposal) {
+	batch = slices.DeleteFunc(batch, func(p *proposal) bool {
+		if p.onlyIn == 0 || p.onlyIn == r.node.Term() {
+			return false
+		}
+		p.result <- outcome{
+			err: fault.New(fault.NotLeader, r.node.Leader(), "the term in which this was decided has ended"),
+		}
+		return true
+	})
 	if len(batch) == 0 {
 		return
 	}
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -79,9 +79,10 @@
 	book       ownership.Book
 	freshUntil time.Duration
 	// known is set once a version was learned from a majority.
-	known     bool
-	leaving   bool
-	releasing map[string]bool
+	known   bool
+	leaving bool
+	// releasing holds the epoch in which each server was given up.
+	releasing map[string]uint64
 	lastError string
 }
 
@@ -95,7 +96,7 @@
 			Instance:    cfg.Instance,
 			Incarnation: cfg.Incarnation,
 		},
-		releasing: make(map[string]bool),
+		releasing: make(map[string]uint64),
 	}
 	a.view.Store(&view.View{})
 	a.ctx, a.cancel = context.WithCancel(context.Background())
@@ -169,7 +170,7 @@
 	a.mu.Lock()
 	if s := a.view.Load().Servers[name]; s != nil && a.book.Assigned(s) {
 		a.book.Release(s)
-		a.releasing[name] = true
+		a.releasing[name] = s.GetEpoch()
 	}
 	a.mu.Unlock()
 	a.Kick()
@@ -234,8 +235,11 @@
 		Loads:         loads,
 		Leaving:       a.leaving,
 	}
-	for name := range a.releasing {
-		r.Releasing = append(r.Releasing, name)
+	for name, epoch := range a.releasing {
+		r.Releasing = append(r.Releasing, &pb.Release{
+			BackendServer: name,
+			Epoch:         epoch,
+		})
 	}
 	return r
 }
@@ -293,8 +297,8 @@
 		"the leader names version %d, this router held %d when it asked", resp.GetRuleVersion(), req.GetRuleVersion())
 	next, ok := a.adopt(next, resp.GetRuleVersion(), resp.GetRules())
 	a.view.Store(next)
-	for _, name := range req.GetReleasing() {
-		if s := next.Servers[name]; s == nil || !ownedBy(s, a.cfg) {
+	for name, epoch := range a.releasing {
+		if next.Servers[name].GetEpoch() != epoch {
 			delete(a.releasing, name)
 		}
 	}
@@ -307,10 +311,6 @@
 	return old, next
 }
 
-func ownedBy(s *pb.BackendServer, cfg Config) bool {
-	return s.GetOwner() == cfg.Instance && s.GetOwnerIncarnation() == cfg.Incarnation
-}
-
 // adopt takes a newer rule file; versions only go up. It reports whether the
 // view holds at least the given version.
 func (a *Agent) adopt(v *view.View, version uint64, text []byte) (*view.View, bool) {
--- a/internal/rules/parse/parse.go
+++ b/internal/rules/parse/parse.go
@@ -17,8 +17,10 @@
 // This file defines the parser and its Error.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -78,7 +80,7 @@
 	}
 	p.attachCalls()
 	if len(p.err.Problems) > 0 {
-		return nil, &p.err
+		return nil, p.sorted()
 	}
 	return p.out, nil
 }
@@ -103,9 +105,6 @@
 }
 
 func (p *parser) fail(line, col int, format string, args ...any) {
-	if len(p.err.Problems) >= MaxProblems {
-		return
-	}
 	p.err.Problems = append(p.err.Problems, problem{
 		name:    p.name,
 		line:    line,
@@ -114,6 +113,15 @@
 	})
 }
 
+// sorted returns the first problems in the order of the file.
+func (p *parser) sorted() *Error {
+	slices.SortStableFunc(p.err.Problems, func(a, b problem) int {
+		return cmp.Or(cmp.Compare(a.line, b.line), cmp.Compare(a.col, b.col))
+	})
+	p.err.Problems = p.err.Problems[:min(len(p.err.Problems), MaxProblems)]
+	return &p.err
+}
+
 func (p *parser) parseLine(text string) {
 	for i := range len(text) {
 		if c := text[i]; c < ' ' && c != '\t' || c == 0x7f {
@@ -150,7 +158,7 @@
 
 func (p *parser) parseRule(words []word) {
 	verb, name := words[0], words[1]
-	s, ok := p.settings(words[2:])
+	s, ok := p.settings(words[2:], name.col+len(name.text))
 	if !ok {
 		return
 	}
@@ -173,6 +181,7 @@
 func (p *parser) service(name word, s *settings) {
 	if _, dup := p.out.Services[name.text]; dup {
 		p.fail(p.line, name.col, "service %q has a rule already", name.text)
+		s.ignore()
 		return
 	}
 	typ := s.choice("type", "", "engine", "plain")
@@ -192,6 +201,7 @@
 func (p *parser) account(name word, s *settings) {
 	if _, dup := p.out.Accounts[name.text]; dup {
 		p.fail(p.line, name.col, "account %q has a rule already", name.text)
+		s.ignore()
 		return
 	}
 	p.out.Accounts[name.text] = file.Account{
@@ -204,6 +214,7 @@
 func (p *parser) kind(name word, s *settings) {
 	if _, dup := p.out.Kinds[name.text]; dup {
 		p.fail(p.line, name.col, "kind %q has a rule already", name.text)
+		s.ignore()
 		return
 	}
 	class := file.Normal
--- /dev/null
+++ b/internal/rules/parse/parse_test.go
@@ -0,0 +1,74 @@
+package parse
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"camphorspoke/internal/rules/file"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// golden compares got with a golden file, or writes it with -update.
+func golden(t *testing.T, path, got string) {
+	t.Helper()
+	if *update {
+		require.NoError(t, os.WriteFile(path, []byte(got), 0o640))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, string(want), got)
+}
+
+// TestGolden parses each file in testdata; the problems stand beside it.
+func TestGolden(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.rules")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			b, err := os.ReadFile(path)
+			require.NoError(t, err)
+			got := "ok\n"
+			if _, err := Rules(filepath.Base(path), b); err != nil {
+				got = err.Error() + "\n"
+			}
+			golden(t, path+".golden", got)
+		})
+	}
+}
+
+func TestValues(t *testing.T) {
+	f, err := Rules("f", []byte("nonidempotent p call=book # a: b\nservice p type=plain bound=2 move=4MiB # a: b\nservice e type=engine fence=checked # who: why\naccount x share=3 limit=7 # a: b\nkind k class=batch # a: b\n"))
+	require.NoError(t, err)
+	require.True(t, f.Services["p"].NonIdempotent["book"])
+	require.EqualValues(t, 4<<20, f.Services["p"].MoveBytes)
+	require.Equal(t, file.DefaultBound, f.Services["e"].Bound)
+	require.True(t, f.Services["e"].CheckedFence)
+	require.Equal(t, 3, f.Accounts["x"].Share)
+	require.Equal(t, file.Batch, f.Kinds["k"])
+	require.Equal(t, "who", f.Authors[3])
+}
+
+// FuzzRules: any bytes parse or are refused with positions inside the file,
+// and a file that parses has an author for each rule.
+func FuzzRules(f *testing.F) {
+	f.Add([]byte("service s type=engine bound=1.5 # who: why\n"))
+	f.Add([]byte("account a share=1 limit=2 # who: why\r\n\n# note\nkind k class=urgent # a: b"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		parsed, err := Rules("f", in)
+		if err != nil {
+			require.NotEmpty(t, err.(*Error).Problems)
+			for _, p := range err.(*Error).Problems {
+				require.Positive(t, p.line)
+				require.Positive(t, p.col)
+			}
+			return
+		}
+		require.GreaterOrEqual(t, len(parsed.Authors), len(parsed.Services)+len(parsed.Accounts)+len(parsed.Kinds))
+	})
+}
--- a/internal/rules/parse/settings.go
+++ b/internal/rules/parse/settings.go
@@ -15,11 +15,12 @@
 	end int
 }
 
-func (p *parser) settings(words []word) (*settings, bool) {
+// settings reads the words after the name, which ends before column end.
+func (p *parser) settings(words []word, end int) (*settings, bool) {
 	s := &settings{
 		p:      p,
 		values: make(map[string]word),
-		end:    1,
+		end:    end,
 	}
 	for _, w := range words {
 		key, value, ok := strings.Cut(w.text, "=")
@@ -50,6 +51,9 @@
 	s.p.fail(s.p.line, col, format, args...)
 }
 
+// ignore drops the settings of a rule that is refused as a whole.
+func (s *settings) ignore() { clear(s.values) }
+
 // refuseRest reports the settings that no rule took.
 func (s *settings) refuseRest() {
 	for key, w := range s.values {
