--- a/cmd/camphor-measure/main.go
+++ b/cmd/camphor-measure/main.go
@@ -7,14 +7,21 @@
 	"fmt"
 	"os"
 
+	"camphorspoke/internal/measure/live"
 	"camphorspoke/internal/measure/report"
 )
 
 func main() {
 	out := flag.String("out", "docs/measure", "folder for the tables and plots")
 	seeds := flag.Int("seeds", 5, "number of seeds, from 1 on")
+	bin := flag.String("fleet", "", "measure a fleet of processes with the programs in this folder instead")
+	edits := flag.Int("edits", 200, "rule edits to time on the fleet")
 	flag.Parse()
-	if err := report.Placement(*out, *seeds, os.Stdout); err != nil {
+	run := func() error { return report.Placement(*out, *seeds, os.Stdout) }
+	if *bin != "" {
+		run = func() error { return live.Report(*bin, *out, *edits, os.Stdout) }
+	}
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "camphor-measure:", err)
 		os.Exit(1)
 	}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -50,6 +50,10 @@
 	Engine int
 	// OnlyCached tries the engine only if it remembers the chat.
 	OnlyCached bool
+	// MoveFrom, when Moves is set, is an engine whose cache of the chat is
+	// copied to Engine before the prompt is computed.
+	MoveFrom int
+	Moves    bool
 }
 
 // Policy places requests.
--- a/internal/measure/policy/policy.go
+++ b/internal/measure/policy/policy.go
@@ -31,6 +31,9 @@
 		&localBound{},
 		ownerExact{},
 		&ours{},
+		&ours{
+			moves: true,
+		},
 		clairvoyant{},
 	}
 }
@@ -164,15 +167,25 @@
 }
 
 // ours adds the memory of displaced chats and the rule for cold engines.
+// With moves, a spilled chat takes its cache along.
 type ours struct {
-	away map[int]*displaced.Table
+	moves bool
+	away  map[int]*displaced.Table
 }
 
 var _ measure.Policy = (*ours)(nil)
 
-func (*ours) Name() string   { return "owner-exact, cold rule" }
+// Bound implements measure.Policy.
 func (*ours) Bound() float64 { return file.DefaultBound }
 
+// Name implements measure.Policy.
+func (p *ours) Name() string {
+	if p.moves {
+		return "owner-exact, cold rule, moves"
+	}
+	return "owner-exact, cold rule"
+}
+
 func (p *ours) table(home int) *displaced.Table {
 	if p.away == nil {
 		p.away = make(map[int]*displaced.Table)
@@ -188,7 +201,32 @@
 	if len(order) == 0 {
 		return nil
 	}
-	return Candidates(f, r, order, p.table(order[0]))
+	out := Candidates(f, r, order, p.table(order[0]))
+	if p.moves {
+		p.addMoves(f, r, order, out)
+	}
+	return out
+}
+
+// addMoves lets each engine that is not known to hold the chat take the cache
+// from the one that holds most of it.
+func (p *ours) addMoves(f measure.Fleet, r *measure.Request, order []int, out []measure.Choice) {
+	from, tokens := order[0], f.Cached(order[0], r.Chat)
+	if place, ok := p.table(order[0]).Get(r.Chat); ok && place.Tokens > tokens {
+		for _, e := range order {
+			if f.Name(e) == place.Server {
+				from, tokens = e, place.Tokens
+			}
+		}
+	}
+	if tokens < placement.MoveTokens {
+		return
+	}
+	for i := range out {
+		if out[i].Engine != from && !out[i].OnlyCached {
+			out[i].Moves, out[i].MoveFrom = true, from
+		}
+	}
 }
 
 // Candidates orders the engines as the owner of a chat's home does.
--- a/internal/measure/trial/result.go
+++ b/internal/measure/trial/result.go
@@ -63,7 +63,9 @@
 	OverBound int64
 	Reused    int64
 	Reusable  int64
-	Skew      []float64
+	// MovedTokens counts cached tokens copied between engines.
+	MovedTokens int64
+	Skew        []float64
 
 	// first holds first-token times in milliseconds, by class, and byAccount
 	// those of each account.
--- a/internal/measure/trial/trial.go
+++ b/internal/measure/trial/trial.go
@@ -22,10 +22,12 @@
 
 const (
 	prefillPerSecond = 20_000
-	tokenEvery       = 30 * time.Millisecond
-	reportEvery      = 500 * time.Millisecond
-	laggingReports   = 3 * time.Second
-	sampleEvery      = time.Second
+	// movePerSecond is how many cached tokens are copied in a second.
+	movePerSecond  = 125_000
+	tokenEvery     = 30 * time.Millisecond
+	reportEvery    = 500 * time.Millisecond
+	laggingReports = 3 * time.Second
+	sampleEvery    = time.Second
 	// retryEvery and retryFor are how a home owner waits for room.
 	retryEvery = 50 * time.Millisecond
 	retryFor   = 2 * time.Second
@@ -70,7 +72,13 @@
 	joined   time.Duration
 	reported int
 	fresh    int
-	waiting  map[string]*measure.Request
+	waiting  map[string]admitted
+}
+
+// admitted is a request with the choice it was admitted by.
+type admitted struct {
+	request *measure.Request
+	choice  measure.Choice
 }
 
 type event struct {
@@ -185,7 +193,7 @@
 			},
 			up:      true,
 			changed: -time.Hour,
-			waiting: make(map[string]*measure.Request),
+			waiting: make(map[string]admitted),
 		})
 	}
 	var end time.Duration
@@ -231,7 +239,7 @@
 		if !e.up || c.OnlyCached && e.cache.Tokens(r.Chat) < r.Prompt/2 {
 			continue
 		}
-		if t.offer(c.Engine, r) {
+		if t.offer(c, r) {
 			return
 		}
 	}
@@ -254,7 +262,8 @@
 }
 
 // offer asks the gate of an engine, with the loads that its owner knows.
-func (t *Trial) offer(i int, r *measure.Request) bool {
+func (t *Trial) offer(c measure.Choice, r *measure.Request) bool {
+	i := c.Engine
 	e := t.engines[i]
 	others, total := 0, 0
 	for j, o := range t.engines {
@@ -289,19 +298,41 @@
 	// The reply to a forwarded request carries the loads along.
 	e.fresh = e.gate.Load()
 	t.Policy.Served(t, r, i)
+	a := admitted{
+		request: r,
+		choice:  c,
+	}
 	if d.Started {
-		t.begin(i, r)
+		t.begin(a)
 	} else {
-		e.waiting[r.ID] = r
+		e.waiting[r.ID] = a
 	}
 	return true
 }
 
+// moved copies the cache of a chat where the choice says so, and returns how
+// long that takes.
+func (t *Trial) moved(a admitted) time.Duration {
+	if !a.choice.Moves {
+		return 0
+	}
+	from, to := t.engines[a.choice.MoveFrom], t.engines[a.choice.Engine]
+	tokens := from.cache.Tokens(a.request.Chat)
+	if !from.up || tokens <= to.cache.Tokens(a.request.Chat) {
+		return 0
+	}
+	to.cache.Touch(a.request.Chat, tokens)
+	t.result().MovedTokens += int64(tokens)
+	return time.Duration(tokens) * time.Second / movePerSecond
+}
+
 // begin runs a request in a slot.
-func (t *Trial) begin(i int, r *measure.Request) {
+func (t *Trial) begin(a admitted) {
+	i, r := a.choice.Engine, a.request
 	e := t.engines[i]
+	move := t.moved(a)
 	reused := min(e.cache.Tokens(r.Chat), r.Reusable)
-	prefill := time.Duration(r.Prompt-reused) * time.Second / prefillPerSecond
+	prefill := move + time.Duration(r.Prompt-reused)*time.Second/prefillPerSecond
 	res := t.result()
 	res.Reused += int64(reused)
 	res.Reusable += int64(r.Reusable)
@@ -321,7 +352,7 @@
 	}) {
 		w := e.waiting[next.ID]
 		delete(e.waiting, next.ID)
-		t.begin(i, w)
+		t.begin(w)
 	}
 }
 
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -16,6 +16,9 @@
 	"time"
 )
 
+// MoveTokens is the least cache that is worth copying to another engine.
+const MoveTokens = 256
+
 // Costs is the cost model of a service's engines.
 type Costs struct {
 	// PrefillPerToken is the time to compute one token of a prompt.
