Copy a spilled chat's cache on a rule's word; bound the wait for takers on leaving

Cause 1: the load bound sends a quarter of the turns away from home and their prompts were computed anew. With spill=move the owner of the engine that takes a chat copies its cache from the engine that holds most of it, at most 4 at once.

The wait is now bounded.

--- a/internal/control/manager/history_test.go
+++ b/internal/control/manager/history_test.go
@@ -238,7 +238,9 @@
 	time.Sleep(5 * time.Second)
 	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
 	defer cancel()
+	w.mu.Lock()
 	w.loss = 0.05
+	w.mu.Unlock()
 	var wg sync.WaitGroup
 	for id := range 3 {
 		if id < 2 {
--- a/internal/daemon/router/dispatch.go
+++ b/internal/daemon/router/dispatch.go
@@ -92,8 +92,9 @@
 	return r.Agent.Degraded() && s != nil && !s.GetGone() && !s.GetLeaving() && !s.GetDrained()
 }
 
-// dispatch serves a request at one engine.
-func (r *Router) dispatch(ctx context.Context, s *pb.BackendServer, req *pb.GenerateRequest, out sink) error {
+// dispatch serves a request at one engine, copying the chat's cache from
+// another one first where copyFrom names it.
+func (r *Router) dispatch(ctx context.Context, s *pb.BackendServer, req *pb.GenerateRequest, copyFrom string, out sink) error {
 	c, class, err := r.checkGenerate(req)
 	if err != nil {
 		return err
@@ -112,6 +113,9 @@
 		return err
 	}
 	defer leave()
+	if copyFrom != "" && copyFrom != s.GetName() {
+		r.copyCache(ctx, copyFrom, s, req)
+	}
 	return r.follow(ctx, s, class, req, out)
 }
 
--- a/internal/daemon/router/generate.go
+++ b/internal/daemon/router/generate.go
@@ -213,7 +213,7 @@
 		return r.decide(ctx, v, home, req, 0, out)
 	}
 	if r.Agent.Degraded() {
-		return r.dispatch(ctx, v.Servers[home], req, out)
+		return r.dispatch(ctx, v.Servers[home], req, "", out)
 	}
 	return r.forward(ctx, v, home, &pb.ForwardGenerateRequest{
 		Request:       req,
@@ -321,7 +321,7 @@
 		return fault.New(fault.NotCached, server, "the engine does not remember the chat")
 	}
 	if f.GetDecided() || f.GetHops() >= maxHops {
-		return r.dispatch(ctx, c.view.Servers[server], req, out)
+		return r.dispatch(ctx, c.view.Servers[server], req, f.GetCopyFrom(), out)
 	}
 	return r.decide(ctx, c.view, server, req, f.GetHops(), out)
 }
@@ -416,24 +416,33 @@
 type choice struct {
 	server     string
 	onlyCached bool
+	// copyFrom is an engine whose cache of the chat is copied first; empty for
+	// none.
+	copyFrom string
 }
 
 // candidates orders the engines to try: those that may remember the chat by
 // expected first token, then the rest of the preference list.
 func (r *Router) candidates(v *view.View, home string, req *pb.GenerateRequest) []choice {
 	order := r.cfg.Picker.Order(req.GetChat(), v.Weighted(req.GetService()))
-	out := r.remembering(v, home, order, req)
+	out, holder := r.remembering(v, home, order, req)
+	if !v.Rules.Services[req.GetService()].SpillMoves {
+		holder = ""
+	}
 	for _, s := range order {
 		if !slices.ContainsFunc(out, func(c choice) bool { return c.server == s && !c.onlyCached }) {
 			out = append(out, choice{
-				server: s,
+				server:   s,
+				copyFrom: holder,
 			})
 		}
 	}
 	return out
 }
 
-func (r *Router) remembering(v *view.View, home string, order []string, req *pb.GenerateRequest) []choice {
+// remembering returns the engines that may remember a chat, cheapest first,
+// and the one that holds most of it, empty when it is not worth copying.
+func (r *Router) remembering(v *view.View, home string, order []string, req *pb.GenerateRequest) (out []choice, holder string) {
 	now := r.cfg.Now()
 	cs := []placement.Candidate{{
 		Server: home,
@@ -459,14 +468,24 @@
 			Slots:  int(v.Servers[s].GetSlots()),
 		})
 	}
-	var out []choice
 	for _, c := range placement.Order(placement.DefaultCosts(), req.GetPromptTokens(), cs) {
 		out = append(out, choice{
 			server:     c.Server,
 			onlyCached: c.Server == asked,
 		})
 	}
-	return out
+	return out, mostCached(cs, asked)
+}
+
+// mostCached returns the candidate that is known to hold most of a chat.
+func mostCached(cs []placement.Candidate, asked string) string {
+	holder, most := "", uint32(placement.MoveTokens)
+	for _, c := range cs {
+		if c.Server != asked && c.Cached >= most {
+			holder, most = c.Server, c.Cached
+		}
+	}
+	return holder
 }
 
 // secondChoice returns the engine that served the chat while a cold home was
@@ -490,7 +509,7 @@
 		if c.onlyCached && r.gates.Cached(c.server, req.GetChat()) < req.GetPromptTokens()/2 {
 			return fault.New(fault.NotCached, c.server, "")
 		}
-		return r.dispatch(ctx, v.Servers[c.server], req, out)
+		return r.dispatch(ctx, v.Servers[c.server], req, c.copyFrom, out)
 	}
 	if hops >= maxHops {
 		return fault.New(fault.OverBound, c.server, "")
@@ -501,5 +520,6 @@
 		Hops:          hops + 1,
 		Decided:       true,
 		OnlyCached:    c.onlyCached,
+		CopyFrom:      c.copyFrom,
 	}, out)
 }
--- a/internal/daemon/router/handover.go
+++ b/internal/daemon/router/handover.go
@@ -16,8 +16,14 @@
 	handoverRows  = 20_000
 	handoverLimit = 2 * time.Second
 	// expectFor is how long a router waits for a server that was announced.
-	expectFor     = 2 * time.Second
+	expectFor = 2 * time.Second
+	// handOverWait is how long a leaving router waits for takers; when a whole
+	// fleet stops there are none.
+	handOverWait  = 5 * time.Second
 	carryInterval = 300 * time.Millisecond
+	// maxCopies bounds the caches that one router copies at once.
+	maxCopies = 4
+	copyLimit = 500 * time.Millisecond
 )
 
 // GiveUp hands a server over, as the leader asks. The order keeps the gap
@@ -116,23 +122,13 @@
 func (r *Router) Leave(ctx context.Context) {
 	r.Agent.Leave()
 	left := r.cfg.Now() + DirectoryKeep + 2*time.Second
-	r.await(ctx, func() bool { return len(r.Loads()) == 0 || r.Agent.Degraded() || r.alone() })
+	handed := r.cfg.Now() + handOverWait
+	r.await(ctx, func() bool { return len(r.Loads()) == 0 || r.Agent.Degraded() || r.cfg.Now() >= handed })
 	r.await(ctx, func() bool { return r.cfg.Now() >= left })
 	r.await(ctx, func() bool { return r.inFlight.Load() == 0 })
 	r.flushSettlements(ctx)
 }
 
-// alone reports whether every listed router is leaving: then there is nobody
-// to hand a server over to.
-func (r *Router) alone() bool {
-	for _, i := range r.Agent.View().Routers() {
-		if !i.GetLeaving() {
-			return false
-		}
-	}
-	return true
-}
-
 func (r *Router) await(ctx context.Context, done func() bool) {
 	for !done() && ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
@@ -184,19 +180,48 @@
 		return 0, fault.New(fault.NoEngine, s.GetService(), "no engine can take the cache")
 	}
 	to := v.Servers[order[0]]
-	blob, err := r.cfg.Engine.ExportCache(ctx, s.GetAddress(), c.GetChat())
+	blob, err := r.transferCache(ctx, s, to, c.GetChat())
 	if err != nil {
-		return 0, fault.Wrap(fault.Unreachable, s.GetName(), err)
+		return 0, err
+	}
+	r.noteMoved(ctx, v, to, c.GetChat(), blob.GetTokens())
+	return int64(len(blob.GetBlob())), nil
+}
+
+// copyCache copies the cache of a chat to an engine that is about to serve it.
+// At most maxCopies run at once on a router, and one that takes too long is
+// given up: the prompt is then computed anew.
+func (r *Router) copyCache(ctx context.Context, from string, to *pb.BackendServer, req *pb.GenerateRequest) {
+	s := r.Agent.View().Servers[from]
+	if s == nil || s.GetGone() || r.gates.Cached(to.GetName(), req.GetChat()) >= req.GetPromptTokens()/2 {
+		return
+	}
+	if r.copies.Add(1) > maxCopies {
+		r.copies.Add(-1)
+		return
+	}
+	defer r.copies.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, copyLimit)
+	defer cancel()
+	if _, err := r.transferCache(ctx, s, to, req.GetChat()); err != nil {
+		r.cfg.Logger.WithError(err).Debugf("router: a cache was not copied from %s", from)
+	}
+}
+
+// transferCache exports a chat's cache at one engine and imports it at another.
+func (r *Router) transferCache(ctx context.Context, from, to *pb.BackendServer, chat string) (*pb.ExportCacheResponse, error) {
+	blob, err := r.cfg.Engine.ExportCache(ctx, from.GetAddress(), chat)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unreachable, from.GetName(), err)
 	}
 	if err := r.cfg.Engine.ImportCache(ctx, to.GetAddress(), &pb.ImportCacheRequest{
-		Chat:   c.GetChat(),
+		Chat:   chat,
 		Tokens: blob.GetTokens(),
 		Blob:   blob.GetBlob(),
 	}); err != nil {
-		return 0, fault.Wrap(fault.Unreachable, to.GetName(), err)
+		return nil, fault.Wrap(fault.Unreachable, to.GetName(), err)
 	}
-	r.noteMoved(ctx, v, to, c.GetChat(), blob.GetTokens())
-	return int64(len(blob.GetBlob())), nil
+	return blob, nil
 }
 
 // noteMoved tells the owner of an engine that it now caches a chat.
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -81,6 +81,8 @@
 	breaker breaker.Breaker
 	waiting atomic.Int64
 	attempt atomic.Uint64
+	// copies counts the caches being copied now.
+	copies atomic.Int64
 	// inFlight counts requests in this process.
 	inFlight atomic.Int64
 
--- a/internal/rules/file/file.go
+++ b/internal/rules/file/file.go
@@ -51,6 +51,8 @@
 	RetryPercent int
 	// MoveBytes is the KV cache that may be moved off one leaving engine.
 	MoveBytes int64
+	// SpillMoves is true when a spilled chat takes its cache along.
+	SpillMoves bool
 	// CheckedFence is true when the engines refuse old fencing numbers.
 	CheckedFence bool
 }
--- a/internal/rules/parse/parse.go
+++ b/internal/rules/parse/parse.go
@@ -5,7 +5,7 @@
 // that hold a comment only are allowed. The grammar:
 //
 //	service NAME type=engine|plain [bound=1.25] [retry=10%] [retention=24h]
-//	        [move=64MiB] [fence=checked|ignored]         # WHO: why
+//	        [move=64MiB] [spill=cold|move] [fence=checked|ignored] # WHO: why
 //	account NAME share=N [limit=N]                       # WHO: why
 //	kind NAME class=urgent|normal|batch                  # WHO: why
 //	nonidempotent SERVICE call=NAME                      # WHO: why
@@ -193,6 +193,7 @@
 		Retention:     s.duration("retention", file.DefaultRetention, time.Minute, 31*24*time.Hour),
 		RetryPercent:  s.percent("retry", file.DefaultRetryPercent),
 		MoveBytes:     s.bytes("move", file.DefaultMoveBytes),
+		SpillMoves:    s.choice("spill", "cold", "cold", "move") == "move",
 		CheckedFence:  s.choice("fence", "ignored", "checked", "ignored") == "checked",
 	}
 	p.out.Services[name.text] = svc
