--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -36,7 +36,8 @@
 	Seen        time.Duration
 	RuleVersion uint64
 	Leaving     bool
-	Loads       []*pb.LoadReport
+	// Loads holds the reported loads by service.
+	Loads map[string][]*pb.LoadReport
 }
 
 // Table holds the leases granted by one leader in one term.
@@ -82,14 +83,19 @@
 // Row returns the row of h, or nil.
 func (t *Table) Row(h Holder) *Row { return t.rows[h] }
 
-// Heard returns the holders heard from since the given age.
-func (t *Table) Heard(now, age time.Duration) map[Holder]*Row {
-	out := make(map[Holder]*Row)
+// EachHeard calls f with the holders heard from since the given age.
+func (t *Table) EachHeard(now, age time.Duration, f func(Holder, *Row)) {
 	for h, r := range t.rows {
 		if now-r.Seen <= age {
-			out[h] = r
+			f(h, r)
 		}
 	}
+}
+
+// Heard returns the holders heard from since the given age.
+func (t *Table) Heard(now, age time.Duration) map[Holder]*Row {
+	out := make(map[Holder]*Row)
+	t.EachHeard(now, age, func(h Holder, r *Row) { out[h] = r })
 	return out
 }
 
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -44,6 +44,8 @@
 	expiredBefore int64
 	// listIndex is the index of the last change of which routers are listed.
 	listIndex uint64
+	// rowsIndex is the index of the last change of any row of the tables.
+	rowsIndex uint64
 }
 
 // Apply applies one committed command and returns its result.
@@ -154,6 +156,7 @@
 	l.applied, l.ruleVersion, l.rules, l.edits = s.GetAppliedIndex(), s.GetRuleVersion(), s.GetRules(), s.GetEdits()
 	l.fencing, l.expiredBefore = s.GetFencingNumber(), s.GetClaimsExpiredBefore()
 	l.listIndex = s.GetListIndex()
+	l.rowsIndex = s.GetAppliedIndex()
 	for _, b := range s.GetServers() {
 		l.servers[b.GetName()] = b
 	}
--- a/internal/control/ledger/tables.go
+++ b/internal/control/ledger/tables.go
@@ -28,6 +28,9 @@
 	t := Tables{
 		Index: l.applied,
 	}
+	if since > 0 && since >= l.rowsIndex {
+		return t
+	}
 	for _, b := range l.servers {
 		if b.GetChangedIndex() > since {
 			t.Servers = append(t.Servers, b)
@@ -77,6 +80,7 @@
 }
 
 func (l *Ledger) registerInstance(index uint64, i *pb.Instance) *pb.Result {
+	l.rowsIndex = index
 	row := proto.Clone(i).(*pb.Instance)
 	row.ChangedIndex = index
 	if old := l.instances[i.GetName()]; old == nil || old.GetGone() != i.GetGone() {
@@ -89,6 +93,7 @@
 // updateServers takes rows of the platform's list; what the operators and the
 // control group decided about a server (drain, owner) stays as it was.
 func (l *Ledger) updateServers(index uint64, rows []*pb.BackendServer) *pb.Result {
+	l.rowsIndex = index
 	for _, r := range rows {
 		row := proto.Clone(r).(*pb.BackendServer)
 		row.Owner, row.OwnerIncarnation, row.Epoch, row.Drained = "", 0, 0, false
@@ -104,6 +109,7 @@
 
 // assign gives backend servers to owners; the index becomes the epoch.
 func (l *Ledger) assign(index uint64, as []*pb.Assignment) *pb.Result {
+	l.rowsIndex = index
 	for _, a := range as {
 		old := l.servers[a.GetBackendServer()]
 		if old == nil {
@@ -123,6 +129,7 @@
 	if old == nil || old.GetGone() {
 		return failure(fault.UnknownServer, d.GetBackendServer())
 	}
+	l.rowsIndex = index
 	row := proto.Clone(old).(*pb.BackendServer)
 	row.Drained, row.ChangedIndex = d.GetDrain(), index
 	l.servers[d.GetBackendServer()] = row
--- a/internal/control/manager/bench_test.go
+++ b/internal/control/manager/bench_test.go
@@ -61,6 +61,7 @@
 				beat(i, 0)
 			}
 			require.Eventually(b, func() bool { return len(r.Ledger.Changes(0).Servers) == size.servers }, 10*time.Second, time.Millisecond)
+			require.Eventually(b, func() bool { return settled(r) }, 20*time.Second, 50*time.Millisecond)
 			seen := beat(0, 0).GetIndex()
 			whole := proto.Size(beat(0, 0))
 			n := 0
@@ -77,6 +78,13 @@
 	}
 }
 
+// settled reports whether the assignment has stopped changing.
+func settled(r *replica.Replica) bool {
+	before := r.Status().Applied
+	time.Sleep(400 * time.Millisecond)
+	return r.Status().Applied == before
+}
+
 func request(i int, seen uint64, owned int) *pb.HeartbeatRequest {
 	r := &pb.HeartbeatRequest{
 		Instance:      fmt.Sprintf("entry-%04d", i),
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -144,7 +144,7 @@
 	row := m.leases.Renew(now, h)
 	row.RuleVersion = req.GetRuleVersion()
 	row.Leaving = req.GetLeaving()
-	row.Loads = req.GetLoads()
+	row.Loads = m.byService(req.GetLoads())
 	m.seen[h] = req.GetSeenIndex()
 
 	l := m.cfg.Replica.Ledger
@@ -157,7 +157,7 @@
 		Instances: changes.Instances,
 		Whole:     req.GetSeenIndex() == 0,
 		Term:      m.term,
-		Loads:     m.otherLoads(now, h),
+		Loads:     m.otherLoads(now, h, row.Loads),
 	}
 	version, content := l.Rules()
 	resp.RuleVersion = version
@@ -172,13 +172,28 @@
 	return resp, nil
 }
 
-// otherLoads returns what the other routers last reported.
-func (m *Manager) otherLoads(now time.Duration, h lease.Holder) []*pb.LoadReport {
+// otherLoads returns what the other routers last reported on the services of
+// which h owns a server: only an owner weighs loads, and a reply to each router
+// with the loads of all servers would outgrow the control budget.
+func (m *Manager) otherLoads(now time.Duration, h lease.Holder, own map[string][]*pb.LoadReport) []*pb.LoadReport {
 	var out []*pb.LoadReport
-	for other, row := range m.leases.Heard(now, hearingAge) {
-		if other != h {
-			out = append(out, row.Loads...)
+	m.leases.EachHeard(now, hearingAge, func(other lease.Holder, row *lease.Row) {
+		if other == h {
+			return
 		}
+		for service := range own {
+			out = append(out, row.Loads[service]...)
+		}
+	})
+	return out
+}
+
+// byService groups load reports by the service of their server.
+func (m *Manager) byService(reports []*pb.LoadReport) map[string][]*pb.LoadReport {
+	out := make(map[string][]*pb.LoadReport)
+	for _, r := range reports {
+		service := m.cfg.Replica.Ledger.Server(r.GetBackendServer()).GetService()
+		out[service] = append(out[service], r)
 	}
 	return out
 }
