Keep a surging account out of the reserve of slots and out of the queue

What the surging account had queued filled the load bound of every engine, so that the others were turned away and waited for room.

Tried and dropped: a fair part of the slots enforced when a request starts, not when it is admitted.

Change: at admission, an account that holds at least twice its fair part of an engine gets neither the last half of the slots nor a place in the queue.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 RUNS ?= 10000
 
-.PHONY: build demo test lint fmt generate prove measure fuzz ci
+.PHONY: build demo test lint fmt generate prove measure measure-fleet bench fuzz ci
 
 build:
 	go build -o bin ./cmd/...
@@ -35,4 +35,27 @@
 prove:
 	go test -count=1 -timeout 60m ./internal/control/... ./internal/routing/... ./internal/check/... -run 'Machine' -rapid.checks=$(RUNS) -rapid.seed=$(SEED) -rapid.nofailfile
 
+# Placement against the baselines in virtual time, five seeds, 15 seconds or so.
+measure: build
+	bin/camphor-measure -out docs/measure -seeds 5
+
+# A fleet of real processes: rule spread, recovery, control bytes; five minutes.
+measure-fleet: build
+	bin/camphor-measure -out docs/measure -fleet bin -edits 200
+
+# The slopes of docs/CAPACITY.md.
+bench:
+	go test ./internal/control/manager -run xxx -bench . -benchtime 2000x
+	go test ./internal/control/replica -run xxx -bench Commit -benchtime 2000x
+	go test ./internal/control/replica -run xxx -bench Restart -benchtime 3x
+	go test ./internal/routing/... -run xxx -bench . -benchmem
+
+# The decoders, each for a while.
+FUZZTIME ?= 30s
+fuzz:
+	go test ./internal/rules/parse -run xxx -fuzz FuzzRules -fuzztime $(FUZZTIME)
+	go test ./internal/control/wal -run xxx -fuzz FuzzDecodeSegment -fuzztime $(FUZZTIME)
+	go test ./internal/control/wal -run xxx -fuzz FuzzDecodeSnapshot -fuzztime $(FUZZTIME)
+	go test ./internal/control/ledger -run xxx -fuzz FuzzRestore -fuzztime $(FUZZTIME)
+
 ci: fmt lint test
--- a/internal/daemon/router/dispatch.go
+++ b/internal/daemon/router/dispatch.go
@@ -108,6 +108,8 @@
 		Share:   c.account.Share,
 		Class:   class,
 		Cost:    int(req.GetPromptTokens()/8 + req.GetMaxTokens()),
+
+		FairSlots: c.view.Rules.FairSlots(c.account, int(s.GetSlots())),
 	}, c.service, c.account)
 	if err != nil {
 		return err
--- a/internal/measure/live/live.go
+++ b/internal/measure/live/live.go
@@ -72,6 +72,11 @@
 	killed  []time.Duration
 	// recovery is the time from a leader's kill to the next accepted edit.
 	recovery []time.Duration
+	// idleCPU and busyCPU are the processor time a second of each daemon.
+	idleCPU, busyCPU map[string]float64
+	memory           map[string]int64
+	// busyPerSecond and tokensPerSecond are the load of the busy stretch.
+	busyPerSecond, tokensPerSecond float64
 }
 
 // rates are bytes a second by kind.
@@ -85,10 +90,16 @@
 		return err
 	}
 	var err error
-	if m.idle, err = m.bytes(); err != nil {
+	if m.idleCPU, err = m.usage(func() error {
+		m.idle, err = m.bytes()
+		return err
+	}); err != nil {
 		return err
 	}
-	if m.busy, err = m.underLoad(); err != nil {
+	if m.busyCPU, err = m.usage(func() error {
+		m.busy, err = m.underLoad()
+		return err
+	}); err != nil {
 		return err
 	}
 	for n := range edits {
@@ -175,6 +186,33 @@
 	return time.Since(began), nil
 }
 
+// usage returns the processor time a second of each daemon while f runs.
+func (m *measurement) usage(f func() error) (map[string]float64, error) {
+	before := make(map[string]time.Duration)
+	for _, d := range m.fleet.Daemons {
+		cpu, _, err := d.Usage()
+		if err != nil {
+			return nil, err
+		}
+		before[d.Name] = cpu
+	}
+	began := time.Now()
+	if err := f(); err != nil {
+		return nil, err
+	}
+	out := make(map[string]float64)
+	m.memory = make(map[string]int64)
+	for _, d := range m.fleet.Daemons {
+		cpu, memory, err := d.Usage()
+		if err != nil {
+			return nil, err
+		}
+		out[d.Name] = (cpu - before[d.Name]).Seconds() / time.Since(began).Seconds()
+		m.memory[d.Name] = memory
+	}
+	return out, nil
+}
+
 func (m *measurement) snapshot() (map[string]map[string]uint64, error) {
 	out := make(map[string]map[string]uint64)
 	for _, d := range m.fleet.Daemons {
@@ -213,6 +251,7 @@
 		Seeds: m.fleet.Addresses(),
 	}
 	var stop atomic.Bool
+	var requests, tokens atomic.Int64
 	var wg sync.WaitGroup
 	for i := range busyChats {
 		wg.Go(func() {
@@ -225,12 +264,15 @@
 					RequestId:     fmt.Sprintf("live-%d-%d", i, n),
 					PromptTokens:  500,
 					MaxTokens:     40,
-				}, func(*pb.GenerateResponse) {})
+				}, func(*pb.GenerateResponse) { tokens.Add(1) })
 				cancel()
+				requests.Add(1)
 			}
 		})
 	}
 	out, err := m.bytes()
+	m.busyPerSecond = float64(requests.Load()) / bytesFor.Seconds()
+	m.tokensPerSecond = float64(tokens.Load()) / bytesFor.Seconds()
 	stop.Store(true)
 	wg.Wait()
 	return out, err
@@ -274,6 +316,21 @@
 		fmt.Fprintf(t, "| %.0f\t| %.0f\t|\n", asRouter(m.idle[d.Name]), asRouter(m.busy[d.Name]))
 	}
 	t.Flush()
+	m.printUsage(w)
+}
+
+// printUsage writes the processor time and memory of each daemon.
+func (m *measurement) printUsage(w io.Writer) {
+	fmt.Fprintf(w, "\nProcessor time in percent of a core, and memory; busy means %.0f requests and %.0f token frames a second over the fleet:\n\n", m.busyPerSecond, m.tokensPerSecond)
+	t := tabwriter.NewWriter(w, 0, 4, 1, ' ', 0)
+	fmt.Fprintln(t, "| daemon\t| idle\t| busy\t| memory, MB\t|\n|---\t|---\t|---\t|---\t|")
+	idle, busy := 0.0, 0.0
+	for _, d := range m.fleet.Daemons {
+		idle, busy = idle+m.idleCPU[d.Name], busy+m.busyCPU[d.Name]
+		fmt.Fprintf(t, "| %s\t| %.1f\t| %.1f\t| %.0f\t|\n", d.Name, 100*m.idleCPU[d.Name], 100*m.busyCPU[d.Name], float64(m.memory[d.Name])/1e6)
+	}
+	t.Flush()
+	fmt.Fprintf(w, "\nAll daemons together: %.0f us of processor time a request, of 41 frames, above idle.\n", 1e6*(busy-idle)/max(m.busyPerSecond, 1))
 }
 
 // asRouter adds up the kinds that a router spends; the log and the serving of
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -15,7 +15,9 @@
 	Chat    string
 	Account string
 	Share   int
-	Class   int
+	// FairOf returns the account's fair part of a number of slots.
+	FairOf func(slots int) int
+	Class  int
 	// Prompt counts the tokens of the prompt, Tokens those of the answer.
 	Prompt uint32
 	Tokens uint32
--- a/internal/measure/trial/trial.go
+++ b/internal/measure/trial/trial.go
@@ -282,6 +282,9 @@
 		Class:   r.Class,
 		Cost:    int(r.Prompt/8 + r.Tokens),
 	}
+	if t.Policy.Bound() > 0 {
+		q.FairSlots = r.FairOf(t.EngineSlots)
+	}
 	d := e.gate.Offer(t.now, q, admission.Terms{
 		Bound:      t.Policy.Bound(),
 		OthersLoad: others,
--- a/internal/measure/workload/workload.go
+++ b/internal/measure/workload/workload.go
@@ -100,6 +100,15 @@
 	return 1
 }
 
+// FairSlots returns an account's fair part of an engine's slots.
+func FairSlots(account, slots int) int {
+	total := 0
+	for a := range accounts {
+		total += Share(a)
+	}
+	return max(1, slots*Share(account)/total)
+}
+
 // Account returns the name of an account.
 func Account(account int) string { return fmt.Sprintf("account-%d", account) }
 
@@ -163,6 +172,7 @@
 		Chat:     c.name,
 		Account:  Account(c.account),
 		Share:    Share(c.account),
+		FairOf:   func(slots int) int { return FairSlots(c.account, slots) },
 		Class:    c.class,
 		Prompt:   c.tokens + fresh,
 		Tokens:   40 + uint32(s.rnd.IntN(120)),
--- a/internal/routing/admission/admission.go
+++ b/internal/routing/admission/admission.go
@@ -21,6 +21,11 @@
 const (
 	// queuePerSlot bounds the queue of a server.
 	queuePerSlot = 16
+	// fairMultiple is how many times its fair part an account may always take.
+	fairMultiple = 2
+	// reservePart is the part of the slots, one in so many, that an account
+	// beyond that leaves free.
+	reservePart = 2
 	// smoothing weighs the latest service time in the mean.
 	smoothing = 0.1
 )
@@ -93,6 +98,9 @@
 	if t.AccountLimit > 0 && g.accounts[r.Account]+1 > t.AccountLimit {
 		return refuse(fault.AccountLimit, g.retryAfter())
 	}
+	if g.surges(r) {
+		return refuse(fault.AccountLimit, g.retryAfter())
+	}
 	if g.queue.Len() >= queuePerSlot*max(g.Slots, 1) {
 		return refuse(fault.Overloaded, g.retryAfter())
 	}
@@ -107,6 +115,17 @@
 	}
 }
 
+// surges reports whether an account that holds well over its fair part would
+// take what others need: the reserve of slots, or a place in the queue. What
+// it could have queued here would fill the load bound and turn others away.
+func (g *Gate) surges(r routing.Request) bool {
+	if r.FairSlots == 0 || g.accounts[r.Account] < fairMultiple*r.FairSlots {
+		return false
+	}
+	slots := max(g.Slots, 1)
+	return g.Load() >= slots-slots/reservePart
+}
+
 func refuse(kind string, after time.Duration) routing.Decision {
 	return routing.Decision{
 		Refused:    kind,
--- a/internal/routing/admission/machine_test.go
+++ b/internal/routing/admission/machine_test.go
@@ -27,7 +27,7 @@
 		for i := range gates {
 			gates[i] = &Gate{
 				Server:  fmt.Sprint(i),
-				Slots:   rapid.IntRange(1, 3).Draw(rt, "slots"),
+				Slots:   rapid.IntRange(1, 6).Draw(rt, "slots"),
 				Checker: checker,
 			}
 		}
@@ -53,6 +53,7 @@
 					Class:   rapid.IntRange(0, 2).Draw(t, "class"),
 					Share:   1,
 				}
+				r.FairSlots = rapid.IntRange(0, 2).Draw(t, "fair")
 				limit := rapid.IntRange(0, 3).Draw(t, "limit")
 				d := gates[i].Offer(now, r, Terms{
 					Bound:        c,
@@ -97,6 +98,28 @@
 	})
 }
 
+// TestSurgingAccountLeavesRoom: an account far beyond its fair part takes no
+// slot of the reserve and no place in the queue; others still do.
+func TestSurgingAccountLeavesRoom(t *testing.T) {
+	g := &Gate{
+		Slots: 8,
+	}
+	offer := func(id int, account string) routing.Decision {
+		return g.Offer(0, routing.Request{
+			ID:        fmt.Sprint(id),
+			Account:   account,
+			FairSlots: 1,
+		}, Terms{})
+	}
+	for i := range 4 {
+		require.True(t, offer(i, "surging").Started)
+	}
+	require.Equal(t, fault.AccountLimit, offer(4, "surging").Refused)
+	require.True(t, offer(5, "other").Started)
+	require.True(t, offer(6, "other").Started)
+	require.True(t, offer(7, "third").Started)
+}
+
 func TestRefusals(t *testing.T) {
 	g := &Gate{
 		Slots: 1,
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -27,6 +27,10 @@
 	Class int
 	// Cost is the expected work, in tokens.
 	Cost int
+	// FairSlots is the account's fair part of the server's slots. An account
+	// well beyond it takes no slot of the reserve and no place in the queue;
+	// zero is no such limit.
+	FairSlots int
 }
 
 // Queue holds requests that wait for a slot.
--- a/internal/rules/file/file.go
+++ b/internal/rules/file/file.go
@@ -30,6 +30,8 @@
 type File struct {
 	Services map[string]Service
 	Accounts map[string]Account
+	// TotalShare is the sum of the shares of all accounts.
+	TotalShare int
 	// Kinds maps a kind of work to its priority class.
 	Kinds map[string]int
 	// Authors names who asked, by line number.
@@ -66,6 +68,11 @@
 	Limit int
 }
 
+// FairSlots returns an account's fair part of a server's slots, at least one.
+func (f *File) FairSlots(a Account, slots int) int {
+	return max(1, slots*a.Share/max(f.TotalShare, 1))
+}
+
 // Class returns the priority class of a kind of work.
 func (f *File) Class(kind string) (int, bool) {
 	if kind == "" {
--- a/internal/rules/parse/parse.go
+++ b/internal/rules/parse/parse.go
@@ -205,11 +205,13 @@
 		s.ignore()
 		return
 	}
-	p.out.Accounts[name.text] = file.Account{
+	a := file.Account{
 		Name:  name.text,
 		Share: s.integer("share", -1, 1, 1_000_000),
 		Limit: s.integer("limit", 0, 1, 1_000_000),
 	}
+	p.out.Accounts[name.text] = a
+	p.out.TotalShare += a.Share
 }
 
 func (p *parser) kind(name word, s *settings) {
