Let the leader set the heartbeat interval by the number of routers

The interval is now 250 ms up to 125 routers and grows to 650 ms, so that the leader answers about 500 heartbeats a second at the most until then.

--- a/internal/control/ledger/tables.go
+++ b/internal/control/ledger/tables.go
@@ -72,6 +72,13 @@
 	return out
 }
 
+// RouterCount returns the number of listed instances.
+func (l *Ledger) RouterCount() int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return len(l.instances)
+}
+
 // ListIndex returns the index of the last change of which routers are listed.
 func (l *Ledger) ListIndex() uint64 {
 	l.mu.RLock()
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -33,9 +33,14 @@
 	// hearingAge is how recently a router must have been heard to count.
 	hearingAge = 1500 * time.Millisecond
 	// goneAfter is the silence after which an instance leaves the list.
-	goneAfter    = 10 * time.Minute
-	planInterval = 100 * time.Millisecond
-	proposeLimit = 2 * time.Second
+	goneAfter = 10 * time.Minute
+	// heartbeatPerRouter keeps the leader at 500 heartbeats a second between
+	// the shortest and the longest interval.
+	heartbeatPerRouter = 2 * time.Millisecond
+	shortestInterval   = 250 * time.Millisecond
+	longestInterval    = 650 * time.Millisecond
+	planInterval       = 100 * time.Millisecond
+	proposeLimit       = 2 * time.Second
 )
 
 // Config names what a Manager works with.
@@ -150,14 +155,16 @@
 	l := m.cfg.Replica.Ledger
 	changes := l.Changes(req.GetSeenIndex())
 	resp := &pb.HeartbeatResponse{
-		LeaseMs:   uint32(lease.Length.Milliseconds()),
-		Index:     changes.Index,
-		Servers:   changes.Servers,
-		Frozen:    slices.Sorted(maps.Keys(m.pending)),
-		Instances: changes.Instances,
-		Whole:     req.GetSeenIndex() == 0,
-		Term:      m.term,
-		Loads:     m.otherLoads(now, h, row.Loads),
+		LeaseMs: uint32(lease.Length.Milliseconds()),
+
+		IntervalMs: uint32(interval(l.RouterCount()).Milliseconds()),
+		Index:      changes.Index,
+		Servers:    changes.Servers,
+		Frozen:     slices.Sorted(maps.Keys(m.pending)),
+		Instances:  changes.Instances,
+		Whole:      req.GetSeenIndex() == 0,
+		Term:       m.term,
+		Loads:      m.otherLoads(now, h, row.Loads),
 	}
 	version, content := l.Rules()
 	resp.RuleVersion = version
@@ -172,6 +179,13 @@
 	return resp, nil
 }
 
+// interval returns the time between the heartbeats of one router: short, so
+// that loads are fresh, while the fleet is small; longer with more routers, so
+// that the leader's work stays bounded; always well below a lease.
+func interval(routers int) time.Duration {
+	return min(max(heartbeatPerRouter*time.Duration(routers), shortestInterval), longestInterval)
+}
+
 // otherLoads returns what the other routers last reported on the services of
 // which h owns a server: only an owner weighs loads, and a reply to each router
 // with the loads of all servers would outgrow the control budget.
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -32,8 +32,10 @@
 )
 
 const (
-	// Interval is the time between heartbeats.
-	Interval = 500 * time.Millisecond
+	// Interval is the time between heartbeats until the leader names another.
+	Interval = 250 * time.Millisecond
+	// maxInterval is the longest time between heartbeats.
+	maxInterval = time.Second
 	// FreshFor is how long a proof of the rule version counts.
 	FreshFor = 2500 * time.Millisecond
 	// askAfter is the age of the proof at which the other routers are asked.
@@ -84,6 +86,8 @@
 	// releasing holds the epoch in which each server was given up.
 	releasing map[string]uint64
 	lastError string
+	// every is the time between heartbeats that the leader asked for.
+	every time.Duration
 }
 
 // New returns an agent. It sends nothing until Start; the clean-up function
@@ -209,7 +213,8 @@
 func (a *Agent) heartbeats(ctx context.Context) {
 	for {
 		a.heartbeat(ctx)
-		pause := Interval - Interval/10 + rand.N(Interval/5)
+		every := a.interval()
+		pause := every - every/10 + rand.N(every/5)
 		select {
 		case <-ctx.Done():
 			return
@@ -219,6 +224,15 @@
 	}
 }
 
+func (a *Agent) interval() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.every == 0 {
+		return Interval
+	}
+	return min(a.every, maxInterval)
+}
+
 func (a *Agent) request() *pb.HeartbeatRequest {
 	v := a.View()
 	loads := a.cfg.Loads()
@@ -283,6 +297,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lastError = ""
+	a.every = time.Duration(resp.GetIntervalMs()) * time.Millisecond
 	old = a.view.Load()
 	next = old
 	if resp.GetIndex() < old.Index {
--- a/internal/measure/report/report.go
+++ b/internal/measure/report/report.go
@@ -53,6 +53,7 @@
 type cell struct {
 	reused, skew50, skew99, skewMax, over, refused []float64
 	urgent, normal, others, moved                  []float64
+	refusedOthers                                  []float64
 }
 
 type key struct {
@@ -141,6 +142,8 @@
 		Routers:     routers,
 		Seed:        j.seed,
 		Phases:      phases,
+
+		SurgeAccount: workload.Account(surgeAccount),
 	}
 	return t.Run()
 }
@@ -163,6 +166,7 @@
 	c.over = append(c.over, 100*r.OverShare())
 	c.refused = append(c.refused, 100*float64(r.Refused)/float64(max(r.Requests, 1)))
 	c.moved = append(c.moved, 100*float64(r.MovedTokens)/float64(max(r.Reusable, 1)))
+	c.refusedOthers = append(c.refusedOthers, 100*float64(r.RefusedOthers)/float64(max(r.Requests, 1)))
 	c.urgent = append(c.urgent, seconds(r.FirstToken(file.Urgent, 95)))
 	c.normal = append(c.normal, seconds(r.FirstToken(file.Normal, 95)))
 	c.others = append(c.others, seconds(r.FirstTokenWithout(workload.Account(surgeAccount), 95)))
@@ -199,15 +203,15 @@
 	fmt.Fprintf(&b, "# Placement\n\nMade by `make measure` (camphor-measure -seeds %d): %d engines of %d slots and %d cached tokens,\n%d routers, ten accounts. Mean over the seeds, with the range in brackets. Times are the 95th\npercentile in seconds, queueing included; `others` leaves out the account that surges.\nThe share over the bound counts admissions after which an engine's load is above\nceil(%.2f x the true mean). Moved tokens are given in percent of the reusable ones.\n", seeds, engines, slots, cacheTokens, routers, file.DefaultBound)
 	for _, s := range shapes() {
 		for _, p := range trial.Phases()[1:] {
-			fmt.Fprintf(&b, "\n## %s (%.0f requests/s): %s\n\n| policy | reused %% | skew p50 | p99 | worst | over bound %% | refused %% | urgent | normal | others | moved %% |\n|---|---|---|---|---|---|---|---|---|---|---|\n", s.name, s.perSecond, p.Name)
+			fmt.Fprintf(&b, "\n## %s (%.0f requests/s): %s\n\n| policy | reused %% | skew p50 | p99 | worst | over bound %% | refused %% | of them others | urgent | normal | others | moved %% |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n", s.name, s.perSecond, p.Name)
 			for _, name := range names() {
 				c := cells[key{
 					shape:  s.name,
 					policy: name,
 					phase:  p.Name,
 				}]
-				fmt.Fprintf(&b, "| %s | %s | %.2f | %.2f | %.2f | %s | %.2f | %s | %s | %s | %.1f |\n", name, spread(c.reused, 1), mean(c.skew50), mean(c.skew99), slices.Max(c.skewMax),
-					spread(c.over, 2), mean(c.refused), spread(c.urgent, 2), spread(c.normal, 2), spread(c.others, 2), mean(c.moved))
+				fmt.Fprintf(&b, "| %s | %s | %.2f | %.2f | %.2f | %s | %.2f | %.2f | %s | %s | %s | %.1f |\n", name, spread(c.reused, 1), mean(c.skew50), mean(c.skew99), slices.Max(c.skewMax),
+					spread(c.over, 2), mean(c.refused), mean(c.refusedOthers), spread(c.urgent, 2), spread(c.normal, 2), spread(c.others, 2), mean(c.moved))
 			}
 		}
 	}
--- a/internal/measure/trial/result.go
+++ b/internal/measure/trial/result.go
@@ -56,13 +56,15 @@
 
 // Result is what one policy gave in one phase.
 type Result struct {
-	Phase     string
-	Requests  int64
-	Refused   int64
-	Admitted  int64
-	OverBound int64
-	Reused    int64
-	Reusable  int64
+	Phase    string
+	Requests int64
+	Refused  int64
+	// RefusedOthers counts those refused that are not the surging account's.
+	RefusedOthers int64
+	Admitted      int64
+	OverBound     int64
+	Reused        int64
+	Reusable      int64
 	// MovedTokens counts cached tokens copied between engines.
 	MovedTokens int64
 	Skew        []float64
--- a/internal/measure/trial/trial.go
+++ b/internal/measure/trial/trial.go
@@ -48,6 +48,8 @@
 	Routers     int
 	Seed        uint64
 	Phases      []Phase
+	// SurgeAccount names the account that surges.
+	SurgeAccount string
 
 	now     time.Duration
 	events  eventHeap
@@ -245,6 +247,9 @@
 	}
 	if t.now-since >= retryFor {
 		res.Refused++
+		if r.Account != t.SurgeAccount {
+			res.RefusedOthers++
+		}
 		t.Policy.Served(t, r, -1)
 		return
 	}
