Send rule edits to routers as changes of the text

(worked out, not measured). The ledger keeps the last 64 edits as prefix, suffix and middle; a router that is up to 64 edits behind gets those, with the digest of each result checked, and otherwise the whole text.

Ruled out: a diff by line (rules have no order, but operators get their text back as they wrote it).

--- a/cmd/camphor-standin/main.go
+++ b/cmd/camphor-standin/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
@@ -71,6 +72,7 @@
 			mux := http.NewServeMux()
 			mux.Handle(camphorspokev1connect.NewEngineServiceHandler(e))
 			mux.HandleFunc("/peak", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, e.Peak()) })
+			mux.HandleFunc("/orders", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(e.Orders()) })
 			mux.HandleFunc("/lastnew", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, e.LastNew().UnixMilli()) })
 			return serve(ctx, *listen, mux)
 		},
--- a/internal/control/ledger/claims.go
+++ b/internal/control/ledger/claims.go
@@ -23,6 +23,9 @@
 // maxEdits is how many past rule edits are recognised when sent again.
 const maxEdits = 20_000
 
+// keepEditText is how many edits keep their text, for routers that are behind.
+const keepEditText = 64
+
 // Rules returns the version in force and its content.
 func (l *Ledger) Rules() (version uint64, content []byte) {
 	l.mu.RLock()
@@ -47,18 +50,68 @@
 		}
 	}
 	l.ruleVersion++
-	l.rules = e.GetContent()
+	prefix, suffix := common(l.rules, e.GetContent())
 	l.edits = append(l.edits, &pb.RuleEdit{
 		BaseVersion: e.GetBaseVersion(),
 		Version:     l.ruleVersion,
 		Digest:      digest[:],
+		Prefix:      uint64(prefix),
+		Suffix:      uint64(suffix),
+		Middle:      e.GetContent()[prefix : len(e.GetContent())-suffix],
 	})
+	l.rules = e.GetContent()
+	l.trimEdits()
+	return &pb.Result{
+		RuleVersion: l.ruleVersion,
+	}
+}
+
+// common returns the lengths of the prefix and the suffix that two texts share.
+func common(a, b []byte) (prefix, suffix int) {
+	shorter := min(len(a), len(b))
+	for prefix < shorter && a[prefix] == b[prefix] {
+		prefix++
+	}
+	for suffix < shorter-prefix && a[len(a)-1-suffix] == b[len(b)-1-suffix] {
+		suffix++
+	}
+	return prefix, suffix
+}
+
+// trimEdits drops the text of old edits, and the oldest edits altogether.
+func (l *Ledger) trimEdits() {
+	if n := len(l.edits) - keepEditText; n > 0 && !l.edits[n-1].GetTrimmed() {
+		old := l.edits[n-1]
+		l.edits[n-1] = &pb.RuleEdit{
+			BaseVersion: old.GetBaseVersion(),
+			Version:     old.GetVersion(),
+			Digest:      old.GetDigest(),
+			Trimmed:     true,
+		}
+	}
 	if len(l.edits) > maxEdits {
 		l.edits = slices.Clone(l.edits[len(l.edits)-maxEdits:])
 	}
-	return &pb.Result{
-		RuleVersion: l.ruleVersion,
+}
+
+// EditsSince returns the edits after a version, oldest first; false when not
+// all of them are kept or the whole text is shorter.
+func (l *Ledger) EditsSince(version uint64) ([]*pb.RuleEdit, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	n := int(l.ruleVersion - version)
+	if version == 0 || version > l.ruleVersion || n > len(l.edits) {
+		return nil, false
+	}
+	edits := l.edits[len(l.edits)-n:]
+	size := 0
+	for _, e := range edits {
+		if e.GetTrimmed() {
+			return nil, false
+		}
+		size += len(e.GetMiddle())
 	}
+	return slices.Clone(edits), size < len(l.rules)
 }
 
 func keyOf(c *pb.Claim) claimKey {
--- a/internal/control/ledger/machine_test.go
+++ b/internal/control/ledger/machine_test.go
@@ -223,6 +223,39 @@
 	require.Equal(t, "b", string(content))
 }
 
+// TestEditsSince: the edits after any version, applied in order, give the
+// present text; versions too far back get none.
+func TestEditsSince(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := &claims{}
+		texts := [][]byte{nil}
+		line := rapid.StringOfN(rapid.RuneFrom([]rune("ab\n")), 0, 6, -1)
+		for v := range rapid.IntRange(1, 100).Draw(rt, "edits") {
+			text := "a long first line that stays the same in every version\n" + line.Draw(rt, "text")
+			texts = append(texts, []byte(text))
+			if c.apply(edit(uint64(v), text)).GetRepeated() {
+				texts = texts[:len(texts)-1]
+			}
+		}
+		version, now := c.ledger.Rules()
+		for from := range version {
+			edits, ok := c.ledger.EditsSince(from)
+			if !ok {
+				continue
+			}
+			text := texts[from]
+			for _, e := range edits {
+				text = []byte(string(text[:e.GetPrefix()]) + string(e.GetMiddle()) + string(text[uint64(len(text))-e.GetSuffix():]))
+			}
+			require.Equal(rt, string(now), string(text))
+		}
+		if version > keepEditText+1 {
+			_, ok := c.ledger.EditsSince(version - keepEditText - 1)
+			require.False(rt, ok)
+		}
+	})
+}
+
 // FuzzRestore: any bytes restore a state or are refused.
 func FuzzRestore(f *testing.F) {
 	var l Ledger
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -169,7 +169,12 @@
 	version, content := l.Rules()
 	resp.RuleVersion = version
 	if version > req.GetRuleVersion() {
-		resp.Rules = content
+		edits, ok := l.EditsSince(req.GetRuleVersion())
+		if ok && edits[len(edits)-1].GetVersion() == version {
+			resp.Edits = edits
+		} else {
+			resp.Rules = content
+		}
 	}
 	for _, a := range m.giveUp {
 		if s := l.Server(a.GetBackendServer()); s.GetOwner() == h.Instance && s.GetOwnerIncarnation() == h.Incarnation {
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -14,8 +14,11 @@
 // This file defines Agent and its loop.
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,6 +91,8 @@
 	lastError string
 	// every is the time between heartbeats that the leader asked for.
 	every time.Duration
+	// wantWhole asks for the whole rule file, not for edits of it.
+	wantWhole bool
 }
 
 // New returns an agent. It sends nothing until Start; the clean-up function
@@ -249,6 +254,9 @@
 		Loads:         loads,
 		Leaving:       a.leaving,
 	}
+	if a.wantWhole {
+		r.RuleVersion = 0
+	}
 	for name, epoch := range a.releasing {
 		r.Releasing = append(r.Releasing, &pb.Release{
 			BackendServer: name,
@@ -310,7 +318,7 @@
 	}
 	a.cfg.Checker.Holds(resp.GetRuleVersion() >= req.GetRuleVersion(), "ruleVersionRises",
 		"the leader names version %d, this router held %d when it asked", resp.GetRuleVersion(), req.GetRuleVersion())
-	next, ok := a.adopt(next, resp.GetRuleVersion(), resp.GetRules())
+	next, ok := a.adopt(next, resp.GetRuleVersion(), a.ruleText(next, resp))
 	a.view.Store(next)
 	for name, epoch := range a.releasing {
 		if next.Servers[name].GetEpoch() != epoch {
@@ -326,12 +334,42 @@
 	return old, next
 }
 
+// ruleText returns the rule file of an answer: given whole, or as edits of the
+// text held. Edits that don't fit give nil, and the next heartbeat asks for the
+// whole file.
+func (a *Agent) ruleText(v *view.View, resp *pb.HeartbeatResponse) []byte {
+	a.wantWhole = false
+	if len(resp.GetEdits()) == 0 || resp.GetRuleVersion() <= v.RuleVersion {
+		return resp.GetRules()
+	}
+	text := v.RuleText
+	for _, e := range resp.GetEdits() {
+		if e.GetVersion() <= v.RuleVersion {
+			continue
+		}
+		if e.GetPrefix()+e.GetSuffix() > uint64(len(text)) {
+			a.wantWhole = true
+			return nil
+		}
+		next := slices.Concat(text[:e.GetPrefix()], e.GetMiddle(), text[uint64(len(text))-e.GetSuffix():])
+		if digest := sha256.Sum256(next); !bytes.Equal(digest[:], e.GetDigest()) {
+			a.wantWhole = true
+			return nil
+		}
+		text = next
+	}
+	return text
+}
+
 // adopt takes a newer rule file; versions only go up. It reports whether the
 // view holds at least the given version.
 func (a *Agent) adopt(v *view.View, version uint64, text []byte) (*view.View, bool) {
 	if version <= v.RuleVersion {
 		return v, true
 	}
+	if a.wantWhole {
+		return v, false
+	}
 	f, err := parse.Rules("rules", text)
 	if err != nil {
 		a.cfg.Logger.WithError(err).Errorf("member: version %d can't be read", version)
--- a/internal/daemon/membership/questions.go
+++ b/internal/daemon/membership/questions.go
@@ -92,6 +92,7 @@
 	defer a.mu.Unlock()
 	v := a.view.Load()
 	if newest.GetVersion() > v.RuleVersion {
+		a.wantWhole = false
 		next, ok := a.adopt(v, newest.GetVersion(), newest.GetContent())
 		if !ok {
 			return
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -97,6 +98,13 @@
 	return e.lastNew
 }
 
+// Orders returns how often each order was received.
+func (e *Engine) Orders() map[uint64]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.orders)
+}
+
 // Infer streams the frames of a request, starting it unless it is known.
 func (e *Engine) Infer(ctx context.Context, r *connect.Request[pb.InferRequest], out *connect.ServerStream[pb.InferResponse]) error {
 	q := e.find(r.Msg)
