Leave silent instances out of the directory, and answer with oneself among them

Cause: with the three control replicas killed, seven routers of ten served, but the directory still named the dead ones first, and a caller's twelve tries could meet only them. Seen in TestServesWithoutControl: connection refused.

--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -176,6 +176,7 @@
 			resp.Rules = content
 		}
 	}
+	resp.Silent = m.silent(now)
 	for _, a := range m.giveUp {
 		if s := l.Server(a.GetBackendServer()); s.GetOwner() == h.Instance && s.GetOwnerIncarnation() == h.Incarnation {
 			resp.GiveUp = append(resp.GiveUp, a)
@@ -184,6 +185,25 @@
 	return resp, nil
 }
 
+// silent returns the listed instances not heard lately; none while the leader
+// is too new to know.
+func (m *Manager) silent(now time.Duration) []string {
+	if !m.leases.Settled(now) {
+		return nil
+	}
+	var out []string
+	for _, i := range m.cfg.Replica.Ledger.Routers() {
+		row := m.leases.Row(lease.Holder{
+			Instance:    i.GetName(),
+			Incarnation: i.GetIncarnation(),
+		})
+		if row == nil || now-row.Seen > hearingAge {
+			out = append(out, i.GetName())
+		}
+	}
+	return out
+}
+
 // interval returns the time between the heartbeats of one router: short, so
 // that loads are fresh, while the fleet is small; longer with more routers, so
 // that the leader's work stays bounded; always well below a lease.
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -93,6 +93,9 @@
 	every time.Duration
 	// wantWhole asks for the whole rule file, not for edits of it.
 	wantWhole bool
+	// silent holds the instances that did not answer lately, as the leader or
+	// this router's own question has it.
+	silent []string
 }
 
 // New returns an agent. It sends nothing until Start; the clean-up function
@@ -151,6 +154,13 @@
 	return s.GetEpoch(), a.book.Admits(a.cfg.Now(), s)
 }
 
+// Silent reports whether an instance has not answered lately.
+func (a *Agent) Silent(instance string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Contains(a.silent, instance)
+}
+
 // Assigned reports whether the named server is assigned to this router.
 func (a *Agent) Assigned(name string) bool {
 	a.mu.Lock()
@@ -326,6 +336,7 @@
 		}
 	}
 	a.book.Freeze(resp.GetFrozen())
+	a.silent = resp.GetSilent()
 	if ok {
 		a.known = true
 		a.freshUntil = max(a.freshUntil, sent+FreshFor)
--- a/internal/daemon/membership/questions.go
+++ b/internal/daemon/membership/questions.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
@@ -51,8 +52,9 @@
 		go func() {
 			if i.GetName() == a.cfg.Instance {
 				answers <- &pb.RuleVersionResponse{
-					Version: v.RuleVersion,
-					Known:   true,
+					Instance: a.cfg.Instance,
+					Version:  v.RuleVersion,
+					Known:    true,
 				}
 				return
 			}
@@ -65,7 +67,7 @@
 			answers <- r
 		}()
 	}
-	a.takeAnswers(sent, len(routers), collect(answers, len(routers)))
+	a.takeAnswers(sent, routers, collect(answers, len(routers)))
 }
 
 func collect(answers <-chan *pb.RuleVersionResponse, n int) []*pb.RuleVersionResponse {
@@ -78,8 +80,9 @@
 	return out
 }
 
-func (a *Agent) takeAnswers(sent time.Duration, listed int, answers []*pb.RuleVersionResponse) {
-	if 2*len(answers) <= listed {
+func (a *Agent) takeAnswers(sent time.Duration, listed []*pb.Instance, answers []*pb.RuleVersionResponse) {
+	a.noteSilent(listed, answers)
+	if 2*len(answers) <= len(listed) {
 		return
 	}
 	newest := answers[0]
@@ -102,6 +105,19 @@
 	a.freshUntil = max(a.freshUntil, sent+FreshFor)
 }
 
+// noteSilent remembers which of the listed routers did not answer.
+func (a *Agent) noteSilent(listed []*pb.Instance, answers []*pb.RuleVersionResponse) {
+	var silent []string
+	for _, i := range listed {
+		if !slices.ContainsFunc(answers, func(r *pb.RuleVersionResponse) bool { return r.GetInstance() == i.GetName() }) {
+			silent = append(silent, i.GetName())
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.silent = silent
+}
+
 // RuleVersion answers another router's question. A router that has not yet
 // learned a version from a majority says so and is not counted.
 func (a *Agent) RuleVersion(r *pb.RuleVersionRequest) *pb.RuleVersionResponse {
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -213,7 +213,8 @@
 
 // Lookup answers which instances to use for a chat: the owner of its home
 // server first, then instances of other failure domains. Instances that are
-// leaving are left out.
+// leaving or silent are left out, and this one, which the caller has reached,
+// is always among them unless it is leaving.
 func (r *Router) Lookup(_ context.Context, req *pb.LookupRequest) (*pb.LookupResponse, error) {
 	c, err := r.check(req.GetService(), req.GetClientAccount())
 	if err != nil {
@@ -227,8 +228,7 @@
 		RuleVersion: c.view.RuleVersion,
 	}
 	order := r.cfg.Picker.Order(req.GetChat(), c.view.Weighted(req.GetService()))
-	names := directoryOrder(c.view, order, req.GetChat())
-	for _, i := range names {
+	for _, i := range r.directoryOrder(c.view, order, req.GetChat()) {
 		resp.Addresses = append(resp.Addresses, i.GetCallerAddress())
 	}
 	if len(resp.GetAddresses()) == 0 {
@@ -238,12 +238,13 @@
 }
 
 // directoryOrder returns up to lookupAddresses instances for a chat.
-func directoryOrder(v *view.View, order []string, chat string) []*pb.Instance {
+func (r *Router) directoryOrder(v *view.View, order []string, chat string) []*pb.Instance {
 	var out []*pb.Instance
+	self := v.Instances[r.cfg.Instance]
 	used := make(map[string]bool)
 	domains := make(map[string]bool)
 	add := func(i *pb.Instance, newDomain bool) {
-		if i == nil || i.GetGone() || i.GetLeaving() || used[i.GetName()] || len(out) >= lookupAddresses {
+		if i == nil || i.GetGone() || i.GetLeaving() || used[i.GetName()] || len(out) >= lookupAddresses || r.Agent.Silent(i.GetName()) {
 			return
 		}
 		if newDomain && domains[i.GetFailureDomain()] {
@@ -267,6 +268,9 @@
 			add(i, newDomain)
 		}
 	}
+	if self != nil && !self.GetLeaving() && !used[self.GetName()] {
+		out = append(out[:min(len(out), lookupAddresses-1)], self)
+	}
 	return out
 }
 
