--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -155,8 +155,7 @@
 	l := m.cfg.Replica.Ledger
 	changes := l.Changes(req.GetSeenIndex())
 	resp := &pb.HeartbeatResponse{
-		LeaseMs: uint32(lease.Length.Milliseconds()),
-
+		LeaseMs:    uint32(lease.Length.Milliseconds()),
 		IntervalMs: uint32(interval(l.RouterCount()).Milliseconds()),
 		Index:      changes.Index,
 		Servers:    changes.Servers,
--- a/internal/daemon/router/dispatch.go
+++ b/internal/daemon/router/dispatch.go
@@ -103,12 +103,11 @@
 		return fault.New(fault.NotOwner, "", "the engine is not listed")
 	}
 	leave, err := r.admit(ctx, s, routing.Request{
-		ID:      req.GetRequestId(),
-		Account: req.GetClientAccount(),
-		Share:   c.account.Share,
-		Class:   class,
-		Cost:    int(req.GetPromptTokens()/8 + req.GetMaxTokens()),
-
+		ID:        req.GetRequestId(),
+		Account:   req.GetClientAccount(),
+		Share:     c.account.Share,
+		Class:     class,
+		Cost:      int(req.GetPromptTokens()/8 + req.GetMaxTokens()),
 		FairSlots: c.view.Rules.FairSlots(c.account, int(s.GetSlots())),
 	}, c.service, c.account)
 	if err != nil {
--- a/internal/measure/report/report.go
+++ b/internal/measure/report/report.go
@@ -134,15 +134,14 @@
 func runOne(j job) ([]*trial.Result, error) {
 	phases := trial.Phases()
 	t := &trial.Trial{
-		Policy:      j.policy,
-		Source:      workload.New(j.seed, j.shape.perSecond, routers, surgeAccount, trial.SurgingIn(phases)),
-		Engines:     engines,
-		EngineSlots: slots,
-		CacheTokens: cacheTokens,
-		Routers:     routers,
-		Seed:        j.seed,
-		Phases:      phases,
-
+		Policy:       j.policy,
+		Source:       workload.New(j.seed, j.shape.perSecond, routers, surgeAccount, trial.SurgingIn(phases)),
+		Engines:      engines,
+		EngineSlots:  slots,
+		CacheTokens:  cacheTokens,
+		Routers:      routers,
+		Seed:         j.seed,
+		Phases:       phases,
 		SurgeAccount: workload.Account(surgeAccount),
 	}
 	return t.Run()
