--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -76,6 +76,8 @@
 	// missing is since when a listed server is missing from the list.
 	missing map[string]time.Duration
 	seen    map[lease.Holder]uint64
+	// silent holds the listed instances not heard lately, as of the last plan.
+	silent []string
 }
 
 // Start runs a manager; the clean-up function stops it.
@@ -175,7 +177,7 @@
 			resp.Rules = content
 		}
 	}
-	resp.Silent = m.silent(now)
+	resp.Silent = m.silent
 	for _, a := range m.giveUp {
 		if s := l.Server(a.GetBackendServer()); s.GetOwner() == h.Instance && s.GetOwnerIncarnation() == h.Incarnation {
 			resp.GiveUp = append(resp.GiveUp, a)
@@ -184,9 +186,9 @@
 	return resp, nil
 }
 
-// silent returns the listed instances not heard lately; none while the leader
+// findSilent returns the listed instances not heard lately; none while the leader
 // is too new to know.
-func (m *Manager) silent(now time.Duration) []string {
+func (m *Manager) findSilent(now time.Duration) []string {
 	if !m.leases.Settled(now) {
 		return nil
 	}
--- a/internal/control/manager/plan.go
+++ b/internal/control/manager/plan.go
@@ -114,6 +114,7 @@
 		return 0, nil
 	}
 	m.leases.Prune(now)
+	m.silent = m.findSilent(now)
 	var servers []*pb.BackendServer
 	for _, s := range m.cfg.Replica.Ledger.Changes(0).Servers {
 		switch {
