--- a/internal/check/fleet/process_test.go
+++ b/internal/check/fleet/process_test.go
@@ -459,6 +459,34 @@
 	require.EqualValues(t, 5, frames)
 }
 
+// TestFrozenOwner freezes a router that owns servers for longer than a lease:
+// they get other owners, and when it wakes up it admits nothing to them.
+func TestFrozenOwner(t *testing.T) {
+	f := start(t, small())
+	l := startLoad(f, 6)
+	time.Sleep(time.Second)
+	frozen := f.Daemons[4]
+	owned := func(address string) []string {
+		s, err := fleet.Dump(address)
+		require.NoError(t, err)
+		var names []string
+		for _, b := range s.BackendServers {
+			if b.Owner == frozen.Name {
+				names = append(names, b.Name)
+			}
+		}
+		return names
+	}
+	require.NotEmpty(t, owned(f.Daemons[3].Address))
+	require.NoError(t, frozen.Signal(syscall.SIGSTOP))
+	require.Eventually(t, func() bool { return len(owned(f.Daemons[3].Address)) == 0 }, 5*time.Second, 50*time.Millisecond)
+	require.NoError(t, frozen.Signal(syscall.SIGCONT))
+	time.Sleep(2 * time.Second)
+	l.end()
+	require.Empty(t, l.lost)
+	require.NotZero(t, l.requests.Load())
+}
+
 // TestServesWithoutControl kills every control replica of ten daemons: the
 // seven routers left are a majority, so they can prove their rules and serve.
 // A call that may not be repeated is not run, and not said to be.
--- a/internal/control/raftlog/machine_test.go
+++ b/internal/control/raftlog/machine_test.go
@@ -69,7 +69,9 @@
 	leaders   map[uint64]string
 	checker   *invariant.Checker
 	proposals int
-	next      uint64
+	// crash is the chance of a kill around a sync.
+	crash float64
+	next  uint64
 }
 
 func newGroup(t *rapid.T, size int) *group {
@@ -135,8 +137,14 @@
 		if r.Empty() {
 			return
 		}
+		if g.crashes(m) {
+			return
+		}
 		m.disk.save(&r)
 		m.node.Synced(g.clock(m))
+		if g.crashes(m) {
+			return
+		}
 		g.wire = append(g.wire, r.Messages...)
 		for _, e := range r.Committed {
 			g.commit(m, e)
@@ -144,6 +152,16 @@
 	}
 }
 
+// crashes kills a member now and then: before a sync, which loses what was not
+// synced, or after it, before anything was sent.
+func (g *group) crashes(m *member) bool {
+	if g.rnd.Float64() >= g.crash {
+		return false
+	}
+	m.node = nil
+	return true
+}
+
 func (g *group) commit(m *member, e *pb.RaftEntry) {
 	old := g.committed[e.GetIndex()]
 	if old == nil {
@@ -358,6 +376,7 @@
 		for range 60 {
 			g.step(0)
 		}
+		g.crash = rapid.SampledFrom([]float64{0, 0.002, 0.01}).Draw(rt, "crash")
 		for _, kind := range rapid.SliceOfN(rapid.IntRange(0, 12), 5, 25).Draw(rt, "acts") {
 			g.act(kind)
 			for range g.rnd.IntN(1 + 40*g.rnd.IntN(2)) {
@@ -377,6 +396,7 @@
 // heal ends all faults and requires progress.
 func (g *group) heal(t *rapid.T) {
 	clear(g.cut)
+	g.crash = 0
 	for _, name := range g.names {
 		if m := g.members[name]; m.node == nil {
 			g.start(m)
