--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -146,7 +146,7 @@
 func (l *Ledger) Restore(data []byte) error {
 	s := &pb.LedgerState{}
 	if err := proto.Unmarshal(data, s); err != nil {
-		return fault.Wrap("damagedSnapshot", "ledger", err)
+		return fault.Wrap(fault.DamagedSnapshot, "ledger", err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/control/wal/wal.go
+++ b/internal/control/wal/wal.go
@@ -53,7 +53,7 @@
 }
 
 func damaged(path string, offset int, reason string) error {
-	return fault.New("damagedLog", fmt.Sprintf("%s:%d", path, offset),
+	return fault.New(fault.DamagedLog, fmt.Sprintf("%s:%d", path, offset),
 		reason+"; restore the data folder, or empty it to let the replica rejoin as a new one")
 }
 
@@ -277,11 +277,11 @@
 	}
 	l.buf = appendFrame(l.buf[:0], payload)
 	if _, err := f.Write(l.buf); err != nil {
-		l.broken = fault.Wrap("brokenLog", f.Name(), err)
+		l.broken = fault.Wrap(fault.BrokenLog, f.Name(), err)
 		return l.broken
 	}
 	if err := f.Sync(); err != nil {
-		l.broken = fault.Wrap("brokenLog", f.Name(), err)
+		l.broken = fault.Wrap(fault.BrokenLog, f.Name(), err)
 		return l.broken
 	}
 	return nil
@@ -361,7 +361,7 @@
 	}
 	defer d.Close()
 	if err := d.Sync(); err != nil {
-		l.broken = fault.Wrap("brokenLog", l.dir, err)
+		l.broken = fault.Wrap(fault.BrokenLog, l.dir, err)
 		return l.broken
 	}
 	return nil
--- a/internal/edge/platform/platform.go
+++ b/internal/edge/platform/platform.go
@@ -26,7 +26,7 @@
 func (c Client) List(ctx context.Context) ([]*pb.ListedServer, error) {
 	r, err := camphorspokev1connect.NewPlatformServiceClient(http.DefaultClient, c.BaseURL).List(ctx, connect.NewRequest(&pb.ListRequest{}))
 	if err != nil {
-		return nil, fault.Wrap("platformList", c.BaseURL, err)
+		return nil, fault.Wrap(fault.PlatformList, c.BaseURL, err)
 	}
 	return r.Msg.GetServers(), nil
 }
--- a/internal/world/fault/fault.go
+++ b/internal/world/fault/fault.go
@@ -67,6 +67,13 @@
 	ShortAnswer Kind = "shortAnswer"
 	WrongFrame  Kind = "wrongFrame"
 	Internal    Kind = "internal"
+
+	// DamagedLog, BrokenLog and DamagedSnapshot stop a replica; PlatformList
+	// means that the platform's list can't be read.
+	DamagedLog      Kind = "damagedLog"
+	BrokenLog       Kind = "brokenLog"
+	DamagedSnapshot Kind = "damagedSnapshot"
+	PlatformList    Kind = "platformList"
 )
 
 type class struct {
