--- a/internal/control/raftlog/replicate.go
+++ b/internal/control/raftlog/replicate.go
@@ -282,15 +282,3 @@
 	// Followers learn the commit index at once, so that a read through a
 	// successor does not wait for the next heartbeat.
 }
-
-// ForeignIdentities returns the identities seen under the names of members
-// that the members in force do not list, and those of names without a member.
-func (n *Node) ForeignIdentities() map[string]uint64 {
-	out := make(map[string]uint64)
-	for name, p := range n.peers {
-		if p.foreign != 0 {
-			out[name] = p.foreign
-		}
-	}
-	return out
-}
--- a/internal/measure/policy/policy.go
+++ b/internal/measure/policy/policy.go
@@ -38,9 +38,6 @@
 	}
 }
 
-// Ours returns the policy that the daemons run.
-func Ours() measure.Policy { return &ours{} }
-
 // quiet is the part of a policy that keeps no memory.
 type quiet struct{}
 
--- a/internal/routing/fairqueue/fairqueue.go
+++ b/internal/routing/fairqueue/fairqueue.go
@@ -55,17 +55,6 @@
 	return n
 }
 
-// AccountLen returns how many requests of an account wait.
-func (q *Queue) AccountLen(name string) int {
-	n := 0
-	for i := range q.classes {
-		if a := q.classes[i].accounts[name]; a != nil {
-			n += len(a.waiting)
-		}
-	}
-	return n
-}
-
 func clamp(cl int) int { return min(max(cl, 0), classes-1) }
 
 // Push adds a request.
