--- a/internal/check/replay/replay_test.go
+++ b/internal/check/replay/replay_test.go
@@ -1,16 +1,15 @@
 package replay
 
 import (
-	"flag"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
-)
 
-var update = flag.Bool("update", false, "write the golden files anew")
+	"camphorspoke/internal/check/golden"
+)
 
 // TestTraces replays each trace in testdata to the outcome beside it.
 func TestTraces(t *testing.T) {
@@ -25,12 +24,7 @@
 			var out strings.Builder
 			var tr Trace
 			require.NoError(t, tr.Run(path, f, &out))
-			if *update {
-				require.NoError(t, os.WriteFile(path+".golden", []byte(out.String()), 0o640))
-			}
-			want, err := os.ReadFile(path + ".golden")
-			require.NoError(t, err)
-			require.Equal(t, string(want), out.String())
+			golden.Compare(t, path+".golden", out.String())
 		})
 	}
 }
--- a/internal/rules/parse/parse_test.go
+++ b/internal/rules/parse/parse_test.go
@@ -1,29 +1,16 @@
 package parse
 
 import (
-	"flag"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"camphorspoke/internal/check/golden"
 	"camphorspoke/internal/rules/file"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
-// golden compares got with a golden file, or writes it with -update.
-func golden(t *testing.T, path, got string) {
-	t.Helper()
-	if *update {
-		require.NoError(t, os.WriteFile(path, []byte(got), 0o640))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	require.Equal(t, string(want), got)
-}
-
 // TestGolden parses each file in testdata; the problems stand beside it.
 func TestGolden(t *testing.T) {
 	paths, err := filepath.Glob("testdata/*.rules")
@@ -37,7 +24,7 @@
 			if _, err := Rules(filepath.Base(path), b); err != nil {
 				got = err.Error() + "\n"
 			}
-			golden(t, path+".golden", got)
+			golden.Compare(t, path+".golden", got)
 		})
 	}
 }
