--- a/internal/check/fleet/fleet.go
+++ b/internal/check/fleet/fleet.go
@@ -2,7 +2,7 @@
 // the demo and the process tests. No program of the fleet itself uses it.
 package fleet
 
-// This file defines Fleet and its shapes.
+// This file defines Fleet.
 
 import (
 	"context"
@@ -27,115 +27,6 @@
 	"camphorspoke/internal/world/fault"
 )
 
-// Shape is the size of a deployment.
-type Shape struct {
-	Name    string
-	Domains []string
-	Daemons int
-	// Replicas is how many of the daemons have a data folder.
-	Replicas int
-	// EngineService has Engines model engines, PlainService has Plains servers.
-	EngineService string
-	Engines       int
-	PlainService  string
-	Plains        int
-	Slots         int
-	CacheTokens   int
-	// EngineFlags are given to each engine, and DaemonFlags to each daemon.
-	EngineFlags []string
-	DaemonFlags []string
-	PlainFlags  []string
-}
-
-// Skeena returns the shape of Skeena's deployment.
-func Skeena() Shape {
-	return Shape{
-		Name:          "skeena",
-		Domains:       []string{"terrace", "smithers", "kitimat"},
-		Daemons:       10,
-		Replicas:      3,
-		EngineService: "assist-models",
-		Engines:       9,
-		PlainService:  "dispatch-app",
-		Plains:        3,
-		Slots:         8,
-		CacheTokens:   400_000,
-	}
-}
-
-// Hanbit returns the shape of Hanbit's deployment.
-func Hanbit() Shape {
-	return Shape{
-		Name:          "hanbit",
-		Domains:       []string{"a", "b", "c", "d"},
-		Daemons:       10,
-		Replicas:      3,
-		EngineService: "fit-llm",
-		Engines:       9,
-		PlainService:  "coop-app",
-		Plains:        4,
-		Slots:         8,
-		CacheTokens:   400_000,
-	}
-}
-
-// Process is one process of the fleet.
-type Process struct {
-	Name    string
-	Address string
-	cmd     *exec.Cmd
-	args    []string
-	done    chan struct{}
-	err     error
-}
-
-// Exited reports whether the process has ended, and how.
-func (p *Process) Exited() (bool, error) {
-	select {
-	case <-p.done:
-		return true, p.err
-	default:
-		return false, nil
-	}
-}
-
-// Wait waits for the process to end.
-func (p *Process) Wait(limit time.Duration) error {
-	select {
-	case <-p.done:
-		return p.err
-	case <-time.After(limit):
-		return fault.New(fault.Internal, p.Name, "did not end in time")
-	}
-}
-
-// Usage returns the processor time that the process has used and the memory
-// that it occupies, in bytes.
-func (p *Process) Usage() (cpu time.Duration, memory int64, err error) {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	if err != nil {
-		return 0, 0, fault.Wrap(fault.Internal, p.Name, err)
-	}
-	// The fields after the name in brackets: state is the first.
-	_, rest, _ := strings.Cut(string(b), ") ")
-	f := strings.Fields(rest)
-	const (
-		userField, systemField, pagesField = 11, 12, 21
-		tick                               = 10 * time.Millisecond
-	)
-	if len(f) <= pagesField {
-		return 0, 0, fault.New(fault.Internal, p.Name, "the process has ended")
-	}
-	var user, system, pages int64
-	if _, err := fmt.Sscan(f[userField]+" "+f[systemField]+" "+f[pagesField], &user, &system, &pages); err != nil {
-		return 0, 0, fault.Wrap(fault.Internal, p.Name, err)
-	}
-	return time.Duration(user+system) * tick, pages * int64(os.Getpagesize()), nil
-}
-
-// Signal sends a signal.
-func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
-
 // Fleet is a running fleet.
 type Fleet struct {
 	Shape    Shape
@@ -355,69 +246,6 @@
 	return nil
 }
 
-// State is the part of a daemon's dump that checks read.
-type State struct {
-	UptimeMs int64 `json:"uptimeMs"`
-	Member   struct {
-		Instance    string `json:"instance"`
-		RuleVersion uint64 `json:"ruleVersion"`
-		RulesFresh  bool   `json:"rulesFresh"`
-		LeaseLeftMs int64  `json:"leaseLeftMs"`
-	} `json:"member"`
-	Router struct {
-		InFlight       int `json:"inFlight"`
-		BackendServers []struct {
-			Name string `json:"backendServer"`
-			Load int    `json:"load"`
-		} `json:"backendServers"`
-	} `json:"router"`
-	Replica *struct {
-		Role      string `json:"role"`
-		Leader    string `json:"leader"`
-		Term      uint64 `json:"term"`
-		Commit    uint64 `json:"commit"`
-		LastIndex uint64 `json:"lastIndex"`
-		Members   []struct {
-			Name    string `json:"name"`
-			Learner bool   `json:"learner"`
-		} `json:"members"`
-	} `json:"replica"`
-	BackendServers []struct {
-		Name    string `json:"name"`
-		Service string `json:"service"`
-		Owner   string `json:"owner"`
-		Gone    bool   `json:"gone"`
-		Drained bool   `json:"drained"`
-	} `json:"backendServers"`
-	Instances []struct {
-		Name string `json:"name"`
-	} `json:"instances"`
-	ControlBytes map[string]uint64 `json:"controlBytes"`
-	Violations   map[string]uint64 `json:"violations"`
-}
-
-// Operator returns a client for operators at a daemon.
-func Operator(address string) camphorspokev1connect.OperatorServiceClient {
-	return camphorspokev1connect.NewOperatorServiceClient(&http.Client{
-		Timeout: 8 * time.Second,
-	}, "http://"+address)
-}
-
-// Dump returns the state of a daemon.
-func Dump(address string) (*State, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	r, err := Operator(address).Dump(ctx, connect.NewRequest(&pb.DumpRequest{}))
-	if err != nil {
-		return nil, err
-	}
-	s := &State{}
-	if err := json.Unmarshal(r.Msg.GetJson(), s); err != nil {
-		return nil, fault.Wrap(fault.Internal, address, err)
-	}
-	return s, nil
-}
-
 // Leader returns the index of the daemon that leads the control group.
 func (f *Fleet) Leader() (int, error) {
 	for i := range f.Shape.Replicas {
@@ -479,25 +307,6 @@
 	return r.Body.Close()
 }
 
-// Rules returns a rule file for a shape; note goes into a comment.
-func (s Shape) Rules(note string) []byte {
-	var b strings.Builder
-	fmt.Fprintf(&b, "service %s type=engine bound=1.25 retry=20%% spill=move # operations: %s\n", s.EngineService, note)
-	fmt.Fprintf(&b, "service %s type=plain bound=3 retry=20%% # operations: %s\n", s.PlainService, note)
-	fmt.Fprintf(&b, "nonidempotent %s call=book-visit # billing: a visit is charged once\n", s.PlainService)
-	fmt.Fprintf(&b, "kind summary class=urgent # floor lead: the customer is waiting\n")
-	fmt.Fprintf(&b, "kind lookup class=normal # floor lead: everyday traffic\n")
-	fmt.Fprintf(&b, "kind overnight class=batch # office: ready by morning\n")
-	for i := range 10 {
-		share := 1
-		if i < 2 {
-			share = 4
-		}
-		fmt.Fprintf(&b, "account %s-%d share=%d limit=200 # sales: contract %d\n", s.Name, i, share, i)
-	}
-	return []byte(b.String())
-}
-
 // Apply hands the fleet a rule file on a base version.
 func (f *Fleet) Apply(base uint64, content []byte) (*pb.ApplyRulesResponse, error) {
 	var last error
--- /dev/null
+++ b/internal/check/fleet/shape.go
@@ -0,0 +1,79 @@
+package fleet
+
+// This file defines the shapes of the two deployments.
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Shape is the size of a deployment.
+type Shape struct {
+	Name    string
+	Domains []string
+	Daemons int
+	// Replicas is how many of the daemons have a data folder.
+	Replicas int
+	// EngineService has Engines model engines, PlainService has Plains servers.
+	EngineService string
+	Engines       int
+	PlainService  string
+	Plains        int
+	Slots         int
+	CacheTokens   int
+	// EngineFlags are given to each engine, and DaemonFlags to each daemon.
+	EngineFlags []string
+	DaemonFlags []string
+	PlainFlags  []string
+}
+
+// Skeena returns the shape of Skeena's deployment.
+func Skeena() Shape {
+	return Shape{
+		Name:          "skeena",
+		Domains:       []string{"terrace", "smithers", "kitimat"},
+		Daemons:       10,
+		Replicas:      3,
+		EngineService: "assist-models",
+		Engines:       9,
+		PlainService:  "dispatch-app",
+		Plains:        3,
+		Slots:         8,
+		CacheTokens:   400_000,
+	}
+}
+
+// Hanbit returns the shape of Hanbit's deployment.
+func Hanbit() Shape {
+	return Shape{
+		Name:          "hanbit",
+		Domains:       []string{"a", "b", "c", "d"},
+		Daemons:       10,
+		Replicas:      3,
+		EngineService: "fit-llm",
+		Engines:       9,
+		PlainService:  "coop-app",
+		Plains:        4,
+		Slots:         8,
+		CacheTokens:   400_000,
+	}
+}
+
+// Rules returns a rule file for a shape; note goes into a comment.
+func (s Shape) Rules(note string) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "service %s type=engine bound=1.25 retry=20%% spill=move # operations: %s\n", s.EngineService, note)
+	fmt.Fprintf(&b, "service %s type=plain bound=3 retry=20%% # operations: %s\n", s.PlainService, note)
+	fmt.Fprintf(&b, "nonidempotent %s call=book-visit # billing: a visit is charged once\n", s.PlainService)
+	fmt.Fprintf(&b, "kind summary class=urgent # floor lead: the customer is waiting\n")
+	fmt.Fprintf(&b, "kind lookup class=normal # floor lead: everyday traffic\n")
+	fmt.Fprintf(&b, "kind overnight class=batch # office: ready by morning\n")
+	for i := range 10 {
+		share := 1
+		if i < 2 {
+			share = 4
+		}
+		fmt.Fprintf(&b, "account %s-%d share=%d limit=200 # sales: contract %d\n", s.Name, i, share, i)
+	}
+	return []byte(b.String())
+}
