Start process tests once every daemon has the first rule file

Cause: TestBadInput asked a daemon right after the edit was answered, which means a majority of the routers; in one of five runs that daemon had none yet and said so (rulesNotFresh, not run). The harness now waits for all, within the users' 4 s.

--- a/internal/check/fleet/process_test.go
+++ b/internal/check/fleet/process_test.go
@@ -73,6 +73,13 @@
 	require.NoError(t, f.AwaitReady(30*time.Second))
 	_, err = f.Apply(0, s.Rules("first"))
 	require.NoError(t, err)
+	// The answer means a majority; the tests ask any daemon.
+	for _, d := range f.Daemons {
+		require.Eventually(t, func() bool {
+			s, err := fleet.Dump(d.Address)
+			return err == nil && s.Member.RuleVersion >= 1
+		}, 4*time.Second, 10*time.Millisecond, "%s has no rules", d.Name)
+	}
 	return f
 }
 
