--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 .PHONY: build demo test lint fmt generate prove measure measure-fleet bench fuzz ci
 
 build:
-	go build -o bin ./cmd/...
+	go build -o bin/ ./cmd/...
 
 demo: build
 	bin/camphor-demo -bin bin
