--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -7,14 +7,21 @@
 	"errors"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/sirupsen/logrus"
+
 	"camphorspoke/internal/daemon/logging"
 	"camphorspoke/internal/daemon/server"
 	"camphorspoke/internal/daemon/settings"
 	"camphorspoke/internal/daemon/version"
+	"camphorspoke/internal/edge"
+	"camphorspoke/platform/dialect"
+	"camphorspoke/platform/doors"
+	"camphorspoke/platform/list"
 )
 
 // The exit codes.
@@ -41,10 +48,29 @@
 	defer stop()
 	// The first signal starts a graceful stop; a second one cuts.
 	context.AfterFunc(ctx, stop)
-	log := logging.New(os.Stderr, set.LogLevel, set.Instance)
-	if err := server.Run(ctx, set, log); err != nil {
+	log := logging.New(os.Stdout, set.LogLevel, set.Instance)
+	if err := server.Run(ctx, set, outside(set, log), log); err != nil {
 		log.WithError(err).Error("daemon: failed")
 		return exitFailed
 	}
 	return 0
 }
+
+// outside returns what meets the users' platform.
+func outside(set *settings.Settings, log logrus.FieldLogger) server.Outside {
+	return server.Outside{
+		Dialect: dialect.Dialect{},
+		List: &list.Client{
+			Address: set.Entry.List,
+			HTTP:    http.DefaultClient,
+			Logger:  log,
+		},
+		Doors: func(d edge.Directory, r edge.Rulebook) edge.Doors {
+			return &doors.Doors{
+				Directory: d,
+				Rulebook:  r,
+				Logger:    log,
+			}
+		},
+	}
+}
--- a/internal/control/ledger/claims.go
+++ b/internal/control/ledger/claims.go
@@ -34,6 +34,9 @@
 }
 
 func (l *Ledger) editRules(e *pb.EditRules) *pb.Result {
+	if e.GetRevision() > 0 {
+		return l.replaceRules(e)
+	}
 	digest := sha256.Sum256(e.GetContent())
 	for _, old := range slices.Backward(l.edits) {
 		if old.GetBaseVersion() == e.GetBaseVersion() && bytes.Equal(old.GetDigest(), digest[:]) {
@@ -49,21 +52,49 @@
 			RuleVersion: l.ruleVersion,
 		}
 	}
+	l.adoptRules(e.GetBaseVersion(), e.GetContent(), digest)
+	return &pb.Result{
+		RuleVersion: l.ruleVersion,
+	}
+}
+
+// replaceRules takes an edit that names a revision: the highest revision wins,
+// and one that is not higher than the revision held changes nothing.
+func (l *Ledger) replaceRules(e *pb.EditRules) *pb.Result {
+	if e.GetRevision() <= l.revision {
+		return &pb.Result{
+			RuleVersion: l.ruleVersion,
+			Repeated:    true,
+		}
+	}
+	l.revision, l.source = e.GetRevision(), e.GetSource()
+	l.adoptRules(l.ruleVersion, e.GetContent(), sha256.Sum256(e.GetContent()))
+	return &pb.Result{
+		RuleVersion: l.ruleVersion,
+	}
+}
+
+// adoptRules puts a rule file in force under the next version.
+func (l *Ledger) adoptRules(base uint64, content []byte, digest [sha256.Size]byte) {
 	l.ruleVersion++
-	prefix, suffix := common(l.rules, e.GetContent())
+	prefix, suffix := common(l.rules, content)
 	l.edits = append(l.edits, &pb.RuleEdit{
-		BaseVersion: e.GetBaseVersion(),
+		BaseVersion: base,
 		Version:     l.ruleVersion,
 		Digest:      digest[:],
 		Prefix:      uint64(prefix),
 		Suffix:      uint64(suffix),
-		Middle:      e.GetContent()[prefix : len(e.GetContent())-suffix],
+		Middle:      content[prefix : len(content)-suffix],
 	})
-	l.rules = e.GetContent()
+	l.rules = content
 	l.trimEdits()
-	return &pb.Result{
-		RuleVersion: l.ruleVersion,
-	}
+}
+
+// Source returns the revision held and the text that its rules were made from.
+func (l *Ledger) Source() (revision uint64, source []byte) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.revision, l.source
 }
 
 // common returns the lengths of the prefix and the suffix that two texts share.
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -36,6 +36,8 @@
 	ruleVersion   uint64
 	rules         []byte
 	edits         []*pb.RuleEdit
+	revision      uint64
+	source        []byte
 	servers       map[string]*pb.BackendServer
 	instances     map[string]*pb.Instance
 	claims        map[claimKey]*pb.Claim
@@ -116,6 +118,8 @@
 		FencingNumber:       l.fencing,
 		ClaimsExpiredBefore: l.expiredBefore,
 		ListIndex:           l.listIndex,
+		Revision:            l.revision,
+		Source:              l.source,
 	}
 	for _, name := range slices.Sorted(maps.Keys(l.servers)) {
 		s.Servers = append(s.Servers, l.servers[name])
@@ -156,6 +160,7 @@
 	l.applied, l.ruleVersion, l.rules, l.edits = s.GetAppliedIndex(), s.GetRuleVersion(), s.GetRules(), s.GetEdits()
 	l.fencing, l.expiredBefore = s.GetFencingNumber(), s.GetClaimsExpiredBefore()
 	l.listIndex = s.GetListIndex()
+	l.revision, l.source = s.GetRevision(), s.GetSource()
 	l.rowsIndex = s.GetAppliedIndex()
 	for _, b := range s.GetServers() {
 		l.servers[b.GetName()] = b
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -50,6 +50,10 @@
 	Engine   edge.Engine
 	Logger   logrus.FieldLogger
 	Checker  *invariant.Checker
+	// Direct leaves the backend servers without owners: the routers send to
+	// them as they see fit, prove their rules by the leader alone, and an edit
+	// is accepted once it is committed.
+	Direct bool
 	// OrdersPerSecond paces orders that read the weight store.
 	OrdersPerSecond float64
 }
@@ -129,7 +133,7 @@
 	if err := m.register(ctx, req); err != nil {
 		return nil, err
 	}
-	if len(req.GetReleasing()) > 0 {
+	if len(req.GetReleasing()) > 0 && !m.cfg.Direct {
 		m.release(req)
 		m.plan(ctx)
 	}
@@ -178,6 +182,9 @@
 		}
 	}
 	resp.Silent = m.silent
+	for _, member := range m.cfg.Replica.Status().Members {
+		resp.ControlAddresses = append(resp.ControlAddresses, member.GetAddress())
+	}
 	for _, a := range m.giveUp {
 		if s := l.Server(a.GetBackendServer()); s.GetOwner() == h.Instance && s.GetOwnerIncarnation() == h.Incarnation {
 			resp.GiveUp = append(resp.GiveUp, a)
@@ -253,7 +260,7 @@
 		return fault.New(fault.BadSetting, req.GetInstance(), "a newer process runs under this instance name")
 	}
 	if old == nil || old.GetGone() {
-		if version, _ := l.Rules(); version > 0 && !m.listSeen() {
+		if version, _ := l.Rules(); version > 0 && !m.cfg.Direct && !m.listSeen() {
 			return fault.New(fault.NoQuorum, req.GetInstance(), "waiting for the routers to see the last change of the list")
 		}
 	}
--- a/internal/control/manager/plan.go
+++ b/internal/control/manager/plan.go
@@ -63,6 +63,10 @@
 	if m.unanswered && !m.barrier(ctx) {
 		return
 	}
+	if m.cfg.Direct {
+		m.noteSilent()
+		return
+	}
 	term, as := m.decide()
 	if len(as) == 0 {
 		return
@@ -141,6 +145,18 @@
 	return m.term, p.Assign
 }
 
+// noteSilent renews what the routers are told of silent instances.
+func (m *Manager) noteSilent() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.cfg.Replica.Now()
+	if !m.leads(now) {
+		return
+	}
+	m.leases.Prune(now)
+	m.silent = m.findSilent(now)
+}
+
 // free reports whether the owner of s can no longer be admitting.
 func (m *Manager) free(now time.Duration, s *pb.BackendServer) bool {
 	if s.GetOwner() == "" {
@@ -196,6 +212,9 @@
 	if q.GetRules() {
 		resp.RuleVersion, resp.Rules = m.cfg.Replica.Ledger.Rules()
 	}
+	if q.GetSource() {
+		resp.Revision, resp.Source = m.cfg.Replica.Ledger.Source()
+	}
 	// The lease is checked after the read: then no newer leader can have
 	// committed anything before it.
 	if !m.Leads() {
--- a/internal/control/manager/platform.go
+++ b/internal/control/manager/platform.go
@@ -161,7 +161,7 @@
 	ready := m.leads(now) && m.leases.Settled(now-goneAfter)
 	alive := m.leases.Heard(now, goneAfter)
 	m.mu.Unlock()
-	if !ready || !m.listSeen() {
+	if !ready || !m.cfg.Direct && !m.listSeen() {
 		return
 	}
 	heard := make(map[string]bool)
--- a/internal/control/manager/rules.go
+++ b/internal/control/manager/rules.go
@@ -29,7 +29,7 @@
 		return nil, m.notLeader()
 	}
 	heard := m.countRouters(func(lease.Holder, *lease.Row) bool { return true })
-	if !heard.majority() {
+	if !m.cfg.Direct && !heard.majority() {
 		return nil, fault.New(fault.NoQuorum, "routers", "the leader hears from too few routers to take an edit; nothing was changed")
 	}
 	r, err := m.cfg.Replica.Propose(ctx, &pb.Command{
@@ -37,6 +37,8 @@
 			EditRules: &pb.EditRules{
 				BaseVersion: req.GetBaseVersion(),
 				Content:     req.GetContent(),
+				Revision:    req.GetRevision(),
+				Source:      req.GetSource(),
 			},
 		},
 	})
@@ -50,6 +52,12 @@
 			RuleVersion: r.GetRuleVersion(),
 		}
 	}
+	if m.cfg.Direct {
+		return &pb.ApplyRulesResponse{
+			Version:  r.GetRuleVersion(),
+			Repeated: r.GetRepeated(),
+		}, nil
+	}
 	return m.awaitInForce(ctx, r)
 }
 
--- a/internal/control/manager/world_test.go
+++ b/internal/control/manager/world_test.go
@@ -180,7 +180,10 @@
 		p := fmt.Sprintf("r%d", i)
 		peers[p] = p
 	}
+	// The fake clock of the test is the monotonic one.
+	started := time.Now()
 	r, stopReplica, err := replica.Start(replica.Config{
+		Now:   func() time.Duration { return time.Since(started) },
 		Name:  name,
 		Peers: peers,
 		Transport: transport{
--- a/internal/control/raftlog/member.go
+++ b/internal/control/raftlog/member.go
@@ -13,6 +13,11 @@
 	"camphorspoke/internal/world/fault"
 )
 
+// silentAfter is the silence after which a standby takes a voter's place. It is
+// longer than an election, and short enough that a machine that is gone for
+// good is replaced before the next one may be lost.
+const silentAfter = 2500 * time.Millisecond
+
 // member returns the member called name in the members in force, or nil.
 func (n *Node) member(name string) *pb.RaftMember {
 	for _, m := range n.Members().GetMembers() {
@@ -118,17 +123,50 @@
 				Learner:  true,
 			})
 		}
-		if m.GetLearner() && p.match > 0 && p.match+maxBatch >= n.log.last() && now-p.ackedSend < n.cfg.Election {
-			return replaced(cur, i, &pb.RaftMember{
-				Name:     m.GetName(),
-				Address:  m.GetAddress(),
-				Identity: m.GetIdentity(),
-			})
+	}
+	standby := n.standby(now)
+	if standby < 0 {
+		return nil
+	}
+	if n.cfg.Voters == 0 || len(n.voters()) < n.cfg.Voters {
+		return replaced(cur, standby, &pb.RaftMember{
+			Name:     cur[standby].GetName(),
+			Address:  cur[standby].GetAddress(),
+			Identity: cur[standby].GetIdentity(),
+		})
+	}
+	for i, m := range cur {
+		if m.GetLearner() || m.GetName() == n.cfg.Name || now-n.lastHeard(m) < silentAfter {
+			continue
 		}
+		return replaced(cur, i, &pb.RaftMember{
+			Name:     m.GetName(),
+			Address:  m.GetAddress(),
+			Identity: m.GetIdentity(),
+			Learner:  true,
+		})
 	}
 	return nil
 }
 
+// lastHeard returns when the newest acknowledged message to m was sent, or when
+// this replica began to lead, if that is later.
+func (n *Node) lastHeard(m *pb.RaftMember) time.Duration {
+	p := n.peers[m.GetName()]
+	if p == nil {
+		return n.leaderSince
+	}
+	return max(p.ackedSend, n.leaderSince)
+}
+
+// standby returns the place of a learner that has caught up, or -1.
+func (n *Node) standby(now time.Duration) int {
+	return slices.IndexFunc(n.Members().GetMembers(), func(m *pb.RaftMember) bool {
+		p := n.peers[m.GetName()]
+		return m.GetLearner() && p != nil && p.match > 0 && p.match+maxBatch >= n.log.last() && now-p.ackedSend < n.cfg.Election
+	})
+}
+
 // replaced returns the members with the i-th one replaced.
 func replaced(members []*pb.RaftMember, i int, m *pb.RaftMember) *pb.RaftMembers {
 	next := slices.Clone(members)
@@ -138,6 +176,26 @@
 	}
 }
 
+// Joined returns the members after a replica has asked to join, or nil when it
+// is listed already. Under a listed name with another identity, whose disk was
+// lost, it takes the place of the old one as a learner.
+func (n *Node) Joined(name, address string, identity uint64) *pb.RaftMembers {
+	cur := n.Members().GetMembers()
+	i := slices.IndexFunc(cur, func(m *pb.RaftMember) bool { return m.GetName() == name })
+	if i < 0 {
+		return n.WithLearner(name, address, identity)
+	}
+	if cur[i].GetIdentity() == identity && cur[i].GetAddress() == address {
+		return nil
+	}
+	return replaced(cur, i, &pb.RaftMember{
+		Name:     name,
+		Address:  address,
+		Identity: identity,
+		Learner:  cur[i].GetLearner() || cur[i].GetIdentity() != identity,
+	})
+}
+
 // WithLearner returns the members in force with a learner added, and without
 // an earlier learner of that name.
 func (n *Node) WithLearner(name, address string, identity uint64) *pb.RaftMembers {
--- a/internal/control/raftlog/raftlog.go
+++ b/internal/control/raftlog/raftlog.go
@@ -52,8 +52,12 @@
 	// Election is the shortest election timeout; the longest is twice it.
 	Election  time.Duration
 	Heartbeat time.Duration
-	Rand      *rand.Rand
-	Checker   *invariant.Checker
+	// Voters is how many voters the group wants, an odd number. The other
+	// members stand by as learners, and one of them takes the place of a voter
+	// that has been silent for long. Zero makes every member a voter.
+	Voters  int
+	Rand    *rand.Rand
+	Checker *invariant.Checker
 }
 
 // Stored is what a replica had on disk when it started.
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -24,14 +24,20 @@
 	"camphorspoke/internal/control/raftlog"
 	"camphorspoke/internal/control/wal"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/world/boottime"
 	"camphorspoke/internal/world/fault"
 )
 
 const (
 	// DefaultSnapshotEvery is how many entries are applied between snapshots.
 	DefaultSnapshotEvery = 2000
+	// snapshotBytes of entries are applied at most between snapshots, so that
+	// the log of large rule files stays small on a small disk.
+	snapshotBytes = 4 << 20
 	// keepEntries stay in the log after a snapshot, for replicas a little behind.
-	keepEntries  = 500
+	keepEntries = 500
+	// keepLarge is the same where entries are large.
+	keepLarge    = 20
 	tickInterval = 20 * time.Millisecond
 	repairEvery  = 500 * time.Millisecond
 	inboxLength  = 4096
@@ -45,8 +51,22 @@
 	// Storage and Stored replace the data folder.
 	Storage control.Storage
 	Stored  *wal.Contents
-	// Peers are the addresses of all configured replicas, by name.
-	Peers     map[string]string
+	// Peers are the addresses of all configured replicas, by name. It is empty
+	// where Seeds are set.
+	Peers map[string]string
+	// Address is where the other replicas reach this one. With Seeds, a replica
+	// that is no member asks the leader to be taken in.
+	Address string
+	// Seeds are the addresses of some replicas, whose names are not known.
+	Seeds []string
+	// FirstStart allows the seeds to form a new group.
+	FirstStart bool
+	// Join asks the leader to take this replica in.
+	Join func(ctx context.Context) error
+	// Voters is how many voters the group wants; zero makes every member one.
+	Voters int
+	// Now is a clock that counts suspensions; nil takes the system's.
+	Now       func() time.Duration
 	Transport control.Transport
 	Logger    logrus.FieldLogger
 	Checker   *invariant.Checker
@@ -81,7 +101,7 @@
 	log      control.Storage
 	node     *raftlog.Node
 	identity uint64
-	start    time.Time
+	now      func() time.Duration
 
 	inbox     chan *pb.RaftMessage
 	proposals chan *proposal
@@ -91,8 +111,11 @@
 	status    atomic.Pointer[Status]
 	failed    atomic.Pointer[error]
 
-	waiting      map[uint64]*proposal
+	waiting map[uint64]*proposal
+	// heard holds where the senders of messages are, by name.
+	heard        map[string]string
 	sinceSnap    uint64
+	bytesSince   int
 	nextRepair   time.Duration
 	bootstrapped chan *pb.RaftMembers
 	bootstraps   bool
@@ -137,20 +160,27 @@
 		cfg:          cfg,
 		log:          log,
 		identity:     contents.Identity,
-		start:        time.Now(),
+		now:          cfg.Now,
 		inbox:        make(chan *pb.RaftMessage, inboxLength),
 		proposals:    make(chan *proposal, inboxLength),
 		changes:      make(chan *change),
 		stop:         make(chan struct{}),
 		done:         make(chan struct{}),
 		waiting:      make(map[uint64]*proposal),
+		heard:        make(map[string]string),
 		bootstrapped: make(chan *pb.RaftMembers, 1),
 	}
+	if r.now == nil {
+		r.now = boottime.New().Now
+	}
 	if err := r.load(contents); err != nil {
 		closeLog()
 		return nil, nil, err
 	}
 	go r.run()
+	if cfg.Join != nil {
+		go r.joinLoop()
+	}
 	cleanup := func() {
 		close(r.stop)
 		<-r.done
@@ -198,13 +228,14 @@
 		Identity:  r.identity,
 		Election:  r.cfg.Election,
 		Heartbeat: r.cfg.Heartbeat,
+		Voters:    r.cfg.Voters,
 		Rand:      rand.New(rand.NewPCG(r.cfg.Seed, r.identity)),
 		Checker:   r.cfg.Checker,
 	}, st, r.Now())
 }
 
-// Now returns the replica's monotonic clock.
-func (r *Replica) Now() time.Duration { return time.Since(r.start) }
+// Now returns the replica's clock, which counts suspensions.
+func (r *Replica) Now() time.Duration { return r.now() }
 
 // Status returns what the loop last published.
 func (r *Replica) Status() *Status { return r.status.Load() }
@@ -294,7 +325,7 @@
 			r.failAll()
 			return
 		case m := <-r.inbox:
-			r.node.Step(r.Now(), m)
+			r.step(m)
 		case p := <-r.proposals:
 			batch = append(batch, p)
 		case c := <-r.changes:
@@ -325,7 +356,7 @@
 	for range inboxLength {
 		select {
 		case m := <-r.inbox:
-			r.node.Step(r.Now(), m)
+			r.step(m)
 		case p := <-r.proposals:
 			batch = append(batch, p)
 		default:
@@ -335,6 +366,14 @@
 	return batch
 }
 
+// step hands a message to the log and remembers where its sender is.
+func (r *Replica) step(m *pb.RaftMessage) {
+	if a := m.GetFromAddress(); a != "" {
+		r.heard[m.GetFrom()] = a
+	}
+	r.node.Step(r.Now(), m)
+}
+
 func (r *Replica) propose(batch []*proposal) {
 	batch = slices.DeleteFunc(batch, func(p *proposal) bool {
 		if p.onlyIn == 0 || p.onlyIn == r.node.Term() {
@@ -402,6 +441,7 @@
 		r.node.Synced(r.Now())
 		for _, m := range ready.Messages {
 			if a := r.address(m.GetTo()); a != "" {
+				m.FromAddress = r.cfg.Address
 				r.cfg.Transport.Send(a, m)
 			}
 		}
@@ -425,6 +465,9 @@
 			return m.GetAddress()
 		}
 	}
+	if a := r.heard[name]; a != "" {
+		return a
+	}
 	return r.cfg.Peers[name]
 }
 
@@ -457,6 +500,7 @@
 
 func (r *Replica) applyEntry(e *pb.RaftEntry) {
 	r.sinceSnap++
+	r.bytesSince += len(e.GetData())
 	result := &pb.Result{}
 	if e.GetKind() == pb.RaftEntryKind_RAFT_ENTRY_KIND_COMMAND && len(e.GetData()) > 0 {
 		c := &pb.Command{}
@@ -481,10 +525,14 @@
 }
 
 func (r *Replica) maybeSnapshot() error {
-	if r.sinceSnap < r.cfg.SnapshotEvery {
+	if r.sinceSnap < r.cfg.SnapshotEvery && r.bytesSince < snapshotBytes {
 		return nil
 	}
-	r.sinceSnap = 0
+	keep := uint64(keepEntries)
+	if r.bytesSince >= snapshotBytes {
+		keep = keepLarge
+	}
+	r.sinceSnap, r.bytesSince = 0, 0
 	data, err := r.Ledger.Encode()
 	if err != nil {
 		return err
@@ -499,7 +547,7 @@
 	if err := r.log.SaveSnapshot(snap); err != nil {
 		return err
 	}
-	r.node.Compact(snap, keepEntries)
+	r.node.Compact(snap, keep)
 	return r.rotate(r.node.HardState())
 }
 
--- /dev/null
+++ b/internal/daemon/ingress/exchange.go
@@ -0,0 +1,361 @@
+package ingress
+
+// This file defines how a request is sent to backend servers until one has
+// answered.
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"camphorspoke/internal/daemon/placer"
+	"camphorspoke/internal/edge"
+	"camphorspoke/internal/edge/backend"
+	"camphorspoke/internal/routing/events"
+	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/rules/file"
+	"camphorspoke/internal/world/fault"
+)
+
+const (
+	// extraSends is how often a request may be sent beyond its attempts to
+	// servers that say that they did not run it.
+	extraSends = 3
+	// maxUnreachable is how often a server that can't be reached is passed over.
+	maxUnreachable = 4
+	// minLeft is the least time with which a request is still sent.
+	minLeft = 10 * time.Millisecond
+	// waitShare is the part of the time left that a request waits for a place.
+	waitShare = 3
+	// maxUrgency is the last urgency that backend servers know.
+	maxUrgency = 9
+	// wholeBody is the largest body that is read before its head is passed on.
+	wholeBody  = 1 << 20
+	copyBuffer = 16 << 10
+)
+
+// verdict is what follows one exchange.
+type verdict int
+
+const (
+	// ended means that the caller has its answer.
+	ended verdict = iota
+	// rejected means that the request did not run there.
+	rejected
+	// unreached means that nothing was sent.
+	unreached
+	// broken means that the request may have run and no whole answer came.
+	broken
+	// failed means that the server answered with a failure of its own, which
+	// was not passed on yet.
+	failed
+)
+
+// run sends the request until it has ended.
+func (c *call) run() {
+	unreachable := 0
+	for {
+		if c.left() < minLeft {
+			c.refuse(c.failure(fault.New(fault.DeadlineTooNear, c.service, "no time is left")))
+			return
+		}
+		g, err := c.place()
+		if err != nil {
+			c.refuse(c.failure(err))
+			return
+		}
+		if c.keyed && !c.h.Member.Fresh() {
+			g.Report(scheduler.Report{
+				Event: scheduler.Cancelled,
+			})
+			c.refuse(c.failure(stale("the proof of the rules ran out while the request waited")))
+			return
+		}
+		v := c.exchange(g)
+		if v == ended {
+			return
+		}
+		c.tried = append(c.tried, g.Server)
+		if v == unreached {
+			unreachable++
+		}
+		if !c.again(v, unreachable) {
+			c.refuse(c.failure(c.last))
+			return
+		}
+	}
+}
+
+// again reports whether the request may be sent once more.
+func (c *call) again(v verdict, unreachable int) bool {
+	if c.ctx.Err() != nil {
+		return false
+	}
+	switch v {
+	case unreached:
+		return unreachable < maxUnreachable
+	case rejected:
+		return c.sends < c.route.Attempts+extraSends
+	default:
+		return c.route.Repeatable() && c.runs < c.route.Attempts
+	}
+}
+
+// failure returns what the caller is told: that the request did not run only
+// if that is known.
+func (c *call) failure(err error) error {
+	if c.runs == 0 {
+		if c.ctx != nil && c.ctx.Err() != nil {
+			return fault.Wrap(fault.DeadlineTooNear, c.service, err)
+		}
+		return notRun(c.service, err)
+	}
+	if c.ctx.Err() != nil {
+		return fault.Wrap(fault.TimedOut, c.service, err)
+	}
+	return fault.Wrap(fault.LinkBroken, c.service, err)
+}
+
+// notRun keeps a failure that promises that the request did not run, and words
+// any other one so.
+func notRun(service string, err error) error {
+	var f *fault.Fault
+	if errors.As(err, &f) && !fault.MayHaveRun(f) {
+		return f
+	}
+	return fault.Wrap(fault.NotRun, service, err)
+}
+
+func (c *call) place() (*placer.Grant, error) {
+	wait := c.left() / waitShare
+	return c.h.Placer.Place(c.ctx, c.service, scheduler.Ask{
+		Account:       c.account,
+		Parts:         parts(c.req.Prompt),
+		Output:        c.req.Prompt.MaxOutput,
+		Urgency:       c.urgency,
+		Wait:          wait,
+		Tried:         c.tried,
+		Again:         c.sends > 0,
+		FailureDomain: c.h.FailureDomain,
+	})
+}
+
+// exchange sends the request to one server and passes its answer on.
+func (c *call) exchange(g *placer.Grant) verdict {
+	sent := c.h.Now()
+	resp, err := c.h.Pool.Send(c.ctx, g.Address, c.message(g))
+	if err != nil {
+		c.last = err
+		if !fault.MayHaveRun(err) {
+			g.Report(scheduler.Report{
+				Event: c.eventOf(scheduler.Unreachable),
+			})
+			return unreached
+		}
+		c.sends++
+		c.runs++
+		g.Report(scheduler.Report{
+			Event: c.eventOf(scheduler.Broken),
+		})
+		return broken
+	}
+	defer resp.Close()
+	c.sends++
+	a := c.h.Dialect.Answer(resp.Status, resp.Header)
+	report := scheduler.Report{
+		HasLoad: a.HasLoad,
+		Running: a.Running,
+		Waiting: a.Waiting,
+	}
+	if a.NotRun {
+		_, _ = io.CopyN(io.Discard, resp, copyBuffer)
+		report.Event = scheduler.Rejected
+		g.Report(report)
+		c.last = fault.New(fault.NotRun, g.Server, "the backend server rejected the request")
+		return rejected
+	}
+	c.runs++
+	report.Event = scheduler.Started
+	report.Elapsed = c.h.Now() - sent
+	g.Report(report)
+	v, event := c.deliver(resp, a)
+	g.Report(scheduler.Report{
+		Event:   c.eventOf(event),
+		Elapsed: c.h.Now() - sent,
+	})
+	if v == ended && !c.lost {
+		c.logEnd("done", nil)
+	}
+	return v
+}
+
+// eventOf blames the server only while the caller waits and time is left.
+func (c *call) eventOf(e scheduler.Event) scheduler.Event {
+	if c.ctx.Err() != nil && e != scheduler.Done {
+		return scheduler.Cancelled
+	}
+	return e
+}
+
+func (c *call) message(g *placer.Grant) *backend.Message {
+	header := c.r.Header.Clone()
+	for _, name := range perConnection {
+		header.Del(name)
+	}
+	c.h.Dialect.Forward(header, edge.Forwarding{
+		Server:    g.Server,
+		Account:   c.account,
+		Left:      c.left(),
+		LastEvent: c.lastEvent,
+		Urgency:   c.engineUrgency(),
+	})
+	return &backend.Message{
+		Method: c.r.Method,
+		Target: c.r.RequestURI,
+		Host:   c.r.Host,
+		Header: header,
+		Body:   c.body,
+		ID:     c.req.ID,
+		EchoOf: func(status int, h http.Header) string { return c.h.Dialect.Answer(status, h).ID },
+	}
+}
+
+// perConnection are the headers that concern one connection only.
+var perConnection = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Content-Length", "Expect"}
+
+// engineUrgency returns the urgency told to an engine, below zero for others.
+func (c *call) engineUrgency() int {
+	if c.route.Kind != file.Stream {
+		return -1
+	}
+	return min(c.urgency, maxUrgency)
+}
+
+// deliver passes an answer on.
+func (c *call) deliver(resp *backend.Response, a edge.Answer) (verdict, scheduler.Event) {
+	if c.route.Kind == file.Stream && resp.Status == http.StatusOK && a.Signed {
+		return c.deliverStream(resp)
+	}
+	return c.deliverWhole(resp, a)
+}
+
+// deliverWhole reads the body before its head is passed on, so that an answer
+// that breaks off is never passed on.
+func (c *call) deliverWhole(resp *backend.Response, a edge.Answer) (verdict, scheduler.Event) {
+	if c.begun {
+		// A stream that had begun can't go on with another status.
+		c.last = fault.New(fault.WrongFrame, c.service, "a resumed stream was answered by another status")
+		return broken, scheduler.Failed
+	}
+	var body bytes.Buffer
+	if _, err := io.Copy(&body, io.LimitReader(resp, wholeBody)); err != nil {
+		c.last = err
+		return broken, scheduler.Broken
+	}
+	if resp.Status >= http.StatusInternalServerError {
+		c.last = fault.New(fault.NotRun, c.service, "the backend server failed")
+		if c.again(failed, 0) && c.h.Now() < c.limit {
+			return failed, scheduler.Failed
+		}
+	}
+	if resp.Status < http.StatusMultipleChoices && !a.Signed {
+		c.last = fault.New(fault.WrongFrame, c.service, "the answer is not signed")
+		return broken, scheduler.Broken
+	}
+	c.begin(resp)
+	if resp.Length >= 0 && int64(body.Len()) == resp.Length || !c.more(resp) {
+		_, _ = c.w.Write(body.Bytes())
+		return ended, c.wholeEvent(resp.Status)
+	}
+	return c.deliverLarge(resp, body.Bytes())
+}
+
+func (c *call) wholeEvent(status int) scheduler.Event {
+	if status >= http.StatusInternalServerError {
+		return scheduler.Failed
+	}
+	return scheduler.Done
+}
+
+// more reports whether a body goes on after what was read at first.
+func (c *call) more(resp *backend.Response) bool { return !resp.Ended() }
+
+func (c *call) deliverLarge(resp *backend.Response, first []byte) (verdict, scheduler.Event) {
+	if _, err := c.w.Write(first); err != nil {
+		return c.callerLost()
+	}
+	if _, err := io.Copy(c.w, resp); err != nil {
+		c.last = err
+		return broken, scheduler.Broken
+	}
+	return ended, scheduler.Done
+}
+
+// callerLost ends an answer whose caller takes no more.
+func (c *call) callerLost() (verdict, scheduler.Event) {
+	c.logEnd("callerLost", nil)
+	c.lost = true
+	return ended, scheduler.Cancelled
+}
+
+// begin writes the head of the answer.
+func (c *call) begin(resp *backend.Response) {
+	if c.begun {
+		return
+	}
+	c.begun = true
+	h := c.w.Header()
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	for _, name := range perConnection {
+		if name != "Content-Length" || c.route.Kind == file.Stream {
+			h.Del(name)
+		}
+	}
+	if c.h.Leaving != nil && c.h.Leaving() {
+		h.Set("Connection", "close")
+	}
+	c.w.WriteHeader(resp.Status)
+}
+
+// deliverStream passes whole events on as they come.
+func (c *call) deliverStream(resp *backend.Response) (verdict, scheduler.Event) {
+	var split events.Splitter
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := resp.Read(buf)
+		if whole := split.Add(buf[:n]); len(whole) > 0 {
+			if !c.passOn(resp, whole) {
+				return c.callerLost()
+			}
+			if split.LastID != "" {
+				c.lastEvent = split.LastID
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			c.last = err
+			return broken, scheduler.Broken
+		}
+	}
+	if rest := split.Rest(); len(rest) > 0 && !c.passOn(resp, rest) {
+		return c.callerLost()
+	}
+	c.begin(resp)
+	return ended, scheduler.Done
+}
+
+// passOn writes bytes of a stream to the caller at once.
+func (c *call) passOn(resp *backend.Response, b []byte) bool {
+	c.begin(resp)
+	if _, err := c.w.Write(b); err != nil {
+		return false
+	}
+	c.delivered += len(b)
+	return http.NewResponseController(c.w).Flush() == nil
+}
--- /dev/null
+++ b/internal/daemon/ingress/ingress.go
@@ -0,0 +1,289 @@
+// Package ingress takes the requests of callers and passes them on to backend
+// servers.
+//
+// The steps of a request: its route and its account by the rules in force, a
+// place at a backend server, the exchange with it, and the answer. What may
+// have run decides what follows a failure: a request is sent once more only
+// when it may run more than once, or when the backend server has said that it
+// did not run; and the caller is told that it did not run only when every
+// server that it was sent to has said so.
+package ingress
+
+// This file defines Handler and the steps before a request is sent.
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"camphorspoke/internal/daemon/metrics"
+	"camphorspoke/internal/daemon/placer"
+	"camphorspoke/internal/edge"
+	"camphorspoke/internal/edge/backend"
+	"camphorspoke/internal/routing/prefixcache"
+	"camphorspoke/internal/routing/view"
+	"camphorspoke/internal/rules/file"
+	"camphorspoke/internal/world/fault"
+)
+
+const (
+	// defaultBody bounds a request's body where no rule does, in bytes.
+	defaultBody = 4 << 20
+	// staleRetry is when a caller should come back to an instance that can't
+	// prove its rules.
+	staleRetry = 500 * time.Millisecond
+)
+
+// Member is what the handler asks of the instance's place in the fleet.
+type Member interface {
+	View() *view.View
+	// Fresh reports whether the rules held are proved to be in force.
+	Fresh() bool
+}
+
+// Handler serves callers.
+type Handler struct {
+	Member  Member
+	Dialect edge.Dialect
+	Placer  *placer.Placer
+	Pool    *backend.Pool
+	Logger  logrus.FieldLogger
+	Meters  *metrics.Meters
+	Now     func() time.Duration
+	// FailureDomain is the instance's own.
+	FailureDomain string
+	// Leaving reports whether callers should connect elsewhere.
+	Leaving func() bool
+}
+
+// call is one request of a caller under way.
+type call struct {
+	h       *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	req     edge.Request
+	route   *file.Route
+	version uint64
+	account string
+	service string
+	urgency int
+	body    []byte
+	start   time.Duration
+	// limit is when the request must have ended, on the clock of Now.
+	limit time.Duration
+	keyed bool
+
+	// sends counts the backend servers that the request reached, runs those
+	// at which it may have run.
+	sends int
+	runs  int
+	tried []string
+	// lastEvent is the last event that the caller has.
+	lastEvent string
+	// begun is true once the head of the answer has gone to the caller.
+	begun bool
+	// delivered counts the bytes of the body that have.
+	delivered int
+	last      error
+	// lost is true when the caller's connection must be dropped: the caller has
+	// left, or its answer broke off and must not look complete.
+	lost bool
+}
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{
+		h:     h,
+		w:     w,
+		r:     r,
+		start: h.Now(),
+	}
+	if h.Leaving != nil && h.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := c.admit(); err != nil {
+		c.refuse(err)
+		c.dropLost()
+		return
+	}
+	left := c.limit - h.Now()
+	ctx, cancel := context.WithTimeout(r.Context(), left)
+	defer cancel()
+	c.ctx = ctx
+	c.run()
+	c.dropLost()
+}
+
+// dropLost closes the caller's connection where nothing more can be said on it.
+func (c *call) dropLost() {
+	if c.lost {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// admit finds the route and the account, and reads the body.
+func (c *call) admit() error {
+	var err error
+	if c.req, err = c.h.Dialect.Request(c.r); err != nil {
+		return err
+	}
+	v := c.h.Member.View()
+	if v.Rules == nil || v.RuleVersion == 0 {
+		return stale("no rules are known yet")
+	}
+	c.version = v.RuleVersion
+	c.route = v.Rules.Match(host(c.r.Host), path(c.r.RequestURI))
+	if c.route == nil {
+		return c.unless(fault.UnknownRoute, c.r.Host)
+	}
+	if err := c.identify(v.Rules); err != nil {
+		return err
+	}
+	c.limit = c.start + c.route.Timeout
+	if c.req.Patience > 0 {
+		c.limit = min(c.limit, c.start+c.req.Patience)
+	}
+	c.service = c.route.Pick(xxhash.Sum64String(c.req.ID))
+	c.lastEvent = c.req.LastEvent
+	return c.readBody(v.Rules.Ingress.BodyBytes)
+}
+
+// identify finds the account that holds the caller's key.
+func (c *call) identify(rules *file.File) error {
+	c.urgency = c.route.Priority
+	if len(rules.Accounts) == 0 {
+		return nil
+	}
+	name, ok := rules.KeyHolders[file.KeyDigest(c.req.Key)]
+	if !ok && !c.route.Public {
+		return c.unless(fault.UnknownKey, c.route.Name)
+	}
+	if !ok {
+		return nil
+	}
+	c.keyed = !c.route.Public
+	c.account = name
+	if a := rules.Accounts[name]; a.HasPriority {
+		c.urgency = a.Priority
+	}
+	if c.keyed && !c.h.Member.Fresh() {
+		return stale("the rules held can't be proved to be in force")
+	}
+	return nil
+}
+
+// unless returns a failure that follows from the rules, unless newer rules may
+// be in force: then only that can be said.
+func (c *call) unless(kind fault.Kind, subject string) error {
+	if !c.h.Member.Fresh() {
+		return stale("the rules held can't be proved to be in force")
+	}
+	return fault.New(kind, subject, "not in the rules in force")
+}
+
+func stale(advice string) error {
+	return &fault.Fault{
+		Kind:       fault.RulesStale,
+		Advice:     advice,
+		RetryAfter: staleRetry,
+	}
+}
+
+func (c *call) readBody(limit int) error {
+	if c.r.Body == nil || c.r.ContentLength == 0 {
+		return nil
+	}
+	if limit == 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return fault.Wrap(fault.BodyTooLarge, c.route.Name, err)
+	case err != nil:
+		return fault.Wrap(fault.BadRequest, "body", err)
+	}
+	c.body = body
+	return nil
+}
+
+// host returns the host that a request names, without a port.
+func host(name string) string {
+	if h, _, err := net.SplitHostPort(name); err == nil {
+		name = h
+	}
+	return strings.ToLower(name)
+}
+
+// path returns the path of a request's target, as it was written.
+func path(target string) string {
+	target, _, _ = strings.Cut(target, "?")
+	return target
+}
+
+// parts returns the prompt in the scheduler's words.
+func parts(p edge.Prompt) []prefixcache.Part {
+	out := make([]prefixcache.Part, len(p.Parts))
+	for i, part := range p.Parts {
+		out[i] = prefixcache.Part(part)
+	}
+	return out
+}
+
+// left returns how much time the request still has.
+func (c *call) left() time.Duration { return c.limit - c.h.Now() }
+
+// gone reports whether the caller has closed its connection.
+func (c *call) gone() bool { return c.r.Context().Err() != nil }
+
+// refuse ends the request with a failure of the system's own.
+func (c *call) refuse(err error) {
+	var f *fault.Fault
+	if !errors.As(err, &f) {
+		f = fault.Wrap(fault.Internal, c.service, err)
+	}
+	c.logEnd(f.Kind, f)
+	if c.gone() || c.begun {
+		c.lost = true
+		return
+	}
+	c.h.Dialect.Refuse(c.w, f)
+}
+
+// logEnd writes the line of a request that has ended.
+func (c *call) logEnd(outcome string, err error) {
+	fields := logrus.Fields{
+		"request":  c.req.ID,
+		"outcome":  outcome,
+		"ruleVer":  c.version,
+		"sends":    c.sends,
+		"runs":     c.runs,
+		"totalMs":  (c.h.Now() - c.start).Milliseconds(),
+		"tried":    strings.Join(c.tried, ","),
+		"service":  c.service,
+		"account":  c.account,
+		"callGone": c.gone(),
+	}
+	if c.route != nil {
+		fields["route"] = c.route.Name
+	}
+	if err != nil {
+		fields["cause"] = err.Error()
+	}
+	if c.last != nil {
+		fields["lastFailure"] = c.last.Error()
+	}
+	c.h.Logger.WithFields(fields).Info("ingress: request ended")
+	if c.h.Meters != nil {
+		c.h.Meters.Request(context.Background(), c.service, outcome, c.h.Now()-c.start)
+	}
+}
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -17,6 +17,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -66,6 +67,13 @@
 	Learn func([]*pb.LoadReport)
 	// Changed is told of each new view.
 	Changed func(old, next *view.View)
+	// LeaderOnly takes the leader's word alone as proof of the rules; the other
+	// routers are not asked. An edit is then accepted before routers hold it.
+	LeaderOnly bool
+	// FreshFor is how long a proof counts; zero takes the default.
+	FreshFor time.Duration
+	// Replicas is told of the addresses of the control group; it may be nil.
+	Replicas func([]string)
 	// GiveUp is asked to hand a server over.
 	GiveUp func(*pb.Assignment)
 }
@@ -110,6 +118,9 @@
 		},
 		releasing: make(map[string]uint64),
 	}
+	if a.cfg.FreshFor == 0 {
+		a.cfg.FreshFor = FreshFor
+	}
 	a.view.Store(&view.View{})
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a, func() {
@@ -121,7 +132,9 @@
 // Start sends the first heartbeat and keeps on.
 func (a *Agent) Start() {
 	a.wg.Go(func() { a.heartbeats(a.ctx) })
-	a.wg.Go(func() { a.questions(a.ctx) })
+	if !a.cfg.LeaderOnly {
+		a.wg.Go(func() { a.questions(a.ctx) })
+	}
 }
 
 // View returns the present view.
@@ -142,6 +155,24 @@
 	return a.known && a.cfg.Now() < a.freshUntil
 }
 
+// Known reports whether a version of the rules was ever proved.
+func (a *Agent) Known() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.known
+}
+
+// Contact returns how long ago the request was sent that the leader answered
+// last; a long time before the first answer.
+func (a *Agent) Contact() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.known {
+		return math.MaxInt64
+	}
+	return a.cfg.Now() - (a.freshUntil - a.cfg.FreshFor)
+}
+
 // Admits reports whether this router may admit work to the named server now,
 // as its owner, and the ownership epoch.
 func (a *Agent) Admits(name string) (epoch uint64, ok bool) {
@@ -287,6 +318,9 @@
 		return
 	}
 	old, next := a.take(sent, req, resp)
+	if a.cfg.Replicas != nil {
+		a.cfg.Replicas(resp.GetControlAddresses())
+	}
 	a.cfg.Learn(resp.GetLoads())
 	if next != old {
 		a.cfg.Changed(old, next)
@@ -339,7 +373,7 @@
 	a.silent = resp.GetSilent()
 	if ok {
 		a.known = true
-		a.freshUntil = max(a.freshUntil, sent+FreshFor)
+		a.freshUntil = max(a.freshUntil, sent+a.cfg.FreshFor)
 		a.book.Renew(sent, time.Duration(resp.GetLeaseMs())*time.Millisecond)
 	}
 	return old, next
--- a/internal/daemon/membership/questions.go
+++ b/internal/daemon/membership/questions.go
@@ -36,7 +36,7 @@
 	if !a.known {
 		return 0
 	}
-	return a.cfg.Now() - (a.freshUntil - FreshFor)
+	return a.cfg.Now() - (a.freshUntil - a.cfg.FreshFor)
 }
 
 // ask puts the question to all listed routers and renews the proof when a
@@ -102,7 +102,7 @@
 		}
 		a.view.Store(next)
 	}
-	a.freshUntil = max(a.freshUntil, sent+FreshFor)
+	a.freshUntil = max(a.freshUntil, sent+a.cfg.FreshFor)
 }
 
 // noteSilent remembers which of the listed routers did not answer.
--- a/internal/daemon/server/dump.go
+++ b/internal/daemon/server/dump.go
@@ -68,10 +68,12 @@
 		ProcessID:    os.Getpid(),
 		UptimeMs:     in.now().Milliseconds(),
 		Member:       in.agent.State(),
-		Router:       in.router.State(),
 		ControlBytes: in.wire.Bytes(),
 		Violations:   in.checker.Counts(),
 	}
+	if in.router != nil {
+		d.Router = in.router.State()
+	}
 	v := in.agent.View()
 	for _, s := range v.Servers {
 		d.Servers = append(d.Servers, serverDump{
--- /dev/null
+++ b/internal/daemon/server/entry.go
@@ -0,0 +1,354 @@
+package server
+
+// This file defines how an entry instance of the users' platform is built: the
+// control group and the membership are those of every daemon; callers, the
+// operator and the platform are served in the platform's own dialect.
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"camphorspoke/internal/daemon/ingress"
+	"camphorspoke/internal/daemon/membership"
+	"camphorspoke/internal/daemon/metrics"
+	"camphorspoke/internal/daemon/placer"
+	"camphorspoke/internal/edge"
+	"camphorspoke/internal/edge/backend"
+	"camphorspoke/internal/edge/link"
+	"camphorspoke/internal/edge/peer"
+	"camphorspoke/internal/edge/peerserver"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/view"
+	"camphorspoke/internal/world/fault"
+)
+
+const (
+	// memoryShare is the part of the memory limit that the heap may reach
+	// before the collector works harder.
+	memoryShare = 0.6
+	// freshShare is the part of the time to revoke a key for which a proof of
+	// the rules counts; the rest is for clocks and requests under way.
+	freshShare = 0.7
+	// keepListening is how long a leaving instance takes new connections: for
+	// that long callers may keep the directory's answer.
+	keepListening = 6 * time.Second
+	// exitMargin is left of the grace period for the last clean-up.
+	exitMargin    = 500 * time.Millisecond
+	idlePoll      = 50 * time.Millisecond
+	sweepInterval = time.Second
+	// headerLimit bounds how long a caller may take for the head of a request.
+	headerLimit = 10 * time.Second
+	// idleLimit is how long an idle connection of a caller is kept.
+	idleLimit   = 2 * time.Minute
+	headerBytes = 64 << 10
+	// rulebookLimit bounds one call of the operator.
+	rulebookLimit = 2500 * time.Millisecond
+	// sourceLimit bounds one reading of the configuration.
+	sourceLimit = 800 * time.Millisecond
+	// retryMargin is the part of the budget of repeats that is used.
+	retryMargin = 0.85
+)
+
+// Outside is what meets the users' platform.
+type Outside struct {
+	Dialect edge.Dialect
+	List    edge.Platform
+	Doors   func(edge.Directory, edge.Rulebook) edge.Doors
+}
+
+// entry holds the parts that only an entry instance has.
+type entry struct {
+	in      *instance
+	pool    *backend.Pool
+	placer  *placer.Placer
+	front   *http.Server
+	leaving atomic.Bool
+	// inFlight counts the callers' requests under way.
+	inFlight atomic.Int64
+}
+
+var (
+	_ edge.Directory = (*entry)(nil)
+	_ edge.Rulebook  = (*entry)(nil)
+)
+
+// limitProcess keeps the process within its machine.
+func limitProcess(memoryMB, cores int) {
+	if cores > 0 {
+		runtime.GOMAXPROCS(cores)
+	}
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(memoryMB) * (1 << 20)))
+	}
+}
+
+func (in *instance) buildEntry() error {
+	set := in.set.Entry
+	limitProcess(set.MemoryMB, set.Cores)
+	e := &entry{
+		in: in,
+		pool: &backend.Pool{
+			Now: in.now,
+		},
+	}
+	in.entry = e
+	in.onCleanUp(e.pool.Close)
+	if err := in.buildControl(); err != nil {
+		return err
+	}
+	meters, metricsHandler, stopMetrics, err := metrics.New(metrics.Observed{
+		ControlBytes: in.wire.Bytes,
+		Violations:   in.checker.Counts,
+		Loads:        in.loads,
+	})
+	if err != nil {
+		return err
+	}
+	in.onCleanUp(stopMetrics)
+	var stopPlacer func()
+	e.placer, stopPlacer = placer.New(placer.Config{
+		Now:         in.now,
+		Bound:       set.Bound,
+		RetryWindow: set.RetryWindow,
+		RetryRatio:  retryMargin * set.RetryRatio,
+		RetrySlack:  retryMargin * set.RetrySlack / instancesAssumed,
+	})
+	in.onCleanUp(stopPlacer)
+	if err := e.join(); err != nil {
+		return err
+	}
+	if err := in.serveOperators(metricsHandler); err != nil {
+		return err
+	}
+	return e.serve(meters)
+}
+
+// instancesAssumed is by how many the slack of the repeats is divided while
+// each instance decides for itself.
+const instancesAssumed = 12
+
+// join starts the heartbeats and serves the other instances.
+func (e *entry) join() error {
+	in := e.in
+	peers, closePeers := peer.New(in.wire.GRPC("peer"))
+	in.onCleanUp(closePeers)
+	var stopAgent func()
+	in.agent, stopAgent = membership.New(membership.Config{
+		Instance:      in.set.Instance,
+		Incarnation:   uint64(time.Now().UnixNano()),
+		CallerAddress: in.set.Entry.Front,
+		PeerAddress:   in.set.PeerListen,
+		FailureDomain: in.set.FailureDomain,
+		Control:       in.control,
+		Peers:         peers,
+		Logger:        in.log,
+		Checker:       in.checker,
+		Now:           in.now,
+		LeaderOnly:    true,
+		FreshFor:      time.Duration(freshShare * float64(in.set.Entry.RevokeAfter)),
+		Replicas:      in.control.Learn,
+		Loads:         func() []*pb.LoadReport { return nil },
+		Learn:         func([]*pb.LoadReport) {},
+		Changed:       func(_, next *view.View) { e.placer.Update(next) },
+		GiveUp:        func(*pb.Assignment) {},
+	})
+	in.onCleanUp(stopAgent)
+	l, err := in.listen(in.set.PeerListen)
+	if err != nil {
+		return err
+	}
+	s := grpc.NewServer(grpc.MaxRecvMsgSize(16 << 20))
+	pb.RegisterPeerServiceServer(s, &peerserver.Server{
+		Agent: in.agent,
+	})
+	in.serveGRPC(s, in.wire.Listener(l, "peerServer"))
+	in.agent.Start()
+	return nil
+}
+
+// serve opens the addresses of callers, the platform and the operator.
+func (e *entry) serve(meters *metrics.Meters) error {
+	in := e.in
+	doors := in.outside.Doors(e, e)
+	handler := &ingress.Handler{
+		Member:        in.agent,
+		Dialect:       in.outside.Dialect,
+		Placer:        e.placer,
+		Pool:          e.pool,
+		Logger:        in.log,
+		Meters:        meters,
+		Now:           in.now,
+		FailureDomain: in.set.FailureDomain,
+		Leaving:       e.leaving.Load,
+	}
+	for _, d := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{in.set.Entry.Operator, doors.Configuration()},
+		{in.set.Entry.Directory, doors.Resolve()},
+		{in.set.Entry.Ready, doors.Ready()},
+		{in.set.Entry.Front, e.counted(handler)},
+	} {
+		s, err := e.open(d.address, d.handler)
+		if err != nil {
+			return err
+		}
+		e.front = s
+	}
+	stop := make(chan struct{})
+	go e.sweep(stop)
+	in.onCleanUp(func() { close(stop) })
+	return nil
+}
+
+// counted counts the requests that h serves.
+func (e *entry) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.inFlight.Add(1)
+		defer e.inFlight.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
+// open serves h at address until the instance is cleaned up.
+func (e *entry) open(address string, h http.Handler) (*http.Server, error) {
+	l, err := link.Listen(address)
+	if err != nil {
+		return nil, fault.Wrap(fault.BadSetting, address, err)
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerLimit,
+		IdleTimeout:       idleLimit,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          nil,
+	}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			e.in.failed <- fault.Wrap(fault.Internal, address, err)
+		}
+	}()
+	e.in.onCleanUp(func() { s.Close() })
+	return s, nil
+}
+
+func (e *entry) sweep(stop <-chan struct{}) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+			e.pool.Sweep()
+		}
+	}
+}
+
+// Ready reports whether this instance takes callers.
+func (e *entry) Ready() bool {
+	return !e.leaving.Load() && e.in.agent.Fresh() && e.in.agent.View().RuleVersion > 0
+}
+
+// Addresses returns where callers in a failure domain connect: the instances
+// of that domain, or all of them while it has less than two. An instance that
+// is out of touch with the control group knows nothing and names nobody.
+func (e *entry) Addresses(failureDomain string) []string {
+	if !e.in.agent.Fresh() {
+		return nil
+	}
+	var near, all []string
+	for _, i := range e.in.agent.View().Routers() {
+		if i.GetName() == e.in.set.Instance && !e.Ready() {
+			continue
+		}
+		if i.GetLeaving() || e.in.agent.Silent(i.GetName()) || !isHostPort(i.GetCallerAddress()) {
+			continue
+		}
+		all = append(all, i.GetCallerAddress())
+		if i.GetFailureDomain() == failureDomain {
+			near = append(near, i.GetCallerAddress())
+		}
+	}
+	if len(near) >= 2 {
+		return near
+	}
+	return all
+}
+
+func isHostPort(a string) bool {
+	_, port, err := net.SplitHostPort(a)
+	return err == nil && port != ""
+}
+
+// Replace puts rules in force under a revision.
+func (e *entry) Replace(ctx context.Context, revision uint64, rules, source []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, rulebookLimit)
+	defer cancel()
+	r, err := e.in.control.ApplyRules(ctx, &pb.ApplyRulesRequest{
+		Content:  rules,
+		Revision: revision,
+		Source:   source,
+	})
+	if err != nil {
+		return err
+	}
+	e.in.log.WithField("revision", revision).WithField("ruleVer", r.GetVersion()).WithField("repeated", r.GetRepeated()).
+		Info("operator: a configuration is accepted")
+	return nil
+}
+
+// Source returns the newest revision and its text.
+func (e *entry) Source(ctx context.Context) (revision uint64, source []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, sourceLimit)
+	defer cancel()
+	q, err := e.in.control.Query(ctx, &pb.QueryRequest{
+		Source: true,
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	if q.GetRevision() == 0 {
+		return 0, nil, fault.New(fault.RulesStale, "configuration", "none was accepted yet")
+	}
+	return q.GetRevision(), q.GetSource(), nil
+}
+
+// leave empties the instance: it leaves the directory at once, serves what
+// callers bring that still hold an older answer, finishes, and ends in time.
+func (e *entry) leave() {
+	start := e.in.now()
+	e.leaving.Store(true)
+	e.in.agent.Leave()
+	last := start + e.in.set.Entry.Grace - exitMargin
+	for e.in.now() < min(start+keepListening, last) {
+		time.Sleep(idlePoll)
+	}
+	for e.inFlight.Load() > 0 && e.in.now() < last {
+		time.Sleep(idlePoll)
+	}
+}
+
+// seedAddresses returns the addresses by which the control group is found.
+func (in *instance) seedAddresses() []string {
+	if in.set.Entry.Front != "" {
+		return in.set.Entry.Seeds
+	}
+	var out []string
+	for _, a := range in.set.Control {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, strings.Compare)
+	return out
+}
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -27,10 +27,12 @@
 	"camphorspoke/internal/daemon/settings"
 	"camphorspoke/internal/daemon/wire"
 	"camphorspoke/internal/daemon/workers"
+	"camphorspoke/internal/edge"
 	"camphorspoke/internal/edge/caller"
 	"camphorspoke/internal/edge/controlclient"
 	"camphorspoke/internal/edge/controlserver"
 	"camphorspoke/internal/edge/engine"
+	"camphorspoke/internal/edge/link"
 	"camphorspoke/internal/edge/operator"
 	"camphorspoke/internal/edge/peer"
 	"camphorspoke/internal/edge/peerserver"
@@ -40,6 +42,7 @@
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/gen/camphorspoke/v1/camphorspokev1connect"
 	"camphorspoke/internal/routing/rendezvous"
+	"camphorspoke/internal/world/boottime"
 	"camphorspoke/internal/world/fault"
 )
 
@@ -53,7 +56,7 @@
 type instance struct {
 	set     *settings.Settings
 	log     logrus.FieldLogger
-	start   time.Time
+	clock   boottime.Clock
 	wire    wire.Counter
 	checker *invariant.Checker
 
@@ -63,6 +66,9 @@
 	manager   *manager.Manager
 	agent     *membership.Agent
 	router    *router.Router
+	// entry and outside are set on an entry instance of the users' platform.
+	entry   *entry
+	outside Outside
 
 	// cleanups run last to first.
 	cleanups []func()
@@ -71,12 +77,13 @@
 
 // Run serves until ctx ends, then stops gracefully. It returns nil after a
 // graceful stop.
-func Run(ctx context.Context, set *settings.Settings, log logrus.FieldLogger) error {
+func Run(ctx context.Context, set *settings.Settings, outside Outside, log logrus.FieldLogger) error {
 	in := &instance{
-		set:    set,
-		log:    log,
-		start:  time.Now(),
-		failed: make(chan error, 4),
+		set:     set,
+		log:     log,
+		clock:   boottime.New(),
+		failed:  make(chan error, 4),
+		outside: outside,
 	}
 	in.checker = &invariant.Checker{
 		Report: func(name, detail string) { log.Errorf("invariant: %s violated: %s", name, detail) },
@@ -96,7 +103,7 @@
 	return err
 }
 
-func (in *instance) now() time.Duration { return time.Since(in.start) }
+func (in *instance) now() time.Duration { return in.clock.Now() }
 
 func (in *instance) onCleanUp(f func()) { in.cleanups = append(in.cleanups, f) }
 
@@ -107,6 +114,9 @@
 }
 
 func (in *instance) build() error {
+	if in.set.Entry.Front != "" {
+		return in.buildEntry()
+	}
 	if err := in.buildControl(); err != nil {
 		return err
 	}
@@ -142,12 +152,7 @@
 // buildControl starts the client of the control group and, on an instance
 // with a data folder, a replica of it.
 func (in *instance) buildControl() error {
-	var addresses []string
-	for _, a := range in.set.Control {
-		addresses = append(addresses, a)
-	}
-	slices.Sort(addresses)
-	client, closeClient := controlclient.New(addresses, in.wire.GRPC("heartbeat"))
+	client, closeClient := controlclient.New(in.seedAddresses(), in.wire.GRPC("heartbeat"))
 	in.control = client
 	in.onCleanUp(closeClient)
 	if in.set.DataDir == "" {
@@ -156,24 +161,38 @@
 	transport, closeTransport := rafttransport.New(in.wire.GRPC("log"))
 	in.transport = transport
 	in.onCleanUp(closeTransport)
-	rep, stop, err := replica.Start(replica.Config{
+	cfg := replica.Config{
 		Name:      in.set.Instance,
 		DataDir:   in.set.DataDir,
 		Peers:     in.set.Control,
+		Address:   in.set.ControlListen,
 		Transport: transport,
 		Logger:    in.log,
 		Checker:   in.checker,
-	})
+		Now:       in.now,
+	}
+	if in.entry != nil {
+		cfg.Seeds = in.set.Entry.Seeds
+		cfg.FirstStart = in.set.Entry.FirstStart
+		cfg.Voters = in.set.Entry.Voters
+		cfg.Join = in.joinGroup
+	}
+	rep, stop, err := replica.Start(cfg)
 	if err != nil {
 		return err
 	}
 	in.replica = rep
 	in.onCleanUp(stop)
+	var list edge.Platform = platform.Client{
+		BaseURL: in.set.PlatformURL,
+	}
+	if in.entry != nil {
+		list = in.outside.List
+	}
 	m, stopManager := manager.Start(manager.Config{
-		Replica: rep,
-		Platform: platform.Client{
-			BaseURL: in.set.PlatformURL,
-		},
+		Replica:         rep,
+		Platform:        list,
+		Direct:          in.entry != nil,
 		Engine:          &engine.Client{},
 		Logger:          in.log,
 		Checker:         in.checker,
@@ -184,8 +203,16 @@
 	return in.serveControl()
 }
 
+// joinGroup asks the leader to take this instance's replica in.
+func (in *instance) joinGroup(ctx context.Context) error {
+	return in.control.ChangeReplica(ctx, &pb.ChangeReplicaRequest{
+		Instance: in.set.Instance,
+		Address:  in.set.ControlListen,
+	})
+}
+
 func (in *instance) listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := link.Listen(address)
 	if err != nil {
 		return nil, fault.Wrap(fault.BadSetting, address, err)
 	}
@@ -302,15 +329,25 @@
 }
 
 func (in *instance) serveCallers(metricsHandler http.Handler) error {
-	l, err := in.listen(in.set.Listen)
-	if err != nil {
-		return err
-	}
 	mux := http.NewServeMux()
 	limit := connect.WithReadMaxBytes(maxMessage)
 	mux.Handle(camphorspokev1connect.NewCallerServiceHandler(&caller.Handler{
 		Router: in.router,
 	}, limit))
+	return in.serveMux(mux, metricsHandler)
+}
+
+// serveOperators serves the operators' client alone.
+func (in *instance) serveOperators(metricsHandler http.Handler) error {
+	return in.serveMux(http.NewServeMux(), metricsHandler)
+}
+
+// serveMux adds the operators' calls to mux and serves it.
+func (in *instance) serveMux(mux *http.ServeMux, metricsHandler http.Handler) error {
+	l, err := in.listen(in.set.Listen)
+	if err != nil {
+		return err
+	}
 	mux.Handle(camphorspokev1connect.NewOperatorServiceHandler(&operator.Handler{
 		Control: in.control,
 		Dumped:  in.dump,
@@ -352,11 +389,22 @@
 	in.log.Info("daemon: leaving")
 	ctx, cancel := context.WithTimeout(context.Background(), in.set.DrainLimit)
 	defer cancel()
-	in.router.Leave(ctx)
+	if in.entry != nil {
+		in.entry.leave()
+	} else {
+		in.router.Leave(ctx)
+	}
 	if in.replica != nil {
 		in.transferLeadership(ctx)
 	}
-	in.log.Infof("daemon: stopped with %d requests in flight", in.router.InFlight())
+	in.log.Infof("daemon: stopped with %d requests in flight", in.inFlight())
+}
+
+func (in *instance) inFlight() int {
+	if in.entry != nil {
+		return int(in.entry.inFlight.Load())
+	}
+	return int(in.router.InFlight())
 }
 
 func (in *instance) transferLeadership(ctx context.Context) {
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -38,6 +38,43 @@
 	// OrdersPerSecond paces engine orders that read the weight store.
 	OrdersPerSecond float64
 	ShowVersion     bool
+
+	// Entry is set on an entry instance of the users' platform, where callers
+	// speak another dialect than Connect.
+	Entry Entry
+}
+
+// Entry are the settings of an entry instance of the users' platform.
+type Entry struct {
+	// Front is where callers connect; empty for an instance that is no such
+	// entry. Ready, Directory and Operator serve the platform's other calls.
+	Front     string
+	Ready     string
+	Directory string
+	Operator  string
+	// Seeds are control addresses of some replicas.
+	Seeds []string
+	// FirstStart allows the seeds to form a new control group.
+	FirstStart bool
+	// Voters is how many voters the control group wants.
+	Voters int
+	// List is the address of the platform's list.
+	List string
+	// MemoryMB is the most memory, in MB, before the process is ended; zero is no limit.
+	MemoryMB int
+	// Cores is how many cores the process may use.
+	Cores int
+	// Grace is how long a planned stop may take.
+	Grace time.Duration
+	// RevokeAfter is when a key that was taken away must have stopped working.
+	RevokeAfter time.Duration
+	// Bound is the multiple of the mean load that a backend server may carry.
+	Bound float64
+	// RetryRatio, RetrySlack and RetryWindow bound the repeats at a service,
+	// over all instances together.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 }
 
 const examples = `
@@ -52,6 +89,11 @@
 // raw holds the settings as they were given.
 type raw struct {
 	control, logLevel string
+	seeds, ports, ip  string
+	seedPorts         string
+	lossesBorne       int
+	graceS, windowS   float64
+	revokeMs          int
 }
 
 // Parse reads the settings from args and the environment.
@@ -76,7 +118,9 @@
 		fs.PrintDefaults()
 		fmt.Fprint(fs.Output(), examples)
 	}
-	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("CAMPHORD")); err != nil {
+	s.Entry.flags(fs, &r)
+	fs.String("config", "", "file of settings, a flag and its value a line")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("CAMPHORD"), ff.WithConfigFileFlag("config"), ff.WithConfigFileParser(ff.PlainParser)); err != nil {
 		return nil, err
 	}
 	if s.ShowVersion {
@@ -85,6 +129,11 @@
 	if fs.NArg() > 0 {
 		return nil, bad("arguments", fs.Arg(0), "only flags")
 	}
+	if s.Entry.Front != "" {
+		if err := s.deriveEntry(r); err != nil {
+			return nil, err
+		}
+	}
 	return s, s.check(r)
 }
 
@@ -113,7 +162,7 @@
 			return bad(a.flag, a.value, "an IP number and port, such as 127.0.0.1:7101")
 		}
 	}
-	if u, err := url.Parse(s.PlatformURL); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+	if u, err := url.Parse(s.PlatformURL); s.Entry.Front == "" && (err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "") {
 		return bad("platform", s.PlatformURL, "a URL such as http://127.0.0.1:7900")
 	}
 	level, err := logrus.ParseLevel(r.logLevel)
@@ -127,8 +176,10 @@
 	if s.OrdersPerSecond <= 0 || s.OrdersPerSecond > 1000 {
 		return bad("orders-per-second", fmt.Sprint(s.OrdersPerSecond), "more than 0, at most 1000")
 	}
-	if err := s.checkControl(r.control); err != nil {
-		return err
+	if s.Entry.Front == "" {
+		if err := s.checkControl(r.control); err != nil {
+			return err
+		}
 	}
 	return s.checkDataDir()
 }
--- a/internal/daemon/wire/wire.go
+++ b/internal/daemon/wire/wire.go
@@ -5,6 +5,7 @@
 // This file defines Counter.
 
 import (
+	"camphorspoke/internal/edge/link"
 	"context"
 	"net"
 	"net/http"
@@ -63,8 +64,7 @@
 func (c *Counter) dial(kind string) func(context.Context, string, string) (net.Conn, error) {
 	count := c.kind(kind)
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		var d net.Dialer
-		nc, err := d.DialContext(ctx, network, addr)
+		nc, err := link.Dialer().DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/edge/controlclient/controlclient.go
+++ b/internal/edge/controlclient/controlclient.go
@@ -6,13 +6,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"camphorspoke/internal/control"
+	"camphorspoke/internal/edge/link"
 	"camphorspoke/internal/edge/status"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/world/fault"
@@ -23,19 +24,24 @@
 	retryMax   = 300 * time.Millisecond
 	// attemptLimit bounds one try, so that a frozen replica is passed over.
 	attemptLimit = time.Second
+	// heartbeatTry bounds one try of a heartbeat, so that a silent leader
+	// leaves time to ask the others.
+	heartbeatTry = 300 * time.Millisecond
 	// applyLimit bounds one try of a rule edit, which waits for routers.
 	applyLimit = 5 * time.Second
 )
 
 // Client sends to the replica that led last and follows hints to the leader.
 type Client struct {
-	addresses []string
-	dial      []grpc.DialOption
+	seeds []string
+	dial  []grpc.DialOption
 
-	mu     sync.Mutex
-	conns  map[string]*grpc.ClientConn
-	leader string
-	next   int
+	mu sync.Mutex
+	// addresses are the seeds and what was learned since.
+	addresses []string
+	conns     map[string]*grpc.ClientConn
+	leader    string
+	next      int
 }
 
 var _ control.Client = (*Client)(nil)
@@ -44,11 +50,11 @@
 // closes its connections.
 func New(addresses []string, opts ...grpc.DialOption) (*Client, func()) {
 	c := &Client{
+		seeds:     addresses,
 		addresses: addresses,
-		dial: append([]grpc.DialOption{
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
+		dial: link.GRPC(append([]grpc.DialOption{
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(64 << 20)),
-		}, opts...),
+		}, opts...)...),
 		conns: make(map[string]*grpc.ClientConn),
 	}
 	return c, c.close
@@ -62,6 +68,20 @@
 	}
 }
 
+// Learn adds the addresses of replicas that are not among the seeds; what was
+// learned before is replaced.
+func (c *Client) Learn(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := slices.Clone(c.seeds)
+	for _, a := range addresses {
+		if !slices.Contains(next, a) {
+			next = append(next, a)
+		}
+	}
+	c.addresses = next
+}
+
 // target returns the address to try next and a client for it.
 func (c *Client) target() (string, pb.ControlServiceClient, error) {
 	c.mu.Lock()
@@ -155,10 +175,10 @@
 	return out.GetResult(), err
 }
 
-// Heartbeat makes one try at the leader; the caller's own pace repeats it.
+// Heartbeat asks the leader, and the others while it is silent, until ctx ends.
 func (c *Client) Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
 	var out *pb.HeartbeatResponse
-	err := c.call(ctx, attemptLimit, onlyNotLeader, func(ctx context.Context, cl pb.ControlServiceClient) (err error) {
+	err := c.call(ctx, heartbeatTry, unlessDecided, func(ctx context.Context, cl pb.ControlServiceClient) (err error) {
 		out, err = cl.Heartbeat(ctx, r)
 		return err
 	})
--- a/internal/edge/controlserver/controlserver.go
+++ b/internal/edge/controlserver/controlserver.go
@@ -78,11 +78,16 @@
 // ReplicaState says who this replica is.
 func (s *Server) ReplicaState(context.Context, *pb.ReplicaStateRequest) (*pb.ReplicaStateResponse, error) {
 	st := s.Replica.Status()
+	var addresses []string
+	for _, m := range st.Members {
+		addresses = append(addresses, m.GetAddress())
+	}
 	return &pb.ReplicaStateResponse{
-		Instance: s.Name,
-		Empty:    st.Empty,
-		Identity: s.Replica.Identity(),
-		Leader:   st.Leader,
+		Addresses: addresses,
+		Instance:  s.Name,
+		Empty:     st.Empty,
+		Identity:  s.Replica.Identity(),
+		Leader:    st.Leader,
 	}, nil
 }
 
@@ -107,7 +112,11 @@
 		if r.GetRemove() {
 			return n.ProposeMembers(now, n.Without(r.GetInstance()))
 		}
-		return n.ProposeMembers(now, n.WithLearner(r.GetInstance(), r.GetAddress(), identity))
+		next := n.Joined(r.GetInstance(), r.GetAddress(), identity)
+		if next == nil {
+			return nil
+		}
+		return n.ProposeMembers(now, next)
 	})
 	if err != nil {
 		return nil, status.FromFault(err)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,8 +6,11 @@
 
 import (
 	"context"
+	"net/http"
+	"time"
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/world/fault"
 )
 
 // Platform gives the lagging list of live and leaving backend servers.
@@ -50,3 +53,96 @@
 	Key  string
 	Body []byte
 }
+
+// Request is what a caller says of a request beside its method, path and body.
+type Request struct {
+	// ID names one attempt of the caller.
+	ID string
+	// Key is the secret by which the caller's account is known.
+	Key string
+	// Patience is how long the caller waits; zero is not said.
+	Patience time.Duration
+	// LastEvent is the last event that the caller has, when it resumes a stream.
+	LastEvent string
+	Prompt    Prompt
+}
+
+// Prompt describes the input of a model engine.
+type Prompt struct {
+	Model string
+	// Tokens and MaxOutput are the tokens read and at most generated.
+	Tokens    int
+	MaxOutput int
+	// Parts are the pieces of the prompt, in order. Requests share all but the
+	// last one.
+	Parts []Part
+}
+
+// Part is one piece of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Forwarding is what this system tells a backend server of a request.
+type Forwarding struct {
+	// Server is the only backend server that may run the request.
+	Server  string
+	Account string
+	// Left is how long the caller still waits.
+	Left      time.Duration
+	LastEvent string
+	// Urgency is 0 to 9, 0 first; below zero nothing is said.
+	Urgency int
+}
+
+// Answer is what the head of a backend server's answer says.
+type Answer struct {
+	// ID is the request that is answered.
+	ID string
+	// NotRun is the backend server's word that the request did not run.
+	NotRun bool
+	// Signed is true when the answer carries the backend server's signature.
+	Signed  bool
+	HasLoad bool
+	Running int
+	Waiting int
+}
+
+// Dialect is how callers and backend servers word requests and answers.
+type Dialect interface {
+	Request(r *http.Request) (Request, error)
+	// Forward writes what the backend server is told over what the caller sent.
+	Forward(h http.Header, f Forwarding)
+	Answer(status int, h http.Header) Answer
+	// Refuse writes a failure to the caller.
+	Refuse(w http.ResponseWriter, f *fault.Fault)
+}
+
+// Directory tells callers where to connect.
+type Directory interface {
+	// Addresses returns where callers in a failure domain connect.
+	Addresses(failureDomain string) []string
+	// Ready reports whether this instance takes callers.
+	Ready() bool
+}
+
+// Rulebook takes whole rule files under revisions.
+type Rulebook interface {
+	// Replace puts rules in force unless the revision held is as high. source
+	// is the text that they were made from.
+	Replace(ctx context.Context, revision uint64, rules, source []byte) error
+	// Source returns the newest revision and its text.
+	Source(ctx context.Context) (revision uint64, source []byte, err error)
+}
+
+// Doors are the calls that the platform, its callers and its operator make at
+// an entry instance, beside the requests themselves.
+type Doors interface {
+	// Ready serves the readiness check.
+	Ready() http.Handler
+	// Resolve serves the directory.
+	Resolve() http.Handler
+	// Configuration serves the operator.
+	Configuration() http.Handler
+}
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -12,9 +12,9 @@
 	"sync"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"camphorspoke/internal/daemon"
+	"camphorspoke/internal/edge/link"
 	"camphorspoke/internal/edge/status"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/world/fault"
@@ -65,10 +65,7 @@
 	if conn := c.conns[k]; conn != nil {
 		return pb.NewPeerServiceClient(conn), nil
 	}
-	opts := []grpc.DialOption{
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
-	}
+	opts := link.GRPC(grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)))
 	if control && c.control != nil {
 		opts = append(opts, c.control)
 	}
--- a/internal/edge/rafttransport/rafttransport.go
+++ b/internal/edge/rafttransport/rafttransport.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"camphorspoke/internal/control"
+	"camphorspoke/internal/edge/link"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/world/fault"
 )
@@ -45,10 +45,9 @@
 func New(opts ...grpc.DialOption) (*Transport, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Transport{
-		dial: append([]grpc.DialOption{
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
+		dial: link.GRPC(append([]grpc.DialOption{
 			grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(maxMessage)),
-		}, opts...),
+		}, opts...)...),
 		ctx:    ctx,
 		cancel: cancel,
 		peers:  make(map[string]*peer),
--- a/internal/gen/camphorspoke/v1/camphorspokev1connect/peer.connect.go
+++ b/internal/gen/camphorspoke/v1/camphorspokev1connect/peer.connect.go
@@ -44,6 +44,8 @@
 	PeerServiceRuleVersionProcedure = "/camphorspoke.v1.PeerService/RuleVersion"
 	// PeerServiceHandoverProcedure is the fully-qualified name of the PeerService's Handover RPC.
 	PeerServiceHandoverProcedure = "/camphorspoke.v1.PeerService/Handover"
+	// PeerServicePlaceProcedure is the fully-qualified name of the PeerService's Place RPC.
+	PeerServicePlaceProcedure = "/camphorspoke.v1.PeerService/Place"
 	// ControlServiceHeartbeatProcedure is the fully-qualified name of the ControlService's Heartbeat
 	// RPC.
 	ControlServiceHeartbeatProcedure = "/camphorspoke.v1.ControlService/Heartbeat"
@@ -71,6 +73,8 @@
 	RuleVersion(context.Context, *connect.Request[v1.RuleVersionRequest]) (*connect.Response[v1.RuleVersionResponse], error)
 	// Handover passes the soft tables of an engine to its next owner.
 	Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error)
+	// Place asks for places at backend servers and tells what became of them.
+	Place(context.Context) *connect.BidiStreamForClient[v1.PlaceRequest, v1.PlaceResponse]
 }
 
 // NewPeerServiceClient constructs a client for the camphorspoke.v1.PeerService service. By default,
@@ -108,6 +112,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Handover")),
 			connect.WithClientOptions(opts...),
 		),
+		place: connect.NewClient[v1.PlaceRequest, v1.PlaceResponse](
+			httpClient,
+			baseURL+PeerServicePlaceProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Place")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -117,6 +127,7 @@
 	forwardCall     *connect.Client[v1.ForwardCallRequest, v1.ForwardCallResponse]
 	ruleVersion     *connect.Client[v1.RuleVersionRequest, v1.RuleVersionResponse]
 	handover        *connect.Client[v1.HandoverRequest, v1.HandoverResponse]
+	place           *connect.Client[v1.PlaceRequest, v1.PlaceResponse]
 }
 
 // ForwardGenerate calls camphorspoke.v1.PeerService.ForwardGenerate.
@@ -139,6 +150,11 @@
 	return c.handover.CallUnary(ctx, req)
 }
 
+// Place calls camphorspoke.v1.PeerService.Place.
+func (c *peerServiceClient) Place(ctx context.Context) *connect.BidiStreamForClient[v1.PlaceRequest, v1.PlaceResponse] {
+	return c.place.CallBidiStream(ctx)
+}
+
 // PeerServiceHandler is an implementation of the camphorspoke.v1.PeerService service.
 type PeerServiceHandler interface {
 	ForwardGenerate(context.Context, *connect.Request[v1.ForwardGenerateRequest], *connect.ServerStream[v1.ForwardGenerateResponse]) error
@@ -146,6 +162,8 @@
 	RuleVersion(context.Context, *connect.Request[v1.RuleVersionRequest]) (*connect.Response[v1.RuleVersionResponse], error)
 	// Handover passes the soft tables of an engine to its next owner.
 	Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error)
+	// Place asks for places at backend servers and tells what became of them.
+	Place(context.Context, *connect.BidiStream[v1.PlaceRequest, v1.PlaceResponse]) error
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -179,6 +197,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Handover")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServicePlaceHandler := connect.NewBidiStreamHandler(
+		PeerServicePlaceProcedure,
+		svc.Place,
+		connect.WithSchema(peerServiceMethods.ByName("Place")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/camphorspoke.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceForwardGenerateProcedure:
@@ -189,6 +213,8 @@
 			peerServiceRuleVersionHandler.ServeHTTP(w, r)
 		case PeerServiceHandoverProcedure:
 			peerServiceHandoverHandler.ServeHTTP(w, r)
+		case PeerServicePlaceProcedure:
+			peerServicePlaceHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -214,6 +240,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.PeerService.Handover is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Place(context.Context, *connect.BidiStream[v1.PlaceRequest, v1.PlaceResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.PeerService.Place is not implemented"))
+}
+
 // ControlServiceClient is a client for the camphorspoke.v1.ControlService service.
 type ControlServiceClient interface {
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
--- /dev/null
+++ b/internal/routing/scheduler/place.go
@@ -0,0 +1,163 @@
+package scheduler
+
+// This file defines the choice of a server, the queue and the expected wait.
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// loadTokens weighs a running request of an engine against tokens to read:
+	// each one slows all others down a little.
+	loadTokens = 120
+	// boundSlack is added to the bound on the load, so that few requests do not
+	// count as an imbalance.
+	boundSlack = 1.5
+	// boundShare is the part of the allowed imbalance that is used.
+	boundShare = 0.75
+	// noServerPause is when a caller should come back while no server is open.
+	noServerPause = 300 * time.Millisecond
+	// minWait is the shortest wait that is told to a refused caller.
+	minWait = 100 * time.Millisecond
+	// tieTokens spreads prompts that no server keeps.
+	tieTokens = 40
+	// cacheShare is the part of an engine's memory that keeps prefixes while
+	// requests run.
+	cacheShare = 0.85
+)
+
+// place grants a server, if one has room.
+func (s *Scheduler) place(now time.Duration, a Ask) (Decision, bool) {
+	sv := s.choose(now, a)
+	if sv == nil {
+		return Decision{}, false
+	}
+	cached := sv.cache.Cached(a.Parts)
+	g := &grant{
+		server: sv,
+		ask:    a,
+		at:     now,
+		miss:   total(a) - cached,
+	}
+	s.granted[a.ID] = g
+	sv.running++
+	sv.pending += g.miss
+	if len(a.Parts) > 0 {
+		sv.cache.Use(a.Parts)
+	}
+	return Decision{
+		ID:     a.ID,
+		Server: sv.name,
+		Cached: cached,
+		Load:   sv.running,
+	}, true
+}
+
+func total(a Ask) int {
+	n := 0
+	for _, p := range a.Parts {
+		n += p.Tokens
+	}
+	return n
+}
+
+// choose returns the cheapest server that has room for a, or nil.
+func (s *Scheduler) choose(now time.Duration, a Ask) *server {
+	limit := s.loadLimit(now)
+	var best *server
+	bestCost := math.Inf(1)
+	for _, avoid := range []bool{true, false} {
+		for _, sv := range s.order {
+			if !sv.takes(now, a) || avoid && sv.heldBack(now) {
+				continue
+			}
+			if sv.load(now)+1 > sv.slots || avoid && float64(sv.load(now)+1) > limit {
+				continue
+			}
+			if c := s.cost(now, sv, a); c < bestCost {
+				best, bestCost = sv, c
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// loadLimit returns the most requests that one server may carry.
+func (s *Scheduler) loadLimit(now time.Duration) float64 {
+	sum, n := 1, 0
+	for _, sv := range s.order {
+		if sv.open {
+			sum += sv.load(now)
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return math.Max(1, s.svc.Bound*boundShare)*float64(sum)/float64(n) + boundSlack
+}
+
+// cost returns what running a at sv costs, in tokens read.
+func (s *Scheduler) cost(now time.Duration, sv *server, a Ask) float64 {
+	if !s.svc.Engine {
+		c := float64(sv.load(now)+1) / float64(sv.slots)
+		if sv.domain != a.FailureDomain {
+			c += 0.5 / float64(sv.slots)
+		}
+		return c*sv.slowness() + tie(sv.name, a.ID)/100
+	}
+	miss := total(a) - sv.cache.Cached(a.Parts)
+	c := float64(miss+max(sv.pending, 0)) + loadTokens*float64(sv.load(now))
+	if len(a.Parts) > 0 {
+		at := max(len(a.Parts)-2, 0)
+		c += tieTokens * tie(sv.name, a.Parts[at].ID)
+	}
+	return (c + loadTokens) * sv.slowness()
+}
+
+// tie returns a figure in [0, 1) that orders servers anew for each key.
+func tie(server string, key uint64) float64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(key)
+	_, _ = d.WriteString(server)
+	return float64(d.Sum64()>>11) / (1 << 53)
+}
+
+func (s *Scheduler) anyOpen(a Ask) bool {
+	return slices.ContainsFunc(s.order, func(sv *server) bool {
+		return sv.open && !slices.Contains(a.Tried, sv.name)
+	})
+}
+
+// enqueue keeps the queue in the order in which places are given.
+func (s *Scheduler) enqueue(w *waiting) {
+	i, _ := slices.BinarySearchFunc(s.queue, w, func(a, b *waiting) int {
+		if a.ask.Urgency != b.ask.Urgency {
+			return a.ask.Urgency - b.ask.Urgency
+		}
+		return -1
+	})
+	s.queue = slices.Insert(s.queue, i, w)
+}
+
+// expectedWait returns how long a would wait behind what is queued before it.
+func (s *Scheduler) expectedWait(a Ask) time.Duration {
+	ahead := 1
+	for _, w := range s.queue {
+		if w.ask.Urgency <= a.Urgency {
+			ahead++
+		}
+	}
+	each := s.pace.each()
+	if each == 0 {
+		return minWait
+	}
+	return max(minWait, time.Duration(ahead)*each)
+}
--- /dev/null
+++ b/internal/routing/scheduler/scheduler.go
@@ -0,0 +1,300 @@
+// Package scheduler decides which backend server runs a request, how long a
+// request waits for a place, and when it is refused.
+//
+// It is a step function: questions, reports and ticks go in with the time, and
+// decisions come out; it reads no clock and does no I/O. One scheduler decides
+// for a whole service, as far as its user sends it all questions.
+//
+// Load patterns it answers:
+//
+//   - Prompts that share long parts: a request goes where the longest prefix of
+//     its prompt is kept, unless the tokens that are waiting to be read there
+//     cost more than reading the prefix elsewhere.
+//   - A hot subject: no server takes more than a multiple of the mean load, so
+//     its requests spread over more servers, which then keep the prefix too.
+//   - More load than places: requests wait here, the urgent ones first and the
+//     accounts in turn, and not in the queues of servers, which would shed them.
+//     A request that would wait longer than it can is refused at once, with the
+//     time at which there will be room.
+//   - Servers that fail: one that could not be reached or broke off is left out
+//     for a while that doubles, and one that fails more often than its peers is
+//     taken last.
+package scheduler
+
+// This file defines Scheduler and the questions put to it.
+
+import (
+	"time"
+
+	"camphorspoke/internal/routing/prefixcache"
+	"camphorspoke/internal/routing/retrybudget"
+)
+
+// Service describes a service to the scheduler.
+type Service struct {
+	Name string
+	// Engine is true for model engines.
+	Engine bool
+	// Slots and CacheTokens hold for servers whose own figures are not known.
+	Slots       int
+	CacheTokens int
+	// Bound is the multiple of the mean load that a server may carry.
+	Bound float64
+	// RetryWindow, RetryRatio and RetrySlack bound the repeats.
+	RetryWindow time.Duration
+	RetryRatio  float64
+	RetrySlack  float64
+}
+
+// Server describes a backend server to the scheduler.
+type Server struct {
+	Name  string
+	Slots int
+	// Open is false for a server that takes no new work.
+	Open bool
+	// Near is true for a server in the failure domain of most callers.
+	FailureDomain string
+}
+
+// Ask is a question for a place.
+type Ask struct {
+	ID uint64
+	// Account is the client account.
+	Account string
+	Parts   []prefixcache.Part
+	// Output is the most tokens that the request generates.
+	Output int
+	// Urgency ranks the request, 0 first.
+	Urgency int
+	// Wait is how long the request can wait for a place.
+	Wait time.Duration
+	// Tried are servers that failed this request.
+	Tried []string
+	// Again is true when the request was sent to a server before.
+	Again bool
+	// FailureDomain is where the request entered.
+	FailureDomain string
+}
+
+// The reasons of a refusal.
+const (
+	NoServer    = "noServer"
+	Overloaded  = "overloaded"
+	RetryBudget = "retryBudget"
+)
+
+// Decision answers an Ask.
+type Decision struct {
+	ID uint64
+	// Server is empty when the request is refused.
+	Server  string
+	Refusal string
+	// RetryAfter is when there will be room; zero when that is not known.
+	RetryAfter time.Duration
+	// Cached are the tokens of the prompt that the server is taken to keep, and
+	// Load its requests with this one.
+	Cached int
+	Load   int
+}
+
+// Event is what became of a granted request.
+type Event int
+
+// The events.
+const (
+	// Started means that the server has begun to answer.
+	Started Event = iota + 1
+	Done
+	// Rejected means that the server said that it did not run the request.
+	Rejected
+	// Broken means that the server broke off, or gave what is no answer.
+	Broken
+	Unreachable
+	// Cancelled means that the caller left or the time was up.
+	Cancelled
+	// Failed means that the server answered with a failure of its own.
+	Failed
+)
+
+// Report tells what became of a granted request.
+type Report struct {
+	Event Event
+	// HasLoad is true when the server told its load.
+	HasLoad bool
+	Running int
+	Waiting int
+	Elapsed time.Duration
+}
+
+// Scheduler decides for one service. Use New.
+type Scheduler struct {
+	svc     Service
+	servers map[string]*server
+	order   []*server
+	granted map[uint64]*grant
+	queue   []*waiting
+	budget  retrybudget.Budget
+	// served holds when the last requests ended, to tell how fast places free.
+	pace pace
+}
+
+type grant struct {
+	server *server
+	ask    Ask
+	at     time.Duration
+	// miss are the tokens that the engine had to read.
+	miss    int
+	started bool
+}
+
+type waiting struct {
+	ask   Ask
+	since time.Duration
+}
+
+// New returns a scheduler without servers.
+func New(svc Service) *Scheduler {
+	s := &Scheduler{
+		servers: make(map[string]*server),
+		granted: make(map[uint64]*grant),
+	}
+	s.SetService(svc)
+	return s
+}
+
+// SetService changes what is known of the service.
+func (s *Scheduler) SetService(svc Service) {
+	s.svc = svc
+	s.budget.Window = svc.RetryWindow
+	s.budget.Ratio = svc.RetryRatio
+	s.budget.Slack = svc.RetrySlack
+	for _, sv := range s.order {
+		sv.setService(svc)
+	}
+}
+
+// SetServers replaces the list of servers. One that is no longer listed stays
+// known while requests run there.
+func (s *Scheduler) SetServers(list []Server) {
+	listed := make(map[string]bool)
+	s.order = s.order[:0]
+	for _, l := range list {
+		listed[l.Name] = true
+		sv := s.servers[l.Name]
+		if sv == nil {
+			sv = newServer(l.Name)
+			s.servers[l.Name] = sv
+		}
+		sv.listed(l)
+		sv.setService(s.svc)
+		s.order = append(s.order, sv)
+	}
+	for name, sv := range s.servers {
+		if listed[name] {
+			continue
+		}
+		sv.open = false
+		if sv.running == 0 {
+			delete(s.servers, name)
+		}
+	}
+}
+
+// Ask decides on a request at once, or returns false and keeps it waiting; a
+// later Tick or Report then decides.
+func (s *Scheduler) Ask(now time.Duration, a Ask) (Decision, bool) {
+	if a.Again {
+		if !s.budget.Spend(now) {
+			return refuse(a, RetryBudget, 0), true
+		}
+	} else {
+		s.budget.Request(now)
+	}
+	if len(s.queue) == 0 || !s.svc.Engine {
+		if d, ok := s.place(now, a); ok {
+			return d, true
+		}
+	}
+	if !s.anyOpen(a) {
+		return refuse(a, NoServer, noServerPause), true
+	}
+	if wait := s.expectedWait(a); wait > a.Wait {
+		return refuse(a, Overloaded, wait), true
+	}
+	s.enqueue(&waiting{
+		ask:   a,
+		since: now,
+	})
+	return Decision{}, false
+}
+
+func refuse(a Ask, reason string, after time.Duration) Decision {
+	return Decision{
+		ID:         a.ID,
+		Refusal:    reason,
+		RetryAfter: after,
+	}
+}
+
+// Report takes what became of a request and returns the decisions on requests
+// that were waiting.
+func (s *Scheduler) Report(now time.Duration, id uint64, r Report) []Decision {
+	g := s.granted[id]
+	if g == nil {
+		s.withdraw(id)
+		return nil
+	}
+	if r.HasLoad {
+		g.server.told(now, r)
+	}
+	if !g.started {
+		g.started = true
+		g.server.pending -= g.miss
+	}
+	if r.Event == Started {
+		return nil
+	}
+	delete(s.granted, id)
+	g.server.running--
+	g.server.outcome(now, r)
+	if r.Event == Done {
+		s.pace.note(now)
+	}
+	return s.Tick(now)
+}
+
+// withdraw takes a request out of the queue.
+func (s *Scheduler) withdraw(id uint64) {
+	for i, w := range s.queue {
+		if w.ask.ID == id {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// Tick decides on waiting requests.
+func (s *Scheduler) Tick(now time.Duration) []Decision {
+	var out []Decision
+	kept := s.queue[:0]
+	full := false
+	for _, w := range s.queue {
+		if now-w.since > w.ask.Wait {
+			out = append(out, refuse(w.ask, Overloaded, s.expectedWait(w.ask)))
+			continue
+		}
+		if !full {
+			if d, ok := s.place(now, w.ask); ok {
+				out = append(out, d)
+				continue
+			}
+			full = len(w.ask.Tried) == 0
+		}
+		kept = append(kept, w)
+	}
+	s.queue = kept
+	return out
+}
+
+// Waiting returns the number of requests that wait.
+func (s *Scheduler) Waiting() int { return len(s.queue) }
--- a/internal/rules/file/file.go
+++ b/internal/rules/file/file.go
@@ -34,6 +34,12 @@
 	TotalShare int
 	// Kinds maps a kind of work to its priority class.
 	Kinds map[string]int
+	// Routes hold where requests go, by host and path; see Match.
+	Routes []Route
+	// KeyHolders maps the digest of a key to the account that holds it.
+	KeyHolders map[string]string
+	// Ingress bounds what a caller may send.
+	Ingress Ingress
 	// Authors names who asked, by line number.
 	Authors map[int]string
 }
@@ -55,6 +61,15 @@
 	MoveBytes int64
 	// SpillMoves is true when a spilled chat takes its cache along.
 	SpillMoves bool
+	// Health is the path that answers 200 while a backend server is well.
+	Health string
+	// Connections is the most connections that a backend server accepts from
+	// all instances together; zero is no limit.
+	Connections int
+	// Slots and CacheTokens describe an engine where the platform's list does
+	// not: requests run at once, and tokens held in memory.
+	Slots       int
+	CacheTokens int
 	// CheckedFence is true when the engines refuse old fencing numbers.
 	CheckedFence bool
 }
@@ -66,6 +81,9 @@
 	Share int
 	// Limit is the most requests in flight in a service; zero is no limit.
 	Limit int
+	// Priority goes before the priority of a route; see HasPriority.
+	Priority    int
+	HasPriority bool
 }
 
 // FairSlots returns an account's fair part of a server's slots, at least one.
--- a/internal/rules/parse/parse.go
+++ b/internal/rules/parse/parse.go
@@ -9,6 +9,15 @@
 //	account NAME share=N [limit=N]                       # WHO: why
 //	kind NAME class=urgent|normal|batch                  # WHO: why
 //	nonidempotent SERVICE call=NAME                      # WHO: why
+//	route NAME host=H prefix=/P/ kind=safe|unsafe|stream to=SERVICE[:WEIGHT],...
+//	        timeout=6s [objective=400ms] [gap=250ms] [attempts=1] [priority=0]
+//	        [public=no|yes] [affine=no|yes] [resume=no|yes]   # WHO: why
+//	ingress NAME [header-bytes=N] [body-bytes=N] [header-time=3s] [idle-time=15s]
+//	                                                     # WHO: why
+//
+// The host and the prefix of a route are percent-encoded where a character would
+// end the word. A service also takes [health=PATH] [connections=N] [slots=N]
+// [cache-tokens=N], an account [priority=N] [keys=DIGEST,...].
 //
 // A file is taken whole or refused whole; every problem is reported as
 // file:line:column, as a compiler would.
@@ -63,10 +72,11 @@
 	p := &parser{
 		name: name,
 		out: &file.File{
-			Services: make(map[string]file.Service),
-			Accounts: make(map[string]file.Account),
-			Kinds:    make(map[string]int),
-			Authors:  make(map[int]string),
+			Services:   make(map[string]file.Service),
+			Accounts:   make(map[string]file.Account),
+			KeyHolders: make(map[string]string),
+			Kinds:      make(map[string]int),
+			Authors:    make(map[int]string),
 		},
 		calls: make(map[string][]call),
 	}
@@ -79,6 +89,7 @@
 		p.parseLine(strings.TrimSuffix(text, "\r"))
 	}
 	p.attachCalls()
+	p.checkRoutes()
 	if len(p.err.Problems) > 0 {
 		return nil, p.sorted()
 	}
@@ -95,7 +106,9 @@
 	line  int
 	out   *file.File
 	calls map[string][]call
-	err   Error
+	// routes holds where each route of the file stands.
+	routes []place
+	err    Error
 }
 
 // word is a token of a line with its column, counted from 1.
@@ -171,8 +184,12 @@
 		p.kind(name, s)
 	case "nonidempotent":
 		p.nonIdempotent(name, s)
+	case "route":
+		p.route(name, s)
+	case "ingress":
+		p.ingress(s)
 	default:
-		p.fail(p.line, verb.col, "unknown rule %q: use service, account, kind or nonidempotent", verb.text)
+		p.fail(p.line, verb.col, "unknown rule %q: use service, account, kind, nonidempotent, route or ingress", verb.text)
 		return
 	}
 	s.refuseRest()
@@ -194,6 +211,10 @@
 		RetryPercent:  s.percent("retry", file.DefaultRetryPercent),
 		MoveBytes:     s.bytes("move", file.DefaultMoveBytes),
 		SpillMoves:    s.choice("spill", "cold", "cold", "move") == "move",
+		Health:        s.text("health", ""),
+		Connections:   s.integer("connections", 0, 1, 1_000_000),
+		Slots:         s.integer("slots", 0, 1, 1_000_000),
+		CacheTokens:   s.integer("cache-tokens", 0, 1, 1_000_000_000),
 		CheckedFence:  s.choice("fence", "ignored", "checked", "ignored") == "checked",
 	}
 	p.out.Services[name.text] = svc
@@ -210,6 +231,11 @@
 		Share: s.integer("share", -1, 1, 1_000_000),
 		Limit: s.integer("limit", 0, 1, 1_000_000),
 	}
+	if _, ok := s.values["priority"]; ok {
+		a.HasPriority = true
+		a.Priority = s.integer("priority", 0, 0, maxPriority)
+	}
+	p.keys(name.text, s)
 	p.out.Accounts[name.text] = a
 	p.out.TotalShare += a.Share
 }
--- /dev/null
+++ b/internal/rules/parse/route.go
@@ -0,0 +1,160 @@
+package parse
+
+// This file defines the rules of routes, of keys and of what callers may send.
+
+import (
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"camphorspoke/internal/rules/file"
+)
+
+const (
+	maxPriority = 1000
+	maxAttempts = 100
+	maxWeight   = 1_000_000_000
+	maxTime     = 24 * time.Hour
+	yes         = "yes"
+	no          = "no"
+)
+
+// place is where a rule stands.
+type place struct {
+	line, col int
+}
+
+func (p *parser) route(name word, s *settings) {
+	r := file.Route{
+		Name:      name.text,
+		Host:      strings.ToLower(s.encoded("host")),
+		Prefix:    s.encoded("prefix"),
+		Timeout:   s.duration("timeout", 0, time.Millisecond, maxTime),
+		Objective: s.duration("objective", 0, time.Millisecond, maxTime),
+		Gap:       s.duration("gap", 0, time.Millisecond, maxTime),
+		Attempts:  s.integer("attempts", 1, 1, maxAttempts),
+		Priority:  s.integer("priority", 0, 0, maxPriority),
+		Public:    s.choice("public", no, no, yes) == yes,
+		Affine:    s.choice("affine", no, no, yes) == yes,
+		Resumes:   s.choice("resume", no, no, yes) == yes,
+	}
+	switch s.choice("kind", "", "safe", "unsafe", "stream") {
+	case "unsafe":
+		r.Kind = file.Unsafe
+	case "stream":
+		r.Kind = file.Stream
+	}
+	if r.Timeout == 0 {
+		s.fail(s.end, "timeout= is missing")
+	}
+	if r.Prefix != "" && (!strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/")) {
+		s.fail(name.col, "the prefix %q does not begin and end with a slash", r.Prefix)
+	}
+	r.Split = s.split("to")
+	p.out.Routes = append(p.out.Routes, r)
+	p.routes = append(p.routes, place{
+		line: p.line,
+		col:  name.col,
+	})
+}
+
+// checkRoutes runs last, so that the order of lines does not matter.
+func (p *parser) checkRoutes() {
+	type spot struct{ host, prefix string }
+	seen := make(map[spot]string)
+	for i, r := range p.out.Routes {
+		at := p.routes[i]
+		for _, share := range r.Split {
+			if _, ok := p.out.Services[share.Service]; !ok {
+				p.fail(at.line, at.col, "route %q: service %q has no rule", r.Name, share.Service)
+			}
+		}
+		s := spot{
+			host:   r.Host,
+			prefix: r.Prefix,
+		}
+		if other, dup := seen[s]; dup {
+			p.fail(at.line, at.col, "routes %q and %q have the same host and prefix", other, r.Name)
+		}
+		seen[s] = r.Name
+	}
+}
+
+func (p *parser) ingress(s *settings) {
+	p.out.Ingress = file.Ingress{
+		HeaderBytes: s.integer("header-bytes", 0, 1, 1<<30),
+		BodyBytes:   s.integer("body-bytes", 0, 1, 1<<30),
+		HeaderTime:  s.duration("header-time", 0, time.Millisecond, maxTime),
+		IdleTime:    s.duration("idle-time", 0, time.Millisecond, maxTime),
+	}
+}
+
+// keys reads the digests of an account's keys.
+func (p *parser) keys(account string, s *settings) {
+	w, ok := s.take("keys")
+	if !ok {
+		return
+	}
+	for digest := range strings.SplitSeq(w.text, ",") {
+		if holder, dup := p.out.KeyHolders[digest]; dup && holder != account {
+			p.fail(p.line, w.col, "accounts %q and %q share a key", holder, account)
+			return
+		}
+		p.out.KeyHolders[digest] = account
+	}
+}
+
+// text returns a word as it stands.
+func (s *settings) text(key, def string) string {
+	w, ok := s.take(key)
+	if !ok {
+		return def
+	}
+	return w.text
+}
+
+// encoded returns a percent-encoded word that must be there.
+func (s *settings) encoded(key string) string {
+	w, ok := s.take(key)
+	if !ok {
+		s.fail(s.end, "%s= is missing", key)
+		return ""
+	}
+	text, err := url.PathUnescape(w.text)
+	if err != nil {
+		s.fail(w.col, "%s=%s: bad percent-encoding", key, w.text)
+	}
+	return text
+}
+
+// split reads SERVICE[:WEIGHT],... ; the weights must not add up to zero.
+func (s *settings) split(key string) []file.Share {
+	w, ok := s.take(key)
+	if !ok {
+		s.fail(s.end, "%s= is missing", key)
+		return nil
+	}
+	var out []file.Share
+	total := 0
+	for part := range strings.SplitSeq(w.text, ",") {
+		name, weight, given := strings.Cut(part, ":")
+		n := 1
+		if given {
+			var err error
+			if n, err = strconv.Atoi(weight); err != nil || n < 0 || n > maxWeight {
+				s.fail(w.col, "%s=%s: bad weight %q", key, w.text, weight)
+				return nil
+			}
+		}
+		total += n
+		out = append(out, file.Share{
+			Service: name,
+			Weight:  n,
+		})
+	}
+	if total == 0 {
+		s.fail(w.col, "%s=%s: the weights add up to 0", key, w.text)
+	}
+	return out
+}
--- a/internal/world/fault/fault.go
+++ b/internal/world/fault/fault.go
@@ -30,6 +30,8 @@
 	UnknownAccount  Kind = "unknownClientAccount"
 	UnknownKind     Kind = "unknownKindOfWork"
 	UnknownServer   Kind = "unknownBackendServer"
+	UnknownRoute    Kind = "unknownRoute"
+	UnknownKey      Kind = "unknownKey"
 	BadChat         Kind = "badChatId"
 	BadRequest      Kind = "badRequest"
 	BadKey          Kind = "badRequestKey"
@@ -62,7 +64,9 @@
 	Unreachable Kind = "unreachable"
 
 	// LinkBroken means that a request was sent and no answer came.
-	LinkBroken  Kind = "linkBroken"
+	LinkBroken Kind = "linkBroken"
+	// TimedOut means that the time was up after the request was sent.
+	TimedOut    Kind = "timedOut"
 	InDoubt     Kind = "inDoubt"
 	ShortAnswer Kind = "shortAnswer"
 	WrongFrame  Kind = "wrongFrame"
@@ -85,7 +89,9 @@
 func classOf(k Kind) class {
 	notRun := pb.Outcome_OUTCOME_NOT_RUN
 	switch k {
-	case UnknownService, UnknownAccount, UnknownServer, UnknownKind:
+	case UnknownKey:
+		return class{code: connect.CodeUnauthenticated, outcome: notRun}
+	case UnknownService, UnknownAccount, UnknownServer, UnknownKind, UnknownRoute:
 		return class{code: connect.CodeNotFound, outcome: notRun}
 	case BadChat, BadRequest, BadKey, BadRules, BadSetting:
 		return class{code: connect.CodeInvalidArgument, outcome: notRun}
@@ -102,7 +108,7 @@
 		return class{code: connect.CodeDeadlineExceeded, outcome: notRun}
 	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, OverBound, NotOwner, NotCached, HeldBack, Unreachable:
 		return class{code: connect.CodeUnavailable, outcome: notRun}
-	case InDoubt, LinkBroken:
+	case InDoubt, LinkBroken, TimedOut:
 		return class{code: connect.CodeUnknown, outcome: pb.Outcome_OUTCOME_IN_DOUBT}
 	case ShortAnswer, WrongFrame:
 		return class{code: connect.CodeDataLoss, outcome: pb.Outcome_OUTCOME_IN_DOUBT}
