Let one instance decide the places of a service

Change: the placer asks the first instance of the service's rendezvous order over one stream, passes a silent one over, and tells a new one which prefixes it saw; settings are read again on SIGHUP and every 2 s.

--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -49,7 +49,13 @@
 	// The first signal starts a graceful stop; a second one cuts.
 	context.AfterFunc(ctx, stop)
 	log := logging.New(os.Stdout, set.LogLevel, set.Instance)
-	if err := server.Run(ctx, set, outside(set, log), log); err != nil {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	out := outside(set, log)
+	out.Reload = hup
+	out.Settings = func() (*settings.Settings, error) { return settings.Parse(args) }
+	if err := server.Run(ctx, set, out, log); err != nil {
 		log.WithError(err).Error("daemon: failed")
 		return exitFailed
 	}
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -1,11 +1,19 @@
-// Package placer gives requests places at backend servers: it feeds the
-// schedulers of all services with the servers of the present view, and wakes
-// the requests that wait.
+// Package placer gives requests places at backend servers.
 //
-// Lock order: mu is a leaf.
+// One instance decides for a service, so that it knows every request that runs
+// there and every prefix that was read: the first of the service's rendezvous
+// order among the instances in touch. Every other instance asks it over one
+// stream, and sends the requests to the backend servers itself, so no request
+// hangs on the instance that decided. The choice needs no lease: two instances
+// that both decide for a while place less well, and no more.
+//
+// An instance that does not answer within answerLimit is passed over for a
+// while, for the next of the order and at last for the asker's own desk. Each
+// asker tells a new decider what it knows: its running requests, and which
+// prefixes it has seen placed.
 package placer
 
-// This file defines Placer.
+// This file defines Placer and the choice of who decides.
 
 import (
 	"context"
@@ -14,14 +22,32 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing"
+	"camphorspoke/internal/routing/prefixcache"
+	"camphorspoke/internal/routing/rendezvous"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/routing/view"
 	"camphorspoke/internal/world/fault"
 )
 
-// tickInterval is how often waiting requests are looked at.
-const tickInterval = 20 * time.Millisecond
+const (
+	// tickInterval is how often waiting requests are looked at.
+	tickInterval = 20 * time.Millisecond
+	// answerLimit is how long the decider may take to say anything.
+	answerLimit = 60 * time.Millisecond
+	// passedOverFor is how long a silent decider is not asked.
+	passedOverFor = time.Second
+	// maxDeciders is how many of the order are asked before the own desk.
+	maxDeciders = 2
+)
+
+// Streams opens the stream to another instance's desk.
+type Streams interface {
+	Place(ctx context.Context, address string) (pb.PeerService_PlaceClient, error)
+}
 
 // Config names what a Placer works with.
 type Config struct {
@@ -32,76 +58,71 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
+	// Instance is the own name.
+	Instance string
+	Peers    Streams
+	// Silent reports whether an instance was not heard lately.
+	Silent func(instance string) bool
+	Logger logrus.FieldLogger
 }
 
-// Placer holds the schedulers of one process.
+// Placer places the requests of one instance.
 type Placer struct {
-	cfg Config
+	cfg    Config
+	desk   *Desk
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 
-	mu       sync.Mutex
-	services map[string]*scheduler.Scheduler
-	servers  map[string]*pb.BackendServer
-	nextID   uint64
-	waiting  map[uint64]chan scheduler.Decision
+	mu      sync.Mutex
+	view    *view.View
+	links   map[string]*link
+	avoided map[string]time.Duration
 }
 
 // Grant is a place that was given.
 type Grant struct {
 	scheduler.Decision
 	Address string
+	// Decider is the instance that decided.
+	Decider string
 	Waited  time.Duration
 
-	service string
 	p       *Placer
+	service string
+	// own is the number of the request at the own desk, remote and link name it
+	// at another one.
+	own    uint64
+	remote uint64
+	link   *link
 }
 
 // New returns a placer; the clean-up function stops it.
 func New(cfg Config) (*Placer, func()) {
 	p := &Placer{
-		cfg:      cfg,
-		services: make(map[string]*scheduler.Scheduler),
-		waiting:  make(map[uint64]chan scheduler.Decision),
+		cfg:     cfg,
+		desk:    newDesk(cfg),
+		view:    &view.View{},
+		links:   make(map[string]*link),
+		avoided: make(map[string]time.Duration),
 	}
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	wg.Go(func() { p.ticks(stop) })
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.wg.Go(p.ticks)
 	return p, func() {
-		close(stop)
-		wg.Wait()
+		p.cancel()
+		p.wg.Wait()
 	}
 }
 
-func (p *Placer) ticks(stop <-chan struct{}) {
+func (p *Placer) ticks() {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
 		select {
-		case <-stop:
+		case <-p.ctx.Done():
 			return
 		case <-t.C:
-			p.tick()
-		}
-	}
-}
-
-func (p *Placer) tick() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.waiting) == 0 {
-		return
-	}
-	now := p.cfg.Now()
-	for _, s := range p.services {
-		p.deliver(s.Tick(now))
-	}
-}
-
-// deliver hands decisions to the requests that wait for them.
-func (p *Placer) deliver(ds []scheduler.Decision) {
-	for _, d := range ds {
-		if c := p.waiting[d.ID]; c != nil {
-			delete(p.waiting, d.ID)
-			c <- d
+			p.desk.tick()
 		}
 	}
 }
@@ -112,114 +133,137 @@
 		return
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.servers = v.Servers
-	lists := make(map[string][]scheduler.Server)
-	for _, s := range v.Servers {
-		if s.GetGone() {
-			continue
-		}
-		lists[s.GetService()] = append(lists[s.GetService()], scheduler.Server{
-			Name:          s.GetName(),
-			Slots:         int(s.GetSlots()),
-			Open:          !s.GetLeaving() && !s.GetDrained(),
-			FailureDomain: s.GetFailureDomain(),
-		})
-	}
-	for name, rule := range v.Rules.Services {
-		svc := scheduler.Service{
-			Name:        name,
-			Engine:      !rule.Plain,
-			Slots:       rule.Slots,
-			CacheTokens: rule.CacheTokens,
-			Bound:       p.cfg.Bound,
-			RetryWindow: p.cfg.RetryWindow,
-			RetryRatio:  p.cfg.RetryRatio,
-			RetrySlack:  p.cfg.RetrySlack,
-		}
-		s := p.services[name]
-		if s == nil {
-			s = scheduler.New(svc)
-			p.services[name] = s
-		} else {
-			s.SetService(svc)
-		}
-		list := lists[name]
-		slices.SortFunc(list, func(a, b scheduler.Server) int { return strings.Compare(a.Name, b.Name) })
-		s.SetServers(list)
-	}
+	p.view = v
+	p.mu.Unlock()
+	p.desk.update(v)
 }
 
+// Desk returns the own desk, for the questions of other instances.
+func (p *Placer) Desk() *Desk { return p.desk }
+
 // Place returns a place for a request of a service, or why there is none.
 func (p *Placer) Place(ctx context.Context, service string, a scheduler.Ask) (*Grant, error) {
 	since := p.cfg.Now()
-	d, answers := p.ask(service, &a)
-	if answers != nil {
-		select {
-		case d = <-answers:
-		case <-ctx.Done():
-			if d = p.giveUp(service, a.ID, answers); d.Server == "" {
-				return nil, fault.Wrap(fault.DeadlineTooNear, service, ctx.Err())
-			}
+	g := &Grant{
+		p:       p,
+		service: service,
+	}
+	err := p.decide(ctx, g, a)
+	if err != nil {
+		return nil, err
+	}
+	g.Waited = p.cfg.Now() - since
+	return g, nil
+}
+
+// decide asks the deciders in their order, the own desk last.
+func (p *Placer) decide(ctx context.Context, g *Grant, a scheduler.Ask) error {
+	for _, i := range p.deciders(g.service) {
+		if i.GetName() == p.cfg.Instance {
+			break
 		}
+		d, answered := p.askRemote(ctx, g, i, a)
+		if !answered {
+			p.passOver(i.GetName())
+			continue
+		}
+		if d.Server == "" {
+			return refusal(g.service, d)
+		}
+		if p.fill(g, d, i.GetName()) {
+			g.own = p.desk.adopt(g.service, d.Server, a.Parts, true)
+			return nil
+		}
+		// The decider knows a server that is not known here yet.
+		g.Report(scheduler.Report{
+			Event: scheduler.Cancelled,
+		})
+		g.link = nil
 	}
-	if d.Server == "" {
-		return nil, refusal(service, d)
+	d, err := p.askOwn(ctx, g, a)
+	if err != nil {
+		return err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return &Grant{
-		Decision: d,
-		Address:  p.servers[d.Server].GetAddress(),
-		Waited:   p.cfg.Now() - since,
-		service:  service,
-		p:        p,
-	}, nil
+	if d.Server == "" || !p.fill(g, d, p.cfg.Instance) {
+		return refusal(g.service, d)
+	}
+	return nil
 }
 
-func (p *Placer) ask(service string, a *scheduler.Ask) (scheduler.Decision, chan scheduler.Decision) {
+// fill completes a grant; false when the server's address is not known.
+func (p *Placer) fill(g *Grant, d scheduler.Decision, decider string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.services[service]
-	if s == nil {
-		return scheduler.Decision{
-			Refusal: scheduler.NoServer,
-		}, nil
-	}
-	p.nextID++
-	a.ID = p.nextID
-	d, ok := s.Ask(p.cfg.Now(), *a)
-	if ok {
-		return d, nil
+	s := p.view.Servers[d.Server]
+	if s == nil || s.GetGone() {
+		return false
 	}
-	answers := make(chan scheduler.Decision, 1)
-	p.waiting[a.ID] = answers
-	return d, answers
+	g.Decision, g.Address, g.Decider = d, s.GetAddress(), decider
+	return true
 }
 
-// giveUp withdraws a waiting request. A place that was given meanwhile is
-// returned.
-func (p *Placer) giveUp(service string, id uint64, answers <-chan scheduler.Decision) scheduler.Decision {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.waiting, id)
+// askOwn puts the question to the own desk and waits for its answer.
+func (p *Placer) askOwn(ctx context.Context, g *Grant, a scheduler.Ask) (scheduler.Decision, error) {
+	answers := make(chan scheduler.Decision, 1)
+	id, waits := p.desk.ask(g.service, a, func(d scheduler.Decision) { answers <- d })
+	g.own = id
+	if !waits {
+		return <-answers, nil
+	}
 	select {
 	case d := <-answers:
-		return d
-	default:
-	}
-	if s := p.services[service]; s != nil {
-		s.Report(p.cfg.Now(), id, scheduler.Report{
+		return d, nil
+	case <-ctx.Done():
+		p.desk.report(g.service, id, scheduler.Report{
 			Event: scheduler.Cancelled,
 		})
+		return scheduler.Decision{}, fault.Wrap(fault.DeadlineTooNear, g.service, ctx.Err())
+	}
+}
+
+// deciders returns the instances that decide for a service, in order.
+func (p *Placer) deciders(service string) []*pb.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Now()
+	byName := make(map[string]*pb.Instance)
+	var names []routing.Server
+	for _, i := range p.view.Instances {
+		if i.GetGone() || i.GetLeaving() || now < p.avoided[i.GetName()] {
+			continue
+		}
+		if i.GetName() != p.cfg.Instance && p.cfg.Silent != nil && p.cfg.Silent(i.GetName()) {
+			continue
+		}
+		byName[i.GetName()] = i
+		names = append(names, routing.Server{
+			Name: i.GetName(),
+		})
+	}
+	slices.SortFunc(names, func(a, b routing.Server) int { return strings.Compare(a.Name, b.Name) })
+	var out []*pb.Instance
+	for _, name := range (rendezvous.Picker{}).Order(service, names) {
+		out = append(out, byName[name])
+		if len(out) == maxDeciders {
+			break
+		}
 	}
-	return scheduler.Decision{}
+	return out
+}
+
+func (p *Placer) passOver(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cfg.Now() >= p.avoided[name] {
+		p.cfg.Logger.WithField("decider", name).Warn("placer: an instance that decides is silent")
+	}
+	p.avoided[name] = p.cfg.Now() + passedOverFor
 }
 
 func refusal(service string, d scheduler.Decision) error {
 	kind := fault.Overloaded
 	switch d.Refusal {
-	case scheduler.NoServer:
+	case scheduler.NoServer, "":
 		kind = fault.NoEngine
 	case scheduler.RetryBudget:
 		kind = fault.RetryBudget
@@ -233,9 +277,30 @@
 
 // Report tells what became of the request.
 func (g *Grant) Report(r scheduler.Report) {
-	g.p.mu.Lock()
-	defer g.p.mu.Unlock()
-	if s := g.p.services[g.service]; s != nil {
-		g.p.deliver(s.Report(g.p.cfg.Now(), g.ID, r))
+	if g.own != 0 {
+		g.p.desk.report(g.service, g.own, r)
+	}
+	if g.link != nil {
+		g.link.report(g.remote, r)
+	}
+}
+
+func toParts(ids []uint64, tokens []uint32) []prefixcache.Part {
+	n := min(len(ids), len(tokens))
+	out := make([]prefixcache.Part, n)
+	for i := range n {
+		out[i] = prefixcache.Part{
+			ID:     ids[i],
+			Tokens: int(tokens[i]),
+		}
+	}
+	return out
+}
+
+func fromParts(parts []prefixcache.Part) (ids []uint64, tokens []uint32) {
+	for _, part := range parts {
+		ids = append(ids, part.ID)
+		tokens = append(tokens, uint32(part.Tokens))
 	}
+	return ids, tokens
 }
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -22,6 +23,7 @@
 	"camphorspoke/internal/daemon/membership"
 	"camphorspoke/internal/daemon/metrics"
 	"camphorspoke/internal/daemon/placer"
+	"camphorspoke/internal/daemon/settings"
 	"camphorspoke/internal/edge"
 	"camphorspoke/internal/edge/backend"
 	"camphorspoke/internal/edge/link"
@@ -46,6 +48,8 @@
 	exitMargin    = 500 * time.Millisecond
 	idlePoll      = 50 * time.Millisecond
 	sweepInterval = time.Second
+	// reloadInterval is the pause between readings of the settings.
+	reloadInterval = 2 * time.Second
 	// headerLimit bounds how long a caller may take for the head of a request.
 	headerLimit = 10 * time.Second
 	// idleLimit is how long an idle connection of a caller is kept.
@@ -64,6 +68,9 @@
 	Dialect edge.Dialect
 	List    edge.Platform
 	Doors   func(edge.Directory, edge.Rulebook) edge.Doors
+	// Reload tells that the settings may have changed; Settings reads them.
+	Reload   <-chan os.Signal
+	Settings func() (*settings.Settings, error)
 }
 
 // entry holds the parts that only an entry instance has.
@@ -71,7 +78,7 @@
 	in      *instance
 	pool    *backend.Pool
 	placer  *placer.Placer
-	front   *http.Server
+	seeds   []string
 	leaving atomic.Bool
 	// inFlight counts the callers' requests under way.
 	inFlight atomic.Int64
@@ -96,7 +103,8 @@
 	set := in.set.Entry
 	limitProcess(set.MemoryMB, set.Cores)
 	e := &entry{
-		in: in,
+		in:    in,
+		seeds: set.Seeds,
 		pool: &backend.Pool{
 			Now: in.now,
 		},
@@ -115,15 +123,6 @@
 		return err
 	}
 	in.onCleanUp(stopMetrics)
-	var stopPlacer func()
-	e.placer, stopPlacer = placer.New(placer.Config{
-		Now:         in.now,
-		Bound:       set.Bound,
-		RetryWindow: set.RetryWindow,
-		RetryRatio:  retryMargin * set.RetryRatio,
-		RetrySlack:  retryMargin * set.RetrySlack / instancesAssumed,
-	})
-	in.onCleanUp(stopPlacer)
 	if err := e.join(); err != nil {
 		return err
 	}
@@ -133,15 +132,25 @@
 	return e.serve(meters)
 }
 
-// instancesAssumed is by how many the slack of the repeats is divided while
-// each instance decides for itself.
-const instancesAssumed = 12
-
 // join starts the heartbeats and serves the other instances.
 func (e *entry) join() error {
 	in := e.in
 	peers, closePeers := peer.New(in.wire.GRPC("peer"))
 	in.onCleanUp(closePeers)
+	set := in.set.Entry
+	var stopPlacer func()
+	e.placer, stopPlacer = placer.New(placer.Config{
+		Now:         in.now,
+		Bound:       set.Bound,
+		RetryWindow: set.RetryWindow,
+		RetryRatio:  retryMargin * set.RetryRatio,
+		RetrySlack:  retryMargin * set.RetrySlack,
+		Instance:    in.set.Instance,
+		Peers:       peers,
+		Silent:      func(name string) bool { return in.agent.Silent(name) },
+		Logger:      in.log,
+	})
+	in.onCleanUp(stopPlacer)
 	var stopAgent func()
 	in.agent, stopAgent = membership.New(membership.Config{
 		Instance:      in.set.Instance,
@@ -170,6 +179,7 @@
 	s := grpc.NewServer(grpc.MaxRecvMsgSize(16 << 20))
 	pb.RegisterPeerServiceServer(s, &peerserver.Server{
 		Agent: in.agent,
+		Desk:  e.placer.Desk(),
 	})
 	in.serveGRPC(s, in.wire.Listener(l, "peerServer"))
 	in.agent.Start()
@@ -200,14 +210,13 @@
 		{in.set.Entry.Ready, doors.Ready()},
 		{in.set.Entry.Front, e.counted(handler)},
 	} {
-		s, err := e.open(d.address, d.handler)
-		if err != nil {
+		if err := e.open(d.address, d.handler); err != nil {
 			return err
 		}
-		e.front = s
 	}
 	stop := make(chan struct{})
 	go e.sweep(stop)
+	go e.reloads(stop)
 	in.onCleanUp(func() { close(stop) })
 	return nil
 }
@@ -222,10 +231,10 @@
 }
 
 // open serves h at address until the instance is cleaned up.
-func (e *entry) open(address string, h http.Handler) (*http.Server, error) {
+func (e *entry) open(address string, h http.Handler) error {
 	l, err := link.Listen(address)
 	if err != nil {
-		return nil, fault.Wrap(fault.BadSetting, address, err)
+		return fault.Wrap(fault.BadSetting, address, err)
 	}
 	s := &http.Server{
 		Handler:           h,
@@ -240,7 +249,7 @@
 		}
 	}()
 	e.in.onCleanUp(func() { s.Close() })
-	return s, nil
+	return nil
 }
 
 func (e *entry) sweep(stop <-chan struct{}) {
@@ -256,6 +265,38 @@
 	}
 }
 
+// reloads reads the settings again when it is told to, and every so often, as
+// they may change without a signal.
+func (e *entry) reloads(stop <-chan struct{}) {
+	t := time.NewTicker(reloadInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+		case <-e.in.outside.Reload:
+		}
+		e.reload()
+	}
+}
+
+// reload takes the settings that may change while the process runs: where the
+// control group is found, and what is logged.
+func (e *entry) reload() {
+	next, err := e.in.outside.Settings()
+	if err != nil {
+		e.in.log.WithError(err).Error("daemon: the changed settings can't be used; the old ones stay")
+		return
+	}
+	if slices.Equal(next.Entry.Seeds, e.seeds) {
+		return
+	}
+	e.seeds = next.Entry.Seeds
+	e.in.control.SetSeeds(e.seeds)
+	e.in.log.WithField("seeds", strings.Join(e.seeds, ",")).Info("daemon: settings reloaded")
+}
+
 // Ready reports whether this instance takes callers.
 func (e *entry) Ready() bool {
 	return !e.leaving.Load() && e.in.agent.Fresh() && e.in.agent.View().RuleVersion > 0
--- a/internal/edge/controlclient/controlclient.go
+++ b/internal/edge/controlclient/controlclient.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// SetSeeds replaces the addresses that are always tried.
+func (c *Client) SetSeeds(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range addresses {
+		if !slices.Contains(c.addresses, a) {
+			c.addresses = append(c.addresses, a)
+		}
+	}
+	c.seeds = addresses
+}
+
 // Learn adds the addresses of replicas that are not among the seeds; what was
 // learned before is replaced.
 func (c *Client) Learn(addresses []string) {
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -144,3 +144,16 @@
 	_, err = p.Handover(ctx, r)
 	return err
 }
+
+// Place opens the stream to the desk of another instance.
+func (c *Client) Place(ctx context.Context, address string) (pb.PeerService_PlaceClient, error) {
+	p, err := c.at(address, true)
+	if err != nil {
+		return nil, err
+	}
+	s, err := p.Place(ctx)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unreachable, address, err)
+	}
+	return s, nil
+}
--- a/internal/edge/peerserver/peerserver.go
+++ b/internal/edge/peerserver/peerserver.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	"camphorspoke/internal/daemon/membership"
+	"camphorspoke/internal/daemon/placer"
 	"camphorspoke/internal/daemon/router"
 	"camphorspoke/internal/edge/status"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
@@ -22,6 +23,8 @@
 
 	Router *router.Router
 	Agent  *membership.Agent
+	// Desk answers questions for places; it is nil where servers have owners.
+	Desk *placer.Desk
 }
 
 var _ pb.PeerServiceServer = (*Server)(nil)
@@ -72,3 +75,11 @@
 	}
 	return &pb.HandoverResponse{}, nil
 }
+
+// Place serves questions for places.
+func (s *Server) Place(stream grpc.BidiStreamingServer[pb.PlaceRequest, pb.PlaceResponse]) error {
+	if s.Desk == nil {
+		return status.FromFault(fault.New(fault.BadRequest, "place", "this instance's backend servers have owners"))
+	}
+	return s.Desk.Serve(stream)
+}
--- a/internal/routing/prefixcache/prefixcache.go
+++ b/internal/routing/prefixcache/prefixcache.go
@@ -76,3 +76,14 @@
 
 // Used returns the tokens kept.
 func (c *Cache) Used() int { return c.used }
+
+// Parts returns what is kept, the part used longest ago first.
+func (c *Cache) Parts() []Part {
+	out := make([]Part, 0, len(c.parts))
+	for e := c.order.Back(); e != nil; e = e.Prev() {
+		if p, ok := e.Value.(Part); ok {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -298,3 +298,41 @@
 
 // Waiting returns the number of requests that wait.
 func (s *Scheduler) Waiting() int { return len(s.queue) }
+
+// Adopt counts a request that was granted elsewhere, or notes parts that a
+// server keeps when id is zero.
+func (s *Scheduler) Adopt(now time.Duration, id uint64, name string, parts []prefixcache.Part) {
+	sv := s.servers[name]
+	if sv == nil {
+		return
+	}
+	sv.cache.Use(parts)
+	if id == 0 || s.granted[id] != nil {
+		return
+	}
+	s.granted[id] = &grant{
+		server: sv,
+		at:     now,
+	}
+	sv.running++
+}
+
+// Kept is what one server is taken to keep.
+type Kept struct {
+	Server string
+	Parts  []prefixcache.Part
+}
+
+// Kept returns what each server is taken to keep.
+func (s *Scheduler) Kept() []Kept {
+	var out []Kept
+	for _, sv := range s.order {
+		if parts := sv.cache.Parts(); len(parts) > 0 {
+			out = append(out, Kept{
+				Server: sv.name,
+				Parts:  parts,
+			})
+		}
+	}
+	return out
+}
