Let instances tell one another where the control group is

Change: an instance out of touch asks the seeds, and replicas tell the seeds and the instances that have fallen silent.

--- a/internal/control/manager/plan.go
+++ b/internal/control/manager/plan.go
@@ -157,6 +157,20 @@
 	m.silent = m.findSilent(now)
 }
 
+// SilentPeers returns the peer addresses of the listed instances that were not
+// heard lately, as of the last plan.
+func (m *Manager) SilentPeers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for _, name := range m.silent {
+		if a := m.cfg.Replica.Ledger.Instance(name).GetPeerAddress(); a != "" {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // free reports whether the owner of s can no longer be admitting.
 func (m *Manager) free(now time.Duration, s *pb.BackendServer) bool {
 	if s.GetOwner() == "" {
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -19,6 +19,7 @@
 
 	"google.golang.org/grpc"
 
+	"camphorspoke/internal/daemon/finder"
 	"camphorspoke/internal/daemon/ingress"
 	"camphorspoke/internal/daemon/membership"
 	"camphorspoke/internal/daemon/metrics"
@@ -61,6 +62,9 @@
 	sourceLimit = 800 * time.Millisecond
 	// retryMargin is the part of the budget of repeats that is used.
 	retryMargin = 0.85
+	// touchLimit is the age of the last answer from which on the control group
+	// is looked for anew.
+	touchLimit = time.Second
 )
 
 // Outside is what meets the users' platform.
@@ -78,7 +82,8 @@
 	in      *instance
 	pool    *backend.Pool
 	placer  *placer.Placer
-	seeds   []string
+	seeds   atomic.Pointer[settings.Entry]
+	finder  *finder.Finder
 	leaving atomic.Bool
 	// inFlight counts the callers' requests under way.
 	inFlight atomic.Int64
@@ -103,12 +108,12 @@
 	set := in.set.Entry
 	limitProcess(set.MemoryMB, set.Cores)
 	e := &entry{
-		in:    in,
-		seeds: set.Seeds,
+		in: in,
 		pool: &backend.Pool{
 			Now: in.now,
 		},
 	}
+	e.seeds.Store(&set)
 	in.entry = e
 	in.onCleanUp(e.pool.Close)
 	if err := in.buildControl(); err != nil {
@@ -137,20 +142,6 @@
 	in := e.in
 	peers, closePeers := peer.New(in.wire.GRPC("peer"))
 	in.onCleanUp(closePeers)
-	set := in.set.Entry
-	var stopPlacer func()
-	e.placer, stopPlacer = placer.New(placer.Config{
-		Now:         in.now,
-		Bound:       set.Bound,
-		RetryWindow: set.RetryWindow,
-		RetryRatio:  retryMargin * set.RetryRatio,
-		RetrySlack:  retryMargin * set.RetrySlack,
-		Instance:    in.set.Instance,
-		Peers:       peers,
-		Silent:      func(name string) bool { return in.agent.Silent(name) },
-		Logger:      in.log,
-	})
-	in.onCleanUp(stopPlacer)
 	var stopAgent func()
 	in.agent, stopAgent = membership.New(membership.Config{
 		Instance:      in.set.Instance,
@@ -165,27 +156,73 @@
 		Now:           in.now,
 		LeaderOnly:    true,
 		FreshFor:      time.Duration(freshShare * float64(in.set.Entry.RevokeAfter)),
-		Replicas:      in.control.Learn,
+		Replicas:      func(control []string) { e.finder.Confirm(control) },
 		Loads:         func() []*pb.LoadReport { return nil },
 		Learn:         func([]*pb.LoadReport) {},
 		Changed:       func(_, next *view.View) { e.placer.Update(next) },
 		GiveUp:        func(*pb.Assignment) {},
 	})
 	in.onCleanUp(stopAgent)
+	var stopFinder func()
+	e.finder, stopFinder = finder.New(finder.Config{
+		Seeds:   func() []string { return e.seeds.Load().PeerSeeds },
+		Silent:  e.silentPeers,
+		InTouch: func() bool { return in.agent.Contact() < touchLimit },
+		Replica: in.memberAddresses,
+		Learn:   in.control.Learn,
+		Peers:   peers,
+		Logger:  in.log,
+	})
+	in.onCleanUp(stopFinder)
+	var stopPlacer func()
+	e.placer, stopPlacer = placer.New(placer.Config{
+		Now:         in.now,
+		Bound:       in.set.Entry.Bound,
+		RetryWindow: in.set.Entry.RetryWindow,
+		RetryRatio:  retryMargin * in.set.Entry.RetryRatio,
+		RetrySlack:  retryMargin * in.set.Entry.RetrySlack,
+		Instance:    in.set.Instance,
+		Peers:       peers,
+		Silent:      in.agent.Silent,
+		Logger:      in.log,
+	})
+	in.onCleanUp(stopPlacer)
 	l, err := in.listen(in.set.PeerListen)
 	if err != nil {
 		return err
 	}
 	s := grpc.NewServer(grpc.MaxRecvMsgSize(16 << 20))
 	pb.RegisterPeerServiceServer(s, &peerserver.Server{
-		Agent: in.agent,
-		Desk:  e.placer.Desk(),
+		Agent:  in.agent,
+		Desk:   e.placer.Desk(),
+		Finder: e.finder,
 	})
 	in.serveGRPC(s, in.wire.Listener(l, "peerServer"))
 	in.agent.Start()
 	return nil
 }
 
+// silentPeers returns the peer addresses of listed instances that the control
+// group does not hear.
+func (e *entry) silentPeers() []string {
+	if e.in.manager == nil || !e.in.manager.Leads() {
+		return nil
+	}
+	return e.in.manager.SilentPeers()
+}
+
+// memberAddresses returns the members that the own replica knows.
+func (in *instance) memberAddresses() []string {
+	if in.replica == nil {
+		return nil
+	}
+	var out []string
+	for _, m := range in.replica.Status().Members {
+		out = append(out, m.GetAddress())
+	}
+	return out
+}
+
 // serve opens the addresses of callers, the platform and the operator.
 func (e *entry) serve(meters *metrics.Meters) error {
 	in := e.in
@@ -289,12 +326,12 @@
 		e.in.log.WithError(err).Error("daemon: the changed settings can't be used; the old ones stay")
 		return
 	}
-	if slices.Equal(next.Entry.Seeds, e.seeds) {
+	if slices.Equal(next.Entry.Seeds, e.seeds.Load().Seeds) {
 		return
 	}
-	e.seeds = next.Entry.Seeds
-	e.in.control.SetSeeds(e.seeds)
-	e.in.log.WithField("seeds", strings.Join(e.seeds, ",")).Info("daemon: settings reloaded")
+	e.seeds.Store(&next.Entry)
+	e.in.control.SetSeeds(next.Entry.Seeds)
+	e.in.log.WithField("seeds", strings.Join(next.Entry.Seeds, ",")).Info("daemon: settings reloaded")
 }
 
 // Ready reports whether this instance takes callers.
--- a/internal/daemon/settings/entry.go
+++ b/internal/daemon/settings/entry.go
@@ -81,6 +81,7 @@
 			return bad("seeds", r.seeds, "IP numbers and ports, such as 10.1.0.19:8229,10.2.0.36:8229")
 		}
 		e.Seeds = append(e.Seeds, at(host, controlPort))
+		e.PeerSeeds = append(e.PeerSeeds, at(host, peerPort))
 	}
 	if r.lossesBorne < 0 || r.lossesBorne > 3 {
 		return bad("losses-borne", strconv.Itoa(r.lossesBorne), "0 to 3")
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -52,8 +52,10 @@
 	Ready     string
 	Directory string
 	Operator  string
-	// Seeds are control addresses of some replicas.
-	Seeds []string
+	// Seeds and PeerSeeds are the control and the peer addresses of some
+	// instances by which the others are found.
+	Seeds     []string
+	PeerSeeds []string
 	// FirstStart allows the seeds to form a new control group.
 	FirstStart bool
 	// Voters is how many voters the control group wants.
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -157,3 +157,18 @@
 	}
 	return s, nil
 }
+
+// Acquaint exchanges with another instance where the control group is.
+func (c *Client) Acquaint(ctx context.Context, address string, control []string) ([]string, error) {
+	p, err := c.at(address, true)
+	if err != nil {
+		return nil, err
+	}
+	r, err := p.Acquaint(ctx, &pb.AcquaintRequest{
+		ControlAddresses: control,
+	})
+	if err != nil {
+		return nil, fault.Wrap(fault.Unreachable, address, err)
+	}
+	return r.GetControlAddresses(), nil
+}
--- a/internal/edge/peerserver/peerserver.go
+++ b/internal/edge/peerserver/peerserver.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/grpc"
 
+	"camphorspoke/internal/daemon/finder"
 	"camphorspoke/internal/daemon/membership"
 	"camphorspoke/internal/daemon/placer"
 	"camphorspoke/internal/daemon/router"
@@ -25,6 +26,8 @@
 	Agent  *membership.Agent
 	// Desk answers questions for places; it is nil where servers have owners.
 	Desk *placer.Desk
+	// Finder is nil where the control group is named in the settings.
+	Finder *finder.Finder
 }
 
 var _ pb.PeerServiceServer = (*Server)(nil)
@@ -83,3 +86,14 @@
 	}
 	return s.Desk.Serve(stream)
 }
+
+// Acquaint takes and gives where the control group is.
+func (s *Server) Acquaint(_ context.Context, r *pb.AcquaintRequest) (*pb.AcquaintResponse, error) {
+	if s.Finder == nil {
+		return &pb.AcquaintResponse{}, nil
+	}
+	s.Finder.Acquaint(r.GetControlAddresses())
+	return &pb.AcquaintResponse{
+		ControlAddresses: s.Finder.Known(),
+	}, nil
+}
--- a/internal/gen/camphorspoke/v1/camphorspokev1connect/peer.connect.go
+++ b/internal/gen/camphorspoke/v1/camphorspokev1connect/peer.connect.go
@@ -46,6 +46,8 @@
 	PeerServiceHandoverProcedure = "/camphorspoke.v1.PeerService/Handover"
 	// PeerServicePlaceProcedure is the fully-qualified name of the PeerService's Place RPC.
 	PeerServicePlaceProcedure = "/camphorspoke.v1.PeerService/Place"
+	// PeerServiceAcquaintProcedure is the fully-qualified name of the PeerService's Acquaint RPC.
+	PeerServiceAcquaintProcedure = "/camphorspoke.v1.PeerService/Acquaint"
 	// ControlServiceHeartbeatProcedure is the fully-qualified name of the ControlService's Heartbeat
 	// RPC.
 	ControlServiceHeartbeatProcedure = "/camphorspoke.v1.ControlService/Heartbeat"
@@ -75,6 +77,8 @@
 	Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error)
 	// Place asks for places at backend servers and tells what became of them.
 	Place(context.Context) *connect.BidiStreamForClient[v1.PlaceRequest, v1.PlaceResponse]
+	// Acquaint exchanges where the control group is.
+	Acquaint(context.Context, *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the camphorspoke.v1.PeerService service. By default,
@@ -118,6 +122,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Place")),
 			connect.WithClientOptions(opts...),
 		),
+		acquaint: connect.NewClient[v1.AcquaintRequest, v1.AcquaintResponse](
+			httpClient,
+			baseURL+PeerServiceAcquaintProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Acquaint")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -128,6 +138,7 @@
 	ruleVersion     *connect.Client[v1.RuleVersionRequest, v1.RuleVersionResponse]
 	handover        *connect.Client[v1.HandoverRequest, v1.HandoverResponse]
 	place           *connect.Client[v1.PlaceRequest, v1.PlaceResponse]
+	acquaint        *connect.Client[v1.AcquaintRequest, v1.AcquaintResponse]
 }
 
 // ForwardGenerate calls camphorspoke.v1.PeerService.ForwardGenerate.
@@ -155,6 +166,11 @@
 	return c.place.CallBidiStream(ctx)
 }
 
+// Acquaint calls camphorspoke.v1.PeerService.Acquaint.
+func (c *peerServiceClient) Acquaint(ctx context.Context, req *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error) {
+	return c.acquaint.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the camphorspoke.v1.PeerService service.
 type PeerServiceHandler interface {
 	ForwardGenerate(context.Context, *connect.Request[v1.ForwardGenerateRequest], *connect.ServerStream[v1.ForwardGenerateResponse]) error
@@ -164,6 +180,8 @@
 	Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error)
 	// Place asks for places at backend servers and tells what became of them.
 	Place(context.Context, *connect.BidiStream[v1.PlaceRequest, v1.PlaceResponse]) error
+	// Acquaint exchanges where the control group is.
+	Acquaint(context.Context, *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -203,6 +221,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Place")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceAcquaintHandler := connect.NewUnaryHandler(
+		PeerServiceAcquaintProcedure,
+		svc.Acquaint,
+		connect.WithSchema(peerServiceMethods.ByName("Acquaint")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/camphorspoke.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceForwardGenerateProcedure:
@@ -215,6 +239,8 @@
 			peerServiceHandoverHandler.ServeHTTP(w, r)
 		case PeerServicePlaceProcedure:
 			peerServicePlaceHandler.ServeHTTP(w, r)
+		case PeerServiceAcquaintProcedure:
+			peerServiceAcquaintHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -244,6 +270,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.PeerService.Place is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Acquaint(context.Context, *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.PeerService.Acquaint is not implemented"))
+}
+
 // ControlServiceClient is a client for the camphorspoke.v1.ControlService service.
 type ControlServiceClient interface {
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
