Choose a leader in 0.4 s, and send callers back when one is likely

Cause: after all processes were killed nobody was served for 2 s while a leader was chosen, and refused callers came back after 0.5 s, too early for their one retry. Change: elections of 0.4 s on entry instances; Retry-After 0.9 to 1.35 s there.

--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -36,9 +37,10 @@
 const (
 	// defaultBody bounds a request's body where no rule does, in bytes.
 	defaultBody = 4 << 20
-	// staleRetry is when a caller should come back to an instance that can't
-	// prove its rules.
-	staleRetry = 500 * time.Millisecond
+	// staleRetry is when callers should come back to an instance that can't
+	// prove its rules: about as long as the control group takes to choose a
+	// leader. Callers are spread over half of it more.
+	staleRetry = 900 * time.Millisecond
 )
 
 // Member is what the handler asks of the instance's place in the fleet.
@@ -193,7 +195,7 @@
 	return &fault.Fault{
 		Kind:       fault.RulesStale,
 		Advice:     advice,
-		RetryAfter: staleRetry,
+		RetryAfter: staleRetry + rand.N(staleRetry/2),
 	}
 }
 
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -62,6 +62,10 @@
 	sourceLimit = 800 * time.Millisecond
 	// retryMargin is the part of the budget of repeats that is used.
 	retryMargin = 0.85
+	// entryElection and entryHeartbeat pace the control group: nobody is served
+	// while it has no leader, and its members are milliseconds apart.
+	entryElection  = 400 * time.Millisecond
+	entryHeartbeat = 80 * time.Millisecond
 	// touchLimit is the age of the last answer from which on the control group
 	// is looked for anew.
 	touchLimit = time.Second
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -176,6 +176,8 @@
 		cfg.FirstStart = in.set.Entry.FirstStart
 		cfg.Voters = in.set.Entry.Voters
 		cfg.Join = in.joinGroup
+		cfg.Election = entryElection
+		cfg.Heartbeat = entryHeartbeat
 	}
 	rep, stop, err := replica.Start(cfg)
 	if err != nil {
