Use more of the load that one server may carry

Cause: while few requests run, 1.5 times the mean and 1.5 is reached by any two requests on one subject, which then spread and read their prefix again. Change: nine tenths of the allowed imbalance, and 2.3 requests more.

--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -16,9 +16,9 @@
 	loadTokens = 120
 	// boundSlack is added to the bound on the load, so that few requests do not
 	// count as an imbalance.
-	boundSlack = 1.5
+	boundSlack = 2.3
 	// boundShare is the part of the allowed imbalance that is used.
-	boundShare = 0.75
+	boundShare = 0.9
 	// noServerPause is when a caller should come back while no server is open.
 	noServerPause = 300 * time.Millisecond
 	// minWait is the shortest wait that is told to a refused caller.
