--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -13,7 +13,7 @@
 const (
 	// loadTokens weighs a running request of an engine against tokens to read:
 	// each one slows all others down a little.
-	loadTokens = 120
+	loadTokens = 40
 	// boundSlack is added to the bound on the load, so that few requests do not
 	// count as an imbalance.
 	boundSlack = 2.3
