Read what engines keep when a desk begins after a start

Cause: after all processes were killed the deciding desk knew nothing of the engines' memory, and prefixes that were still kept were read again elsewhere. Change: the first question for a service makes the desk ask its engines once.

--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -21,6 +21,7 @@
 	"camphorspoke/internal/edge"
 	"camphorspoke/platform/dialect"
 	"camphorspoke/platform/doors"
+	"camphorspoke/platform/engine"
 	"camphorspoke/platform/list"
 )
 
@@ -71,6 +72,9 @@
 			HTTP:    http.DefaultClient,
 			Logger:  log,
 		},
+		Caches: &engine.Client{
+			HTTP: http.DefaultClient,
+		},
 		Doors: func(d edge.Directory, r edge.Rulebook) edge.Doors {
 			return &doors.Doors{
 				Directory: d,
--- a/internal/daemon/placer/desk.go
+++ b/internal/daemon/placer/desk.go
@@ -21,6 +21,10 @@
 	services map[string]*scheduler.Scheduler
 	nextID   uint64
 	waiting  map[uint64]func(scheduler.Decision)
+	// engines holds the engines of each service, primed the services whose
+	// engines were asked for what they keep.
+	engines map[string][]engine
+	primed  map[string]bool
 }
 
 func newDesk(cfg Config) *Desk {
@@ -28,6 +32,8 @@
 		cfg:      cfg,
 		services: make(map[string]*scheduler.Scheduler),
 		waiting:  make(map[uint64]func(scheduler.Decision)),
+		engines:  make(map[string][]engine),
+		primed:   make(map[string]bool),
 	}
 }
 
@@ -57,10 +63,17 @@
 // update takes a new view.
 func (d *Desk) update(v *view.View) {
 	lists := make(map[string][]scheduler.Server)
+	engines := make(map[string][]engine)
 	for _, s := range v.Servers {
 		if s.GetGone() {
 			continue
 		}
+		if rule, ok := v.Rules.Services[s.GetService()]; ok && !rule.Plain {
+			engines[s.GetService()] = append(engines[s.GetService()], engine{
+				name:    s.GetName(),
+				address: s.GetAddress(),
+			})
+		}
 		lists[s.GetService()] = append(lists[s.GetService()], scheduler.Server{
 			Name:          s.GetName(),
 			Slots:         int(s.GetSlots()),
@@ -70,6 +83,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.engines = engines
 	for name, rule := range v.Rules.Services {
 		svc := scheduler.Service{
 			Name:        name,
@@ -109,6 +123,7 @@
 		})
 		return a.ID, false
 	}
+	d.primeOnce(service)
 	decision, ok := s.Ask(d.cfg.Now(), a)
 	if ok {
 		answer(decision)
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -24,6 +24,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"camphorspoke/internal/edge"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing"
 	"camphorspoke/internal/routing/prefixcache"
@@ -63,6 +64,8 @@
 	Peers    Streams
 	// Silent reports whether an instance was not heard lately.
 	Silent func(instance string) bool
+	// Caches reads what engines keep; nil where that can't be asked.
+	Caches edge.CacheReader
 	Logger logrus.FieldLogger
 }
 
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -76,6 +76,8 @@
 	Dialect edge.Dialect
 	List    edge.Platform
 	Doors   func(edge.Directory, edge.Rulebook) edge.Doors
+	// Caches reads what engines keep.
+	Caches edge.CacheReader
 	// Reload tells that the settings may have changed; Settings reads them.
 	Reload   <-chan os.Signal
 	Settings func() (*settings.Settings, error)
@@ -188,6 +190,7 @@
 		Instance:    in.set.Instance,
 		Peers:       peers,
 		Silent:      in.agent.Silent,
+		Caches:      in.outside.Caches,
 		Logger:      in.log,
 	})
 	in.onCleanUp(stopPlacer)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -146,3 +146,10 @@
 	// Configuration serves the operator.
 	Configuration() http.Handler
 }
+
+// CacheReader reads what an engine keeps in memory.
+type CacheReader interface {
+	// Kept returns the parts of prompts that the engine at address keeps. The
+	// question delays the engine's work a little.
+	Kept(ctx context.Context, address string) ([]Part, error)
+}
