--- a/internal/control/raftlog/election.go
+++ b/internal/control/raftlog/election.go
@@ -38,6 +38,9 @@
 // campaign asks the voters for a pre-vote or a vote.
 func (n *Node) campaign(now time.Duration, as role, transfer bool) {
 	n.resetElection(now)
+	if as == preCandidate {
+		n.resetPreVote(now)
+	}
 	n.role = as
 	n.leaderName = ""
 	n.votes = map[string]bool{n.cfg.Name: true}
--- a/internal/control/raftlog/raftlog.go
+++ b/internal/control/raftlog/raftlog.go
@@ -41,6 +41,9 @@
 	DefaultHeartbeat = 200 * time.Millisecond
 	// MaxDriftPercent bounds how far two clocks may part over an interval.
 	MaxDriftPercent = 2
+	// preVotesPerElection is how often pre-votes are asked for in the time of
+	// one election.
+	preVotesPerElection = 5
 	// maxBatch is the most entries in one message.
 	maxBatch = 256
 )
@@ -317,3 +320,15 @@
 	}
 	n.electionAt = now + time.Duration(span+extra)
 }
+
+// resetPreVote sets when pre-votes are asked for again. That is sooner than an
+// election: a pre-vote changes no term, and voters that started a little later
+// than this replica answer none until they have been silent for long enough.
+func (n *Node) resetPreVote(now time.Duration) {
+	span := int64(n.cfg.Election / preVotesPerElection)
+	extra := int64(0)
+	if n.cfg.Rand != nil {
+		extra = n.cfg.Rand.Int64N(span)
+	}
+	n.electionAt = now + time.Duration(span+extra)
+}
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -40,6 +40,8 @@
 	Interval = 250 * time.Millisecond
 	// maxInterval is the longest time between heartbeats.
 	maxInterval = time.Second
+	// lostInterval is the time between heartbeats while none is answered.
+	lostInterval = 60 * time.Millisecond
 	// FreshFor is how long a proof of the rule version counts.
 	FreshFor = 2500 * time.Millisecond
 	// askAfter is the age of the proof at which the other routers are asked.
@@ -258,8 +260,10 @@
 
 func (a *Agent) heartbeats(ctx context.Context) {
 	for {
-		a.heartbeat(ctx)
 		every := a.interval()
+		if !a.heartbeat(ctx) {
+			every = min(every, lostInterval)
+		}
 		pause := every - every/10 + rand.N(every/5)
 		select {
 		case <-ctx.Done():
@@ -307,7 +311,8 @@
 	return r
 }
 
-func (a *Agent) heartbeat(ctx context.Context) {
+// heartbeat sends one heartbeat; false when it had no answer.
+func (a *Agent) heartbeat(ctx context.Context) bool {
 	req := a.request()
 	sent := a.cfg.Now()
 	ctx, cancel := context.WithTimeout(ctx, heartbeatLimit)
@@ -315,7 +320,7 @@
 	resp, err := a.cfg.Control.Heartbeat(ctx, req)
 	if err != nil {
 		a.noteError(err)
-		return
+		return false
 	}
 	old, next := a.take(sent, req, resp)
 	if a.cfg.Replicas != nil {
@@ -332,6 +337,7 @@
 	for _, g := range resp.GetGiveUp() {
 		a.cfg.GiveUp(g)
 	}
+	return true
 }
 
 func (a *Agent) noteError(err error) {
--- a/internal/edge/controlclient/controlclient.go
+++ b/internal/edge/controlclient/controlclient.go
@@ -21,7 +21,7 @@
 
 const (
 	retryFirst = 20 * time.Millisecond
-	retryMax   = 300 * time.Millisecond
+	retryMax   = 120 * time.Millisecond
 	// attemptLimit bounds one try, so that a frozen replica is passed over.
 	attemptLimit = time.Second
 	// heartbeatTry bounds one try of a heartbeat, so that a silent leader
