--- /dev/null
+++ b/internal/control/raftlog/standby_test.go
@@ -0,0 +1,132 @@
+package raftlog
+
+// This file tests which members are voters and which stand by.
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+)
+
+// leading returns a leader of a, b and c that wants three voters, with d as a
+// learner, at the time given.
+func leading(t *testing.T, now time.Duration) *Node {
+	t.Helper()
+	first, err := BootstrapEntry(&pb.RaftMembers{
+		Members: []*pb.RaftMember{
+			{Name: "a", Identity: 1, Address: "a:1"},
+			{Name: "b", Identity: 2, Address: "b:1"},
+			{Name: "c", Identity: 3, Address: "c:1"},
+			{Name: "d", Identity: 4, Address: "d:1", Learner: true},
+		},
+	})
+	require.NoError(t, err)
+	n := New(Config{
+		Name:     "a",
+		Identity: 1,
+		Voters:   3,
+	}, Stored{
+		HardState: &pb.RaftHardState{
+			Term: 1,
+		},
+		Entries: []*pb.RaftEntry{first},
+	}, 0)
+	n.campaign(now, candidate, false)
+	n.Step(now, &pb.RaftMessage{
+		Kind:       pb.RaftKind_RAFT_KIND_VOTE_REPLY,
+		From:       "b",
+		Identity:   2,
+		ToIdentity: 1,
+		Term:       n.Term(),
+	})
+	require.True(t, n.IsLeader())
+	n.Ready()
+	n.Synced(now)
+	return n
+}
+
+// acknowledge lets the named members answer the leader's newest messages.
+func acknowledge(n *Node, now time.Duration, members ...string) {
+	identity := map[string]uint64{"b": 2, "c": 3, "d": 4}
+	n.broadcast(now)
+	for _, m := range n.Ready().Messages {
+		for _, name := range members {
+			if m.GetTo() != name {
+				continue
+			}
+			n.Step(now, &pb.RaftMessage{
+				Kind:       pb.RaftKind_RAFT_KIND_APPEND_REPLY,
+				From:       name,
+				Identity:   identity[name],
+				ToIdentity: 1,
+				Term:       n.Term(),
+				LogIndex:   n.LastIndex(),
+				Round:      m.GetRound(),
+			})
+		}
+	}
+	n.Synced(now)
+}
+
+func names(members *pb.RaftMembers, learner bool) []string {
+	var out []string
+	for _, m := range members.GetMembers() {
+		if m.GetLearner() == learner {
+			out = append(out, m.GetName())
+		}
+	}
+	return out
+}
+
+func TestStandbyWaitsWhileAllVotersAnswer(t *testing.T) {
+	n := leading(t, time.Minute)
+	for now := time.Minute; now < 2*time.Minute; now += 100 * time.Millisecond {
+		acknowledge(n, now, "b", "c", "d")
+		require.Nil(t, n.NextRepair(now))
+	}
+}
+
+func TestStandbyTakesTheSilentVotersPlace(t *testing.T) {
+	n := leading(t, time.Minute)
+	now := time.Minute
+	for ; now < time.Minute+silentAfter; now += 100 * time.Millisecond {
+		acknowledge(n, now, "b", "d")
+		require.Nil(t, n.NextRepair(now), "not before the voter has been silent for long")
+	}
+	acknowledge(n, now, "b", "d")
+	next := n.NextRepair(now)
+	require.Equal(t, []string{"a", "b"}, names(next, false))
+	require.NoError(t, n.ProposeMembers(now, next))
+	n.Ready()
+	n.Synced(now)
+	acknowledge(n, now, "b", "d")
+	next = n.NextRepair(now)
+	require.Equal(t, []string{"a", "b", "d"}, names(next, false))
+	require.Equal(t, []string{"c"}, names(next, true))
+}
+
+// TestNoStandbyNoChange: without a learner that has caught up, a silent voter
+// stays one; fewer voters would bear fewer losses.
+func TestNoStandbyNoChange(t *testing.T) {
+	n := leading(t, time.Minute)
+	for now := time.Minute; now < 2*time.Minute; now += 100 * time.Millisecond {
+		acknowledge(n, now, "b")
+		require.Nil(t, n.NextRepair(now))
+	}
+}
+
+func TestJoined(t *testing.T) {
+	n := leading(t, time.Minute)
+	require.Nil(t, n.Joined("b", "b:1", 2), "listed already")
+	require.Equal(t, []string{"d", "e"}, names(n.Joined("e", "e:1", 5), true))
+	wiped := n.Joined("b", "b:1", 9)
+	require.Equal(t, []string{"a", "c"}, names(wiped, false), "a lost disk does not vote as its old self")
+	require.Equal(t, []string{"b", "d"}, names(wiped, true))
+	require.Len(t, wiped.GetMembers(), 4)
+	moved := n.Joined("c", "c:2", 3)
+	require.Equal(t, []string{"a", "b", "c"}, names(moved, false))
+	require.Equal(t, "c:2", moved.GetMembers()[2].GetAddress())
+}
--- /dev/null
+++ b/internal/daemon/ingress/ingress_test.go
@@ -0,0 +1,429 @@
+package ingress_test
+
+// This file sends requests through a handler to backend servers that answer,
+// reject, break off and fall silent, and checks what runs and what is told.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"camphorspoke/internal/daemon/ingress"
+	"camphorspoke/internal/daemon/placer"
+	"camphorspoke/internal/edge"
+	"camphorspoke/internal/edge/backend"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/view"
+	"camphorspoke/internal/rules/file"
+	"camphorspoke/internal/rules/parse"
+	"camphorspoke/internal/world/boottime"
+	"camphorspoke/internal/world/fault"
+)
+
+// wording is a dialect of the test's own.
+type wording struct{}
+
+var _ edge.Dialect = wording{}
+
+func (wording) Request(r *http.Request) (edge.Request, error) {
+	out := edge.Request{
+		ID:        r.Header.Get("Id"),
+		Key:       r.Header.Get("Key"),
+		LastEvent: r.Header.Get("Last"),
+	}
+	if v := r.Header.Get("Wait"); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil {
+			return out, fault.Wrap(fault.BadRequest, "Wait", err)
+		}
+		out.Patience = d
+	}
+	return out, nil
+}
+
+func (wording) Forward(h http.Header, f edge.Forwarding) {
+	h.Del("Key")
+	h.Set("Server", f.Server)
+	h.Set("Account", f.Account)
+	h.Set("Left", f.Left.String())
+	h.Set("Last", f.LastEvent)
+}
+
+func (wording) Answer(status int, h http.Header) edge.Answer {
+	return edge.Answer{
+		ID:     h.Get("Id"),
+		NotRun: h.Get("Not-Run") != "",
+		Signed: h.Get("Signed") != "",
+	}
+}
+
+func (wording) Refuse(w http.ResponseWriter, f *fault.Fault) {
+	w.Header().Set("Kind", f.Kind)
+	if f.RetryAfter > 0 {
+		w.Header().Set("Retry", f.RetryAfter.String())
+	}
+	status := http.StatusServiceUnavailable
+	if fault.MayHaveRun(f) {
+		status = http.StatusBadGateway
+	}
+	w.WriteHeader(status)
+}
+
+// member is the instance's place in the fleet.
+type member struct {
+	view  *view.View
+	stale atomic.Bool
+}
+
+func (m *member) View() *view.View { return m.view }
+func (m *member) Fresh() bool      { return !m.stale.Load() }
+
+// world is one instance with its backend servers.
+type world struct {
+	t       *testing.T
+	member  *member
+	url     string
+	mu      sync.Mutex
+	arrived []string
+	client  *http.Client
+}
+
+// answer writes one answer to a raw connection; the request is read.
+type answer func(c net.Conn, r *http.Request)
+
+const ruleText = `service s type=plain # t: t
+account acme share=1 keys=%s # t: t
+route open host=h prefix=/open/ kind=safe to=s timeout=2s public=yes # t: t
+route read host=h prefix=/read/ kind=safe to=s timeout=2s attempts=2 # t: t
+route book host=h prefix=/book/ kind=unsafe to=s timeout=2s attempts=1 # t: t
+route chat host=h prefix=/chat/ kind=stream to=s timeout=2s attempts=2 resume=yes # t: t
+route once host=h prefix=/once/ kind=stream to=s timeout=2s attempts=2 # t: t
+route fast host=h prefix=/fast/ kind=safe to=s timeout=200ms attempts=2 # t: t
+`
+
+func newWorld(t *testing.T, answers ...answer) *world {
+	t.Helper()
+	w := &world{
+		t:      t,
+		member: &member{},
+		client: &http.Client{
+			Transport: &http.Transport{},
+		},
+	}
+	rules := fmt.Sprintf(ruleText, file.KeyDigest("secret"))
+	f, err := parse.Rules("rules", []byte(rules))
+	require.NoError(t, err)
+	var servers []*pb.BackendServer
+	for i, a := range answers {
+		name := fmt.Sprintf("b%d", i)
+		servers = append(servers, &pb.BackendServer{
+			Name:    name,
+			Service: "s",
+			Slots:   4,
+			Address: w.backend(name, a),
+		})
+	}
+	w.member.view = (&view.View{}).WithTables(1, true, servers, nil).WithRules(1, []byte(rules), f)
+	clock := boottime.New()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	p, stop := placer.New(placer.Config{
+		Now:         clock.Now,
+		Bound:       2,
+		RetryWindow: 10 * time.Second,
+		RetryRatio:  1,
+		RetrySlack:  20,
+		Instance:    "i",
+		Logger:      log,
+	})
+	t.Cleanup(stop)
+	p.Update(w.member.view)
+	pool := &backend.Pool{
+		Now: clock.Now,
+	}
+	t.Cleanup(pool.Close)
+	s := httptest.NewServer(&ingress.Handler{
+		Member:  w.member,
+		Dialect: wording{},
+		Placer:  p,
+		Pool:    pool,
+		Logger:  log,
+		Now:     clock.Now,
+	})
+	t.Cleanup(s.Close)
+	w.url = s.URL
+	return w
+}
+
+func (w *world) backend(name string, a answer) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					w.mu.Lock()
+					w.arrived = append(w.arrived, name)
+					w.mu.Unlock()
+					a(c, r)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (w *world) arrivals() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.arrived)
+}
+
+func (w *world) do(path string, header ...string) (*http.Response, string, error) {
+	w.t.Helper()
+	r, err := http.NewRequestWithContext(w.t.Context(), http.MethodPost, w.url+path, strings.NewReader("body"))
+	require.NoError(w.t, err)
+	r.Host = "h"
+	r.Header.Set("Id", "x1")
+	r.Header.Set("Key", "secret")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := w.client.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+func (w *world) status(path string, header ...string) int {
+	w.t.Helper()
+	resp, _, err := w.do(path, header...)
+	require.NoError(w.t, err)
+	return resp.StatusCode
+}
+
+func good(c net.Conn, r *http.Request) {
+	body := "for " + r.Header.Get("Account") + r.Header.Get("Key")
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(body), body)
+}
+
+func failing(c net.Conn, r *http.Request) {
+	fmt.Fprintf(c, "HTTP/1.1 500 X\r\nId: %s\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nf", r.Header.Get("Id"))
+}
+
+func rejecting(c net.Conn, _ *http.Request) {
+	io.WriteString(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+func breaking(c net.Conn, _ *http.Request) { c.Close() }
+
+func silent(c net.Conn, _ *http.Request) { c.Read(make([]byte, 1)) }
+
+func unsigned(c net.Conn, _ *http.Request) {
+	io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+}
+
+func TestPassesOn(t *testing.T) {
+	w := newWorld(t, good)
+	resp, body, err := w.do("/read/x?y=1")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "for acme", body, "the account is named, the key is not shown")
+	require.Equal(t, "1", resp.Header.Get("Signed"))
+}
+
+func TestWhoMayWhat(t *testing.T) {
+	w := newWorld(t, good)
+	require.Equal(t, http.StatusOK, w.status("/open/x", "Key", "wrong"))
+	resp, _, err := w.do("/read/x", "Key", "wrong")
+	require.NoError(t, err)
+	require.Equal(t, fault.UnknownKey, resp.Header.Get("Kind"))
+	resp, _, err = w.do("/nowhere/x")
+	require.NoError(t, err)
+	require.Equal(t, fault.UnknownRoute, resp.Header.Get("Kind"))
+	require.Equal(t, 1, w.arrivals())
+}
+
+// TestWithoutProof: an instance that can't prove its rules serves what needs no
+// key, says of nothing that it is unknown, and asks callers to come back.
+func TestWithoutProof(t *testing.T) {
+	w := newWorld(t, good)
+	w.member.stale.Store(true)
+	require.Equal(t, http.StatusOK, w.status("/open/x"))
+	for _, path := range []string{"/read/x", "/nowhere/x"} {
+		resp, _, err := w.do(path)
+		require.NoError(t, err)
+		require.Equal(t, fault.RulesStale, resp.Header.Get("Kind"))
+		require.NotEmpty(t, resp.Header.Get("Retry"))
+	}
+	require.Equal(t, 1, w.arrivals())
+}
+
+// TestOutcomes: what a caller is told, and how often the request was sent, for
+// each way in which backend servers fail.
+func TestOutcomes(t *testing.T) {
+	const notRun, mayHaveRun = http.StatusServiceUnavailable, http.StatusBadGateway
+	for _, c := range []struct {
+		name     string
+		path     string
+		servers  []answer
+		status   int
+		arrivals int
+	}{
+		{"unsafe, broken off: never again", "/book/", []answer{breaking, breaking}, mayHaveRun, 1},
+		{"unsafe, no answer", "/book/", []answer{silent, silent}, mayHaveRun, 1},
+		{"unsafe, rejected by all", "/book/", []answer{rejecting, rejecting}, notRun, 2},
+		{"unsafe, failed", "/book/", []answer{failing, failing}, http.StatusInternalServerError, 1},
+		{"unsafe, unsigned", "/book/", []answer{unsigned, unsigned}, mayHaveRun, 1},
+		{"safe, broken off: once more", "/read/", []answer{breaking, breaking}, mayHaveRun, 2},
+		{"safe, failed: once more", "/read/", []answer{failing, failing}, http.StatusInternalServerError, 2},
+		{"safe, three break off: two attempts", "/read/", []answer{breaking, breaking, breaking}, mayHaveRun, 2},
+		{"safe, rejected by all", "/read/", []answer{rejecting, rejecting}, notRun, 2},
+		{"stream that may not resume", "/once/", []answer{breaking, breaking}, mayHaveRun, 1},
+		{"no server", "/read/", nil, notRun, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, c.servers...)
+			require.Equal(t, c.status, w.status(c.path, "Wait", "500ms"))
+			require.Equal(t, c.arrivals, w.arrivals())
+		})
+	}
+}
+
+// TestOneGoodServerIsEnough: whatever the other one does, a request that may be
+// sent again is served.
+func TestOneGoodServerIsEnough(t *testing.T) {
+	for name, c := range map[string]struct {
+		path  string
+		other answer
+	}{
+		"unsafe, rejected": {"/book/", rejecting},
+		"safe, broken":     {"/read/", breaking},
+		"safe, failed":     {"/read/", failing},
+		"safe, unsigned":   {"/read/", unsigned},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 4 {
+				w := newWorld(t, c.other, good)
+				require.Equal(t, http.StatusOK, w.status(c.path))
+			}
+		})
+	}
+}
+
+// TestTimeIsUp: a request over its route's time gets its answer then.
+func TestTimeIsUp(t *testing.T) {
+	w := newWorld(t, silent)
+	start := time.Now()
+	resp, _, err := w.do("/fast/")
+	require.NoError(t, err)
+	require.Equal(t, fault.TimedOut, resp.Header.Get("Kind"))
+	require.Less(t, time.Since(start), 700*time.Millisecond, "half a second after the route's timeout at most")
+}
+
+// stream answers with events from the one asked for on; it breaks off after
+// some of them, if that is above zero.
+func stream(last, breakAfter int) answer {
+	return func(c net.Conn, r *http.Request) {
+		from := 0
+		fmt.Sscanf(r.Header.Get("Last"), "%d", &from)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		chunk := func(s string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
+		for i := from + 1; i <= last; i++ {
+			if breakAfter > 0 && i > from+breakAfter {
+				chunk(fmt.Sprintf("id: %d\nda", i))
+				c.Close()
+				return
+			}
+			chunk(fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i))
+		}
+		io.WriteString(c, "0\r\n\r\n")
+	}
+}
+
+func wholeStream(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", i+1, i+1)
+	}
+	return b.String()
+}
+
+// TestStreamGoesOnElsewhere: a stream that breaks off in the middle of an event
+// is resumed after the last whole one, and the caller sees one whole stream.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	for range 4 {
+		w := newWorld(t, stream(5, 2), stream(5, 4))
+		_, body, err := w.do("/chat/")
+		require.NoError(t, err)
+		require.Equal(t, wholeStream(5), body)
+		require.Equal(t, 2, w.arrivals())
+	}
+}
+
+// TestStreamThatMustNotResume: it ends without its end, after whole events.
+func TestStreamThatMustNotResume(t *testing.T) {
+	w := newWorld(t, stream(5, 2), stream(5, 2))
+	_, body, err := w.do("/once/")
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Equal(t, wholeStream(2), body)
+	require.Equal(t, 1, w.arrivals())
+}
+
+// TestCallerResumes: the caller's own last event is where the server goes on.
+func TestCallerResumes(t *testing.T) {
+	w := newWorld(t, stream(4, 0))
+	_, body, err := w.do("/chat/", "Last", "2")
+	require.NoError(t, err)
+	require.Equal(t, "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n", body)
+}
+
+// TestCallerLeaves: the server's connection is closed at once.
+func TestCallerLeaves(t *testing.T) {
+	closed := make(chan struct{})
+	w := newWorld(t, func(c net.Conn, _ *http.Request) {
+		c.Read(make([]byte, 1))
+		close(closed)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, w.url+"/read/", nil)
+	require.NoError(t, err)
+	r.Host = "h"
+	r.Header.Set("Key", "secret")
+	_, err = w.client.Do(r)
+	require.True(t, errors.Is(err, context.DeadlineExceeded))
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the backend server's connection stays open")
+	}
+}
--- /dev/null
+++ b/internal/edge/backend/backend_test.go
@@ -0,0 +1,272 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"camphorspoke/internal/edge/backend"
+	"camphorspoke/internal/world/boottime"
+	"camphorspoke/internal/world/fault"
+)
+
+// script answers the requests of one connection, one by one.
+type script func(conn net.Conn, number int, r *http.Request)
+
+// server runs a script on each connection and counts them.
+func server(t *testing.T, s script) (address string, conns *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	conns = &atomic.Int32{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for i := 1; ; i++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					s(c, i, r)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+func pool(t *testing.T) *backend.Pool {
+	t.Helper()
+	p := &backend.Pool{
+		Now: boottime.New().Now,
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+func message(id string) *backend.Message {
+	return &backend.Message{
+		Method: http.MethodPost,
+		Target: "/a//b/../c?x=%2F&y",
+		Host:   "h.example",
+		Header: http.Header{
+			"X-Id": {id},
+		},
+		Body:   []byte("body"),
+		ID:     id,
+		EchoOf: func(_ int, h http.Header) string { return h.Get("X-Id") },
+	}
+}
+
+func reply(c net.Conn, id, body, more string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nKeep-Alive: timeout=5\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
+}
+
+func send(t *testing.T, p *backend.Pool, address, id string) (string, error) {
+	t.Helper()
+	r, err := p.Send(t.Context(), address, message(id))
+	if err != nil {
+		return "", err
+	}
+	defer r.Close()
+	b, err := io.ReadAll(r)
+	return string(b), err
+}
+
+func TestTargetAndBodyPassUnchanged(t *testing.T) {
+	address, conns := server(t, func(c net.Conn, _ int, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		reply(c, r.Header.Get("X-Id"), r.RequestURI+" "+r.Host+" "+string(body), "")
+	})
+	p := pool(t)
+	for _, id := range []string{"1", "2", "3"} {
+		got, err := send(t, p, address, id)
+		require.NoError(t, err)
+		require.Equal(t, "/a//b/../c?x=%2F&y h.example body", got)
+	}
+	require.EqualValues(t, 1, conns.Load(), "the connection is kept")
+}
+
+// TestNeverSentTwice: a kept connection that the server closes while a request
+// is on its way gives a failure, not a second request.
+func TestNeverSentTwice(t *testing.T) {
+	arrivals := &atomic.Int32{}
+	address, _ := server(t, func(c net.Conn, number int, r *http.Request) {
+		arrivals.Add(1)
+		if number > 1 {
+			c.Close()
+			return
+		}
+		reply(c, r.Header.Get("X-Id"), "ok", "")
+	})
+	p := pool(t)
+	_, err := send(t, p, address, "1")
+	require.NoError(t, err)
+	_, err = send(t, p, address, "2")
+	require.Equal(t, fault.LinkBroken, fault.KindOf(err))
+	require.True(t, fault.MayHaveRun(err))
+	require.EqualValues(t, 2, arrivals.Load())
+}
+
+// TestExtraBytes: what follows a whole answer belongs to no request, whether it
+// comes at once, or before, or instead of the next answer.
+func TestExtraBytes(t *testing.T) {
+	for name, extra := range map[string]func(c net.Conn, id string){
+		"with the answer": func(c net.Conn, id string) {
+			c.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 3\r\n\r\nbad"))
+		},
+		"later": func(c net.Conn, id string) {
+			time.Sleep(20 * time.Millisecond)
+			c.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 3\r\n\r\nbad"))
+		},
+		"no answer at all": func(c net.Conn, _ string) { c.Write([]byte("\x00\x01")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := server(t, func(c net.Conn, _ int, r *http.Request) {
+				id := r.Header.Get("X-Id")
+				reply(c, id, "for "+id, "")
+				extra(c, id)
+			})
+			p := pool(t)
+			for _, id := range []string{"1", "2", "3"} {
+				got, err := send(t, p, address, id)
+				require.NoError(t, err)
+				require.Equal(t, "for "+id, got)
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// TestStrayAnswer: an answer to another request that comes where this one's is
+// due is passed over.
+func TestStrayAnswer(t *testing.T) {
+	address, conns := server(t, func(c net.Conn, _ int, r *http.Request) {
+		reply(c, "another", "stray", "")
+		reply(c, r.Header.Get("X-Id"), "mine", "")
+	})
+	p := pool(t)
+	for _, id := range []string{"1", "2"} {
+		got, err := send(t, p, address, id)
+		require.NoError(t, err)
+		require.Equal(t, "mine", got)
+	}
+	require.EqualValues(t, 2, conns.Load(), "such a connection is not kept")
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	for name, answer := range map[string]string{
+		"nothing":       "",
+		"half a head":   "HTTP/1.1 200 OK\r\nX-Id: 1\r\n",
+		"no HTTP":       "hello\r\n\r\n",
+		"half a body":   "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf",
+		"half a chunk":  "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+		"no last chunk": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := server(t, func(c net.Conn, _ int, _ *http.Request) {
+				io.WriteString(c, answer)
+				c.Close()
+			})
+			_, err := send(t, pool(t), address, "1")
+			require.Error(t, err)
+			require.True(t, fault.MayHaveRun(err), "%v", err)
+		})
+	}
+}
+
+// TestBodyThatEndsWithItsConnection is whole when the connection is closed.
+func TestBodyThatEndsWithItsConnection(t *testing.T) {
+	address, conns := server(t, func(c net.Conn, _ int, _ *http.Request) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole")
+		c.Close()
+	})
+	p := pool(t)
+	for range 2 {
+		got, err := send(t, p, address, "1")
+		require.NoError(t, err)
+		require.Equal(t, "whole", got)
+	}
+	require.EqualValues(t, 2, conns.Load())
+}
+
+// TestEarlyAnswer: the server answers before it has read a long body, and the
+// connection is not used again, as the rest of the body is still due on it.
+func TestEarlyAnswer(t *testing.T) {
+	address, conns := server(t, func(c net.Conn, _ int, r *http.Request) {
+		reply(c, r.Header.Get("X-Id"), "early", "")
+		time.Sleep(100 * time.Millisecond)
+		io.Copy(io.Discard, r.Body)
+	})
+	p := pool(t)
+	for range 2 {
+		m := message("1")
+		m.Body = []byte(strings.Repeat("x", 8<<20))
+		r, err := p.Send(t.Context(), address, m)
+		require.NoError(t, err)
+		b, err := io.ReadAll(r)
+		require.NoError(t, err)
+		require.Equal(t, "early", string(b))
+	}
+	require.EqualValues(t, 2, conns.Load())
+}
+
+func TestUnreachableSentNothing(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	l.Close()
+	_, err = send(t, pool(t), address, "1")
+	require.Equal(t, fault.Unreachable, fault.KindOf(err))
+	require.False(t, fault.MayHaveRun(err))
+}
+
+// TestCallerLeaves: the connection is closed at once, so that the server stops.
+func TestCallerLeaves(t *testing.T) {
+	closed := make(chan struct{})
+	address, _ := server(t, func(c net.Conn, _ int, _ *http.Request) {
+		c.Read(make([]byte, 1))
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	_, err := pool(t).Send(ctx, address, message("1"))
+	require.Equal(t, fault.TimedOut, fault.KindOf(err))
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection stays open")
+	}
+}
+
+// TestKeepTime: a connection that the server is about to close is not used.
+func TestKeepTime(t *testing.T) {
+	address, conns := server(t, func(c net.Conn, _ int, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+	})
+	p := pool(t)
+	for range 2 {
+		_, err := send(t, p, address, "1")
+		require.NoError(t, err)
+		time.Sleep(300 * time.Millisecond)
+		p.Sweep()
+	}
+	require.EqualValues(t, 2, conns.Load())
+}
--- /dev/null
+++ b/internal/routing/scheduler/scheduler_test.go
@@ -0,0 +1,312 @@
+package scheduler_test
+
+// This file replays the load patterns that the scheduler answers.
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"camphorspoke/internal/routing/prefixcache"
+	"camphorspoke/internal/routing/scheduler"
+)
+
+func engines(n int) (*scheduler.Scheduler, []scheduler.Server) {
+	s := scheduler.New(scheduler.Service{
+		Name:        "llm",
+		Engine:      true,
+		Slots:       8,
+		CacheTokens: 100_000,
+		Bound:       2,
+		RetryWindow: 10 * time.Second,
+		RetryRatio:  0.2,
+		RetrySlack:  5,
+	})
+	return s, list(s, n, 0)
+}
+
+func list(s *scheduler.Scheduler, n, slots int) []scheduler.Server {
+	var servers []scheduler.Server
+	for i := range n {
+		servers = append(servers, scheduler.Server{
+			Name:  fmt.Sprintf("e%d", i),
+			Slots: slots,
+			Open:  true,
+		})
+	}
+	s.SetServers(servers)
+	return servers
+}
+
+func prompt(subject, own uint64) []prefixcache.Part {
+	return []prefixcache.Part{
+		{ID: 1, Tokens: 2500},
+		{ID: subject, Tokens: 6000},
+		{ID: own, Tokens: 500},
+	}
+}
+
+func done(s *scheduler.Scheduler, now time.Duration, id uint64) []scheduler.Decision {
+	return s.Report(now, id, scheduler.Report{
+		Event: scheduler.Done,
+	})
+}
+
+// TestReturningSubjectsStayWarm: with few requests at a time, the requests on a
+// subject go where its prefix is kept.
+func TestReturningSubjectsStayWarm(t *testing.T) {
+	s, _ := engines(9)
+	home := make(map[uint64]string)
+	id, cold := uint64(0), 0
+	for round := range 20 {
+		for subject := uint64(100); subject < 130; subject++ {
+			id++
+			now := time.Duration(id) * 20 * time.Millisecond
+			d, ok := s.Ask(now, scheduler.Ask{
+				ID:    id,
+				Parts: prompt(subject, 10_000+id),
+				Wait:  time.Second,
+			})
+			require.True(t, ok)
+			if round == 0 {
+				home[subject] = d.Server
+			} else if d.Server != home[subject] {
+				cold++
+			}
+			done(s, now+100*time.Millisecond, id)
+		}
+	}
+	require.Zero(t, cold)
+}
+
+// TestHotSubjectSpreads: one subject gets all the traffic; no server carries
+// more than the bound allows, and the others learn the prefix.
+func TestHotSubjectSpreads(t *testing.T) {
+	s, _ := engines(9)
+	running := make(map[string]int)
+	for id := uint64(1); id <= 40; id++ {
+		d, ok := s.Ask(time.Second, scheduler.Ask{
+			ID:    id,
+			Parts: prompt(100, 10_000+id),
+			Wait:  time.Second,
+		})
+		require.True(t, ok)
+		running[d.Server]++
+		require.LessOrEqual(t, float64(running[d.Server]), 2*float64(id)/9+3, "request %d", id)
+	}
+	require.Len(t, running, 9)
+}
+
+// TestWaitsAndRefuses: more requests than places. The urgent ones get the next
+// places, and a request that would wait too long is refused at once with the
+// time at which there will be room.
+func TestWaitsAndRefuses(t *testing.T) {
+	s := scheduler.New(scheduler.Service{
+		Name:        "app",
+		Slots:       2,
+		Bound:       2,
+		RetryWindow: 10 * time.Second,
+	})
+	list(s, 2, 2)
+	now := time.Duration(0)
+	id := uint64(0)
+	ask := func(urgency int, wait time.Duration) (uint64, scheduler.Decision, bool) {
+		id++
+		d, ok := s.Ask(now, scheduler.Ask{
+			ID:      id,
+			Urgency: urgency,
+			Wait:    wait,
+		})
+		return id, d, ok
+	}
+	var running []uint64
+	for range 4 {
+		n, d, ok := ask(0, time.Second)
+		require.True(t, ok)
+		require.NotEmpty(t, d.Server)
+		running = append(running, n)
+	}
+	late, _, ok := ask(5, 10*time.Second)
+	require.False(t, ok)
+	urgent, _, ok := ask(0, 10*time.Second)
+	require.False(t, ok)
+	now += 100 * time.Millisecond
+	ds := done(s, now, running[0])
+	require.Len(t, ds, 1)
+	require.Equal(t, urgent, ds[0].ID)
+	now += 100 * time.Millisecond
+	ds = done(s, now, running[1])
+	require.Len(t, ds, 1)
+	require.Equal(t, late, ds[0].ID)
+	// One place each 100 ms: the second one in line waits 200 ms or so.
+	_, _, ok = ask(0, time.Second)
+	require.False(t, ok)
+	_, d, ok := ask(0, 150*time.Millisecond)
+	require.True(t, ok)
+	require.Equal(t, scheduler.Overloaded, d.Refusal)
+	require.Equal(t, 200*time.Millisecond, d.RetryAfter)
+}
+
+// TestNothingWaitsForever: a request that waits is refused when its time to wait
+// is over.
+func TestNothingWaitsForever(t *testing.T) {
+	s := scheduler.New(scheduler.Service{
+		Name:        "app",
+		Slots:       1,
+		RetryWindow: 10 * time.Second,
+	})
+	list(s, 1, 1)
+	_, ok := s.Ask(0, scheduler.Ask{ID: 1, Wait: time.Second})
+	require.True(t, ok)
+	_, ok = s.Ask(0, scheduler.Ask{ID: 2, Wait: time.Second})
+	require.False(t, ok)
+	require.Empty(t, s.Tick(time.Second))
+	ds := s.Tick(time.Second + time.Millisecond)
+	require.Len(t, ds, 1)
+	require.Equal(t, scheduler.Overloaded, ds[0].Refusal)
+	require.Zero(t, s.Waiting())
+}
+
+// TestFailingServerIsHeldBack: one server can't be reached; the others take its
+// work at once, and it gets a try later.
+func TestFailingServerIsHeldBack(t *testing.T) {
+	s, _ := engines(3)
+	first, _ := s.Ask(0, scheduler.Ask{ID: 1, Parts: prompt(100, 1000), Wait: time.Second})
+	s.Report(0, 1, scheduler.Report{Event: scheduler.Unreachable})
+	for id := uint64(2); id < 20; id++ {
+		d, _ := s.Ask(100*time.Millisecond, scheduler.Ask{ID: id, Parts: prompt(100, 1000+id), Wait: time.Second})
+		require.NotEqual(t, first.Server, d.Server)
+		done(s, 100*time.Millisecond, id)
+	}
+}
+
+// TestAllHeldBack: when every server has failed, work still goes out.
+func TestAllHeldBack(t *testing.T) {
+	s, servers := engines(3)
+	for i := range servers {
+		id := uint64(i + 1)
+		_, ok := s.Ask(0, scheduler.Ask{ID: id, Parts: prompt(100, id), Wait: time.Second})
+		require.True(t, ok)
+		s.Report(0, id, scheduler.Report{Event: scheduler.Unreachable})
+	}
+	d, ok := s.Ask(time.Millisecond, scheduler.Ask{ID: 9, Parts: prompt(100, 9), Wait: time.Second})
+	require.True(t, ok)
+	require.NotEmpty(t, d.Server)
+}
+
+func TestClosedServersGetNothing(t *testing.T) {
+	s, servers := engines(2)
+	servers[0].Open = false
+	s.SetServers(servers)
+	for id := uint64(1); id <= 8; id++ {
+		d, ok := s.Ask(0, scheduler.Ask{ID: id, Parts: prompt(id, 100+id), Wait: time.Second})
+		require.True(t, ok)
+		require.Equal(t, "e1", d.Server)
+	}
+	s.SetServers(nil)
+	d, ok := s.Ask(0, scheduler.Ask{ID: 99, Wait: time.Second})
+	require.True(t, ok)
+	require.Equal(t, scheduler.NoServer, d.Refusal)
+	require.Positive(t, d.RetryAfter)
+}
+
+func TestRetriesSpendTheBudget(t *testing.T) {
+	s, _ := engines(3)
+	again := 0
+	for id := uint64(1); id <= 40; id++ {
+		d, ok := s.Ask(0, scheduler.Ask{ID: id, Again: true, Wait: time.Second})
+		require.True(t, ok)
+		if d.Refusal == scheduler.RetryBudget {
+			continue
+		}
+		again++
+		done(s, 0, id)
+	}
+	require.Equal(t, 5, again)
+}
+
+// TestMachine runs random loads: no server runs more than its slots, every
+// question gets one answer in time, and at the end nothing is left over.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		plain := rapid.Bool().Draw(rt, "plain")
+		s := scheduler.New(scheduler.Service{
+			Name:        "s",
+			Engine:      !plain,
+			CacheTokens: 50_000,
+			Bound:       2,
+			RetryWindow: 10 * time.Second,
+			RetryRatio:  0.2,
+			RetrySlack:  3,
+		})
+		n := rapid.IntRange(1, 4).Draw(rt, "servers")
+		slots := rapid.IntRange(1, 5).Draw(rt, "slots")
+		servers := list(s, n, slots)
+		now := time.Duration(0)
+		running := make(map[uint64]string)
+		count := make(map[string]int)
+		waits := make(map[uint64]time.Duration)
+		take := func(d scheduler.Decision) {
+			require.Empty(rt, running[d.ID], "answered twice")
+			if d.Server == "" {
+				require.NotEmpty(rt, d.Refusal)
+				return
+			}
+			running[d.ID] = d.Server
+			count[d.Server]++
+			require.LessOrEqual(rt, count[d.Server], slots)
+		}
+		takeAll := func(ds []scheduler.Decision) {
+			for _, d := range ds {
+				require.Contains(rt, waits, d.ID, "nobody waits for this answer")
+				delete(waits, d.ID)
+				take(d)
+			}
+		}
+		id := uint64(0)
+		for range rapid.IntRange(1, 120).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(rt, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(rt, "act") {
+			case 0, 1:
+				id++
+				a := scheduler.Ask{
+					ID:      id,
+					Parts:   prompt(uint64(rapid.IntRange(100, 104).Draw(rt, "subject")), 1000+id),
+					Urgency: rapid.IntRange(0, 2).Draw(rt, "urgency"),
+					Wait:    time.Duration(rapid.IntRange(1, 400).Draw(rt, "waitMs")) * time.Millisecond,
+					Again:   rapid.IntRange(0, 9).Draw(rt, "again") == 0,
+				}
+				if d, ok := s.Ask(now, a); ok {
+					take(d)
+				} else {
+					waits[id] = now + a.Wait
+				}
+			case 2:
+				if len(running) > 0 {
+					// The oldest, so that a seed gives the same run again.
+					done := slices.Min(slices.Collect(maps.Keys(running)))
+					event := scheduler.Event(rapid.IntRange(int(scheduler.Done), int(scheduler.Failed)).Draw(rt, "event"))
+					count[running[done]]--
+					delete(running, done)
+					takeAll(s.Report(now, done, scheduler.Report{
+						Event: event,
+					}))
+				}
+			case 3:
+				i := rapid.IntRange(0, n-1).Draw(rt, "server")
+				servers[i].Open = !servers[i].Open
+				s.SetServers(servers)
+			}
+			takeAll(s.Tick(now))
+			for w, until := range waits {
+				require.LessOrEqual(rt, now, until, "request %d waits too long", w)
+			}
+		}
+		require.Equal(rt, len(waits), s.Waiting())
+	})
+}
