--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	go test -race -timeout 20m $(SKIP) ./...
 
 fmt:
-	@out=$$(gofmt -l cmd internal); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@out=$$(gofmt -l cmd internal platform); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 lint:
 	go vet ./...
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -73,6 +73,7 @@
 			c.refuse(c.failure(stale("the proof of the rules ran out while the request waited")))
 			return
 		}
+		c.grant = g
 		v := c.exchange(g)
 		if v == ended {
 			return
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -95,6 +95,8 @@
 	// delivered counts the bytes of the body that have.
 	delivered int
 	last      error
+	// grant is the last place that was given.
+	grant *placer.Grant
 	// lost is true when the caller's connection must be dropped: the caller has
 	// left, or its answer broke off and must not look complete.
 	lost bool
@@ -278,6 +280,11 @@
 	if c.route != nil {
 		fields["route"] = c.route.Name
 	}
+	if g := c.grant; g != nil {
+		fields["server"], fields["decider"] = g.Server, g.Decider
+		fields["waitedMs"] = g.Waited.Milliseconds()
+		fields["cached"], fields["bestCached"], fields["load"] = g.Cached, g.BestCached, g.Load
+	}
 	if err != nil {
 		fields["cause"] = err.Error()
 	}
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -62,7 +62,7 @@
 	h.Set("Last", f.LastEvent)
 }
 
-func (wording) Answer(status int, h http.Header) edge.Answer {
+func (wording) Answer(_ int, h http.Header) edge.Answer {
 	return edge.Answer{
 		ID:     h.Get("Id"),
 		NotRun: h.Get("Not-Run") != "",
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -192,6 +192,7 @@
 				RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
 				Cached:     int(m.GetCached()),
 				Load:       int(m.GetLoad()),
+				BestCached: int(m.GetBestCached()),
 			}, true
 		case <-limit.C:
 			forget()
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -101,6 +101,7 @@
 		RetryAfterMs:  uint32(d.RetryAfter.Milliseconds()),
 		Cached:        uint32(d.Cached),
 		Load:          uint32(d.Load),
+		BestCached:    uint32(d.BestCached),
 	})
 }
 
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -92,7 +92,6 @@
 type raw struct {
 	control, logLevel string
 	seeds, ports, ip  string
-	seedPorts         string
 	lossesBorne       int
 	graceS, windowS   float64
 	revokeMs          int
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -37,6 +37,7 @@
 		return Decision{}, false
 	}
 	cached := sv.cache.Cached(a.Parts)
+	best := s.bestCached(a)
 	g := &grant{
 		server: sv,
 		ask:    a,
@@ -50,13 +51,25 @@
 		sv.cache.Use(a.Parts)
 	}
 	return Decision{
-		ID:     a.ID,
-		Server: sv.name,
-		Cached: cached,
-		Load:   sv.running,
+		ID:         a.ID,
+		Server:     sv.name,
+		Cached:     cached,
+		Load:       sv.running,
+		BestCached: best,
 	}, true
 }
 
+// bestCached returns the most tokens of a prompt that any open server keeps.
+func (s *Scheduler) bestCached(a Ask) int {
+	best := 0
+	for _, sv := range s.order {
+		if sv.open {
+			best = max(best, sv.cache.Cached(a.Parts))
+		}
+	}
+	return best
+}
+
 func total(a Ask) int {
 	n := 0
 	for _, p := range a.Parts {
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -95,6 +95,8 @@
 	// Load its requests with this one.
 	Cached int
 	Load   int
+	// BestCached are the most tokens of the prompt that any open server keeps.
+	BestCached int
 }
 
 // Event is what became of a granted request.
