--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -14,6 +14,9 @@
 	// loadTokens weighs a running request of an engine against tokens to read:
 	// each one slows all others down a little.
 	loadTokens = 40
+	// pendingWeight weighs tokens that are waiting to be read at a server: they
+	// delay a request, but reading its prefix once more delays all others there.
+	pendingWeight = 0.3
 	// boundSlack is added to the bound on the load, so that few requests do not
 	// count as an imbalance.
 	boundSlack = 2.3
@@ -127,7 +130,7 @@
 		return c*sv.slowness() + tie(sv.name, a.ID)/100
 	}
 	miss := total(a) - sv.cache.Cached(a.Parts)
-	c := float64(miss+max(sv.pending, 0)) + loadTokens*float64(sv.load(now))
+	c := float64(miss) + pendingWeight*float64(max(sv.pending, 0)) + loadTokens*float64(sv.load(now))
 	if len(a.Parts) > 0 {
 		at := max(len(a.Parts)-2, 0)
 		c += tieTokens * tie(sv.name, a.Parts[at].ID)
