--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -46,9 +46,11 @@
 	// that long callers may keep the directory's answer.
 	keepListening = 6 * time.Second
 	// exitMargin is left of the grace period for the last clean-up.
-	exitMargin    = 500 * time.Millisecond
-	idlePoll      = 50 * time.Millisecond
-	sweepInterval = time.Second
+	exitMargin = 700 * time.Millisecond
+	// entryStopLimit bounds the end of calls of other instances.
+	entryStopLimit = 50 * time.Millisecond
+	idlePoll       = 50 * time.Millisecond
+	sweepInterval  = time.Second
 	// reloadInterval is the pause between readings of the settings.
 	reloadInterval = 2 * time.Second
 	// headerLimit bounds how long a caller may take for the head of a request.
@@ -412,10 +414,13 @@
 
 // leave empties the instance: it leaves the directory at once, serves what
 // callers bring that still hold an older answer, finishes, and ends in time.
-func (e *entry) leave() {
+func (e *entry) leave(ctx context.Context) {
 	start := e.in.now()
 	e.leaving.Store(true)
 	e.in.agent.Leave()
+	if e.in.replica != nil {
+		go e.in.transferLeadership(ctx)
+	}
 	last := start + e.in.set.Entry.Grace - exitMargin
 	for e.in.now() < min(start+keepListening, last) {
 		time.Sleep(idlePoll)
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -253,12 +253,21 @@
 		}()
 		select {
 		case <-stopped:
-		case <-time.After(stopLimit):
+		case <-time.After(in.grpcStopLimit()):
 			s.Stop()
 		}
 	})
 }
 
+// grpcStopLimit returns how long the calls of other instances may take to end:
+// an entry instance has a fixed time to stop, and its peers ask elsewhere.
+func (in *instance) grpcStopLimit() time.Duration {
+	if in.entry != nil {
+		return entryStopLimit
+	}
+	return stopLimit
+}
+
 func (in *instance) buildRouter(meters *metrics.Meters) error {
 	peers, closePeers := peer.New(in.wire.GRPC("peer"))
 	in.onCleanUp(closePeers)
@@ -392,11 +401,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), in.set.DrainLimit)
 	defer cancel()
 	if in.entry != nil {
-		in.entry.leave()
+		in.entry.leave(ctx)
 	} else {
 		in.router.Leave(ctx)
 	}
-	if in.replica != nil {
+	if in.replica != nil && in.entry == nil {
 		in.transferLeadership(ctx)
 	}
 	in.log.Infof("daemon: stopped with %d requests in flight", in.inFlight())
--- a/internal/edge/rafttransport/rafttransport.go
+++ b/internal/edge/rafttransport/rafttransport.go
@@ -112,6 +112,8 @@
 	defer cancel()
 	s, err := pb.NewControlServiceClient(p.conn).Raft(ctx)
 	if err != nil {
+		// The next try comes soon, and must not wait for the library's pause.
+		p.conn.ResetConnectBackoff()
 		drop(p.queue)
 		return
 	}
