--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -49,7 +49,8 @@
 	defer stop()
 	// The first signal starts a graceful stop; a second one cuts.
 	context.AfterFunc(ctx, stop)
-	log := logging.New(os.Stdout, set.LogLevel, set.Instance)
+	log, flush := logging.New(os.Stdout, set.LogLevel, set.Instance)
+	defer flush()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -67,6 +67,9 @@
 	planning chan struct{}
 	// unanswered is set while an assignment may be committed unseen.
 	unanswered bool
+	// listLost is true while the platform's list can't be read; the loop that
+	// reads the list alone uses it.
+	listLost bool
 
 	mu     sync.Mutex
 	term   uint64
--- a/internal/control/manager/platform.go
+++ b/internal/control/manager/platform.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
@@ -52,13 +53,27 @@
 	defer cancel()
 	listed, err := m.cfg.Platform.List(ctx)
 	if err != nil {
+		m.listLost = true
 		m.cfg.Logger.WithError(err).Warn("control: the platform's list can't be read")
 		return
 	}
+	if m.listLost {
+		m.listLost = false
+		m.cfg.Logger.Info("control: the platform's list is read again")
+	}
 	rows := m.listChanges(listed)
 	if len(rows) == 0 {
 		return
 	}
+	for _, r := range rows {
+		m.cfg.Logger.WithFields(logrus.Fields{
+			"server":  r.GetName(),
+			"service": r.GetService(),
+			"address": r.GetAddress(),
+			"leaving": r.GetLeaving(),
+			"gone":    r.GetGone(),
+		}).Info("control: the list names a change")
+	}
 	if _, err := m.cfg.Replica.Propose(ctx, &pb.Command{
 		Kind: &pb.Command_UpdateServers{
 			UpdateServers: &pb.UpdateServers{
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -354,6 +354,9 @@
 func (a *Agent) take(sent time.Duration, req *pb.HeartbeatRequest, resp *pb.HeartbeatResponse) (old, next *view.View) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.lastError != "" {
+		a.cfg.Logger.WithField("ruleVer", resp.GetRuleVersion()).Info("member: the control group answers again")
+	}
 	a.lastError = ""
 	a.every = time.Duration(resp.GetIntervalMs()) * time.Millisecond
 	old = a.view.Load()
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -142,6 +142,13 @@
 	if err := in.serveOperators(metricsHandler); err != nil {
 		return err
 	}
+	if set.Metrics != "" {
+		mux := http.NewServeMux()
+		mux.Handle("/metrics", metricsHandler)
+		if err := e.open(set.Metrics, mux); err != nil {
+			return err
+		}
+	}
 	return e.serve(meters)
 }
 
--- a/internal/daemon/settings/entry.go
+++ b/internal/daemon/settings/entry.go
@@ -29,6 +29,7 @@
 	fs.StringVar(&e.Ready, "ready", "", "address of the readiness check")
 	fs.StringVar(&e.Directory, "directory", "", "address of the directory")
 	fs.StringVar(&e.Operator, "operator", "", "address for the operator's configuration")
+	fs.StringVar(&e.Metrics, "metrics", "", "address at which metrics are read")
 	fs.StringVar(&r.ip, "ip", "", "IP number of this instance")
 	fs.StringVar(&r.ports, "ports", "", "first and last port for traffic between instances, such as 7340,7355")
 	fs.StringVar(&r.seeds, "seeds", "", "addresses of some instances of the control group; only the IP number counts")
@@ -59,6 +60,9 @@
 			return bad(a.flag, a.value, "an IP number and port, such as 10.1.0.19:8227")
 		}
 	}
+	if e.Metrics != "" && !isAddress(e.Metrics) {
+		return bad("metrics", e.Metrics, "an IP number and port, such as 10.1.0.19:9464")
+	}
 	if net.ParseIP(r.ip) == nil {
 		return bad("ip", r.ip, "an IP number")
 	}
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -52,6 +52,8 @@
 	Ready     string
 	Directory string
 	Operator  string
+	// Metrics is where metrics are read; empty serves them at Listen only.
+	Metrics string
 	// Seeds and PeerSeeds are the control and the peer addresses of some
 	// instances by which the others are found.
 	Seeds     []string
