--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -29,6 +29,9 @@
 	minLeft = 10 * time.Millisecond
 	// waitShare is the part of the time left that a request waits for a place.
 	waitShare = 3
+	// objectiveShare is the part of a route's objective that a request waits for
+	// a place. A longer queue would serve no more requests, only all of them late.
+	objectiveShare = 0.5
 	// maxUrgency is the last urgency that backend servers know.
 	maxUrgency = 9
 	// wholeBody is the largest body that is read before its head is passed on.
@@ -131,6 +134,9 @@
 
 func (c *call) place() (*placer.Grant, error) {
 	wait := c.left() / waitShare
+	if o := c.route.Objective; o > 0 {
+		wait = min(wait, time.Duration(objectiveShare*float64(o)))
+	}
 	return c.h.Placer.Place(c.ctx, c.service, scheduler.Ask{
 		Account:       c.account,
 		Parts:         parts(c.req.Prompt),
