--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -237,7 +237,7 @@
 	if c.route.Kind != file.Stream {
 		return -1
 	}
-	return min(c.urgency, maxUrgency)
+	return c.engineRank
 }
 
 // deliver passes an answer on.
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -35,6 +35,10 @@
 )
 
 const (
+	// prioritySpan is how many priorities of routes are told apart within one
+	// priority of accounts, engineSpan how many of them at an engine.
+	prioritySpan = 16
+	engineSpan   = 3
 	// defaultBody bounds a request's body where no rule does, in bytes.
 	defaultBody = 4 << 20
 	// staleRetry is when callers should come back to an instance that can't
@@ -77,6 +81,8 @@
 	account string
 	service string
 	urgency int
+	// engineRank is the urgency told to engines, 0 to maxUrgency.
+	engineRank int
 	body    []byte
 	start   time.Duration
 	// limit is when the request must have ended, on the clock of Now.
@@ -162,7 +168,7 @@
 
 // identify finds the account that holds the caller's key.
 func (c *call) identify(rules *file.File) error {
-	c.urgency = c.route.Priority
+	c.rank(file.Account{})
 	if len(rules.Accounts) == 0 {
 		return nil
 	}
@@ -175,15 +181,20 @@
 	}
 	c.keyed = !c.route.Public
 	c.account = name
-	if a := rules.Accounts[name]; a.HasPriority {
-		c.urgency = a.Priority
-	}
+	c.rank(rules.Accounts[name])
 	if c.keyed && !c.h.Member.Fresh() {
 		return stale("the rules held can't be proved to be in force")
 	}
 	return nil
 }
 
+// rank orders the request among those that wait and among those at an engine:
+// by the priority of the account first, then by that of the route.
+func (c *call) rank(a file.Account) {
+	c.urgency = a.Priority*prioritySpan + min(c.route.Priority, prioritySpan-1)
+	c.engineRank = min(a.Priority*engineSpan+min(c.route.Priority, engineSpan-1), maxUrgency)
+}
+
 // unless returns a failure that follows from the rules, unless newer rules may
 // be in force: then only that can be said.
 func (c *call) unless(kind fault.Kind, subject string) error {
