Weigh waiting requests by cost, time waited and rank together

Cause: only requests of one rank were weighed for a free place, a handful, and those that had waited for half of their time went first wherever they were cold. Change: the first 48 of the queue; the cost falls to nothing with the wait; each more urgent rank that waits counts 1,000 tokens.

--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -27,7 +27,9 @@
 	// minWait is the shortest wait that is told to a refused caller.
 	minWait = 100 * time.Millisecond
 	// lookAhead is how many waiting requests are weighed for a free place.
-	lookAhead = 24
+	lookAhead = 48
+	// rankTokens is what each more urgent rank that waits counts.
+	rankTokens = 1000
 	// tieTokens spreads prompts that no server keeps.
 	tieTokens = 40
 	// cacheShare is the part of an engine's memory that keeps prefixes while
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -304,18 +304,22 @@
 }
 
 // next returns the place in the queue of the request that gets the next place,
-// and its server; -1 when no server has room for any. Of the first few requests
-// of the highest rank that waits, it is the one that costs least where there is
-// room: the server that has just become free keeps the prefix of some of them.
-// One that has waited for half of its time goes first.
+// and its server; -1 when no server has room for any.
+//
+// Of the first requests in the queue it is the one that costs least where there
+// is room: a server that has just become free keeps the prefix of some of them,
+// and reading the prefix of another would take the time of several requests
+// when there is least of it. The cost falls with the time that a request has
+// waited, to nothing at its end, and rises with each rank before its own.
 func (s *Scheduler) next(now time.Duration) (int, *server) {
 	best, bestCost := -1, math.Inf(1)
 	var bestServer *server
-	looked := 0
-	for i, w := range s.queue {
-		if looked >= lookAhead || best >= 0 && w.ask.Urgency != s.queue[best].ask.Urgency {
-			break
+	rank, level := 0, 0
+	for i, w := range s.queue[:min(len(s.queue), lookAhead)] {
+		if i > 0 && w.ask.Urgency != rank {
+			level++
 		}
+		rank = w.ask.Urgency
 		sv := s.choose(now, w.ask)
 		if sv == nil {
 			if len(w.ask.Tried) == 0 {
@@ -324,11 +328,9 @@
 			}
 			continue
 		}
-		if now-w.since > w.ask.Wait/2 {
-			return i, sv
-		}
-		looked++
-		if c := s.cost(now, sv, w.ask); c < bestCost {
+		left := 1 - float64(now-w.since)/float64(max(w.ask.Wait, 1))
+		c := s.cost(now, sv, w.ask)*max(left, 0) + rankTokens*float64(level)
+		if c < bestCost {
 			best, bestCost, bestServer = i, c, sv
 		}
 	}
