--- /dev/null
+++ b/internal/client/command/explain.go
@@ -0,0 +1,41 @@
+package command
+
+// This file defines the search of logs for one request.
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"camphorspoke/internal/client/explain"
+	"camphorspoke/internal/world/fault"
+)
+
+func (a *app) explain() *ffcli.Command {
+	fs := flag.NewFlagSet("explain", flag.ContinueOnError)
+	id := fs.String("id", "", "the request's id")
+	return &ffcli.Command{
+		Name:       "explain",
+		ShortUsage: "camphor explain -id ID FILE...",
+		ShortHelp:  "print what logs say of one request, and the events before it",
+		FlagSet:    fs,
+		Exec: func(_ context.Context, args []string) error {
+			if *id == "" || len(args) == 0 {
+				return fault.New(fault.BadRequest, "explain", "give -id and at least one log file")
+			}
+			var logs []io.Reader
+			for _, path := range args {
+				f, err := os.Open(path)
+				if err != nil {
+					return fault.Wrap(fault.BadRequest, path, err)
+				}
+				defer f.Close()
+				logs = append(logs, f)
+			}
+			return explain.Write(a.out, *id, logs...)
+		},
+	}
+}
