Let only deciders read what engines keep, and read the list each 0.5 s

Change: a desk asks the engines only when it decides; 0.5 s between readings. Test first: TestAskersReadNothing.

--- a/internal/control/manager/platform.go
+++ b/internal/control/manager/platform.go
@@ -17,6 +17,8 @@
 
 const (
 	listInterval = 300 * time.Millisecond
+	// pricedInterval is the same where each reading is paid for.
+	pricedInterval = 500 * time.Millisecond
 	// missingFor is how long a server must be missing before it counts as
 	// gone: the list lags and flaps.
 	missingFor    = 2 * time.Second
@@ -27,7 +29,11 @@
 )
 
 func (m *Manager) platformLoop(ctx context.Context) {
-	t := time.NewTicker(listInterval)
+	every := listInterval
+	if m.cfg.Direct {
+		every = pricedInterval
+	}
+	t := time.NewTicker(every)
 	defer t.Stop()
 	var nextExpiry time.Duration
 	for {
--- a/internal/daemon/placer/desk.go
+++ b/internal/daemon/placer/desk.go
@@ -109,8 +109,8 @@
 }
 
 // ask puts a question. answer is called once, at once or later; id names the
-// request in reports.
-func (d *Desk) ask(service string, a scheduler.Ask, answer func(scheduler.Decision)) (id uint64, waits bool) {
+// request in reports. decides is true when this desk decides for all instances.
+func (d *Desk) ask(service string, decides bool, a scheduler.Ask, answer func(scheduler.Decision)) (id uint64, waits bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.nextID++
@@ -123,7 +123,9 @@
 		})
 		return a.ID, false
 	}
-	d.primeOnce(service)
+	if decides {
+		d.primeOnce(service)
+	}
 	decision, ok := s.Ask(d.cfg.Now(), a)
 	if ok {
 		answer(decision)
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -161,8 +161,10 @@
 
 // decide asks the deciders in their order, the own desk last.
 func (p *Placer) decide(ctx context.Context, g *Grant, a scheduler.Ask) error {
+	decides := false
 	for _, i := range p.deciders(g.service) {
 		if i.GetName() == p.cfg.Instance {
+			decides = true
 			break
 		}
 		d, answered := p.askRemote(ctx, g, i, a)
@@ -183,7 +185,7 @@
 		})
 		g.link = nil
 	}
-	d, err := p.askOwn(ctx, g, a)
+	d, err := p.askOwn(ctx, g, decides, a)
 	if err != nil {
 		return err
 	}
@@ -206,9 +208,9 @@
 }
 
 // askOwn puts the question to the own desk and waits for its answer.
-func (p *Placer) askOwn(ctx context.Context, g *Grant, a scheduler.Ask) (scheduler.Decision, error) {
+func (p *Placer) askOwn(ctx context.Context, g *Grant, decides bool, a scheduler.Ask) (scheduler.Decision, error) {
 	answers := make(chan scheduler.Decision, 1)
-	id, waits := p.desk.ask(g.service, a, func(d scheduler.Decision) { answers <- d })
+	id, waits := p.desk.ask(g.service, decides, a, func(d scheduler.Decision) { answers <- d })
 	g.own = id
 	if !waits {
 		return <-answers, nil
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -280,3 +280,17 @@
 	require.NoError(t, err)
 	require.Equal(t, order[0], g.Decider)
 }
+
+// TestAskersReadNothing: an instance that falls back to its own desk, because
+// the deciders are silent, does not ask all engines for what they keep.
+func TestAskersReadNothing(t *testing.T) {
+	c := &caches{}
+	fleet, order := fleet(t, 4, c)
+	fleet[order[0]].silent.Store(true)
+	fleet[order[1]].silent.Store(true)
+	g, err := fleet[order[3]].placer.Place(t.Context(), service, ask(100, 1))
+	require.NoError(t, err)
+	require.Equal(t, order[3], g.Decider)
+	time.Sleep(50 * time.Millisecond)
+	require.Zero(t, c.asked.Load())
+}
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -69,7 +69,7 @@
 }
 
 func (a *asker) ask(id uint64, q *pb.PlaceAsk) {
-	deskID, waits := a.desk.ask(q.GetService(), scheduler.Ask{
+	deskID, waits := a.desk.ask(q.GetService(), true, scheduler.Ask{
 		Account:       q.GetAccount(),
 		Parts:         toParts(q.GetParts(), q.GetPartTokens()),
 		Output:        int(q.GetOutputTokens()),
