--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -139,6 +139,12 @@
 	p.view = v
 	p.mu.Unlock()
 	p.desk.update(v)
+	for name := range v.Rules.Services {
+		// The stream is open before the first request needs it.
+		if order := p.deciders(name); len(order) > 0 && order[0].GetName() != p.cfg.Instance {
+			p.linkTo(order[0])
+		}
+	}
 }
 
 // Desk returns the own desk, for the questions of other instances.
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -38,10 +38,13 @@
 
 	placer *placer.Placer
 	silent atomic.Bool
-	stop   func()
+	// streams counts the askers that have opened a stream.
+	streams atomic.Int32
+	stop    func()
 }
 
 func (i *instance) Place(s grpc.BidiStreamingServer[pb.PlaceRequest, pb.PlaceResponse]) error {
+	i.streams.Add(1)
 	if i.silent.Load() {
 		<-s.Context().Done()
 		return s.Context().Err()
@@ -294,3 +297,11 @@
 	time.Sleep(50 * time.Millisecond)
 	require.Zero(t, c.asked.Load())
 }
+
+// TestStreamsAreOpenBeforeTheFirstRequest: the first request of an instance
+// does not wait for a connection to the decider.
+func TestStreamsAreOpenBeforeTheFirstRequest(t *testing.T) {
+	fleet, order := fleet(t, 4, nil)
+	require.Eventually(t, func() bool { return fleet[order[0]].streams.Load() == 3 }, 5*time.Second, 10*time.Millisecond)
+	require.Zero(t, fleet[order[1]].streams.Load())
+}
