Split the replica, the ingress and the entry by job

Moves only: proposals and persistence of a replica, the delivery of answers, the answers and the leaving of an entry instance have files of their own.

--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -11,12 +11,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"camphorspoke/internal/check/invariant"
 	"camphorspoke/internal/control"
@@ -25,7 +23,6 @@
 	"camphorspoke/internal/control/wal"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/world/boottime"
-	"camphorspoke/internal/world/fault"
 )
 
 const (
@@ -263,57 +260,6 @@
 	}
 }
 
-// Propose commits a command and returns its result. A NoQuorum failure means
-// that the command may still be committed: ask again with the same command.
-func (r *Replica) Propose(ctx context.Context, c *pb.Command) (*pb.Result, error) {
-	return r.ProposeIn(ctx, 0, c)
-}
-
-// ProposeIn commits a command that was decided on in a term, in that term
-// only; zero is any term.
-func (r *Replica) ProposeIn(ctx context.Context, term uint64, c *pb.Command) (*pb.Result, error) {
-	data, err := proto.Marshal(c)
-	if err != nil {
-		return nil, fault.Wrap(fault.Internal, "command", err)
-	}
-	p := &proposal{
-		data:   data,
-		onlyIn: term,
-		result: make(chan outcome, 1),
-	}
-	select {
-	case r.proposals <- p:
-	case <-ctx.Done():
-		return nil, fault.Wrap(fault.NotLeader, r.cfg.Name, ctx.Err())
-	case <-r.done:
-		return nil, fault.New(fault.NotLeader, r.cfg.Name, "this replica has stopped")
-	}
-	select {
-	case o := <-p.result:
-		return o.result, o.err
-	case <-ctx.Done():
-		return nil, fault.Wrap(fault.NoQuorum, r.cfg.Name, ctx.Err())
-	case <-r.done:
-		return nil, fault.New(fault.NoQuorum, r.cfg.Name, "this replica stopped before the answer")
-	}
-}
-
-// Change runs f on the log's goroutine: transfers and changes of membership.
-func (r *Replica) Change(ctx context.Context, f func(n *raftlog.Node, now time.Duration) error) error {
-	c := &change{
-		f:    f,
-		done: make(chan error, 1),
-	}
-	select {
-	case r.changes <- c:
-	case <-ctx.Done():
-		return fault.Wrap(fault.NoQuorum, r.cfg.Name, ctx.Err())
-	case <-r.done:
-		return fault.New(fault.NoQuorum, r.cfg.Name, "this replica has stopped")
-	}
-	return <-c.done
-}
-
 func (r *Replica) run() {
 	defer close(r.done)
 	tick := time.NewTicker(tickInterval)
@@ -374,45 +320,6 @@
 	r.node.Step(r.Now(), m)
 }
 
-func (r *Replica) propose(batch []*proposal) {
-	batch = slices.DeleteFunc(batch, func(p *proposal) bool {
-		if p.onlyIn == 0 || p.onlyIn == r.node.Term() {
-			return false
-		}
-		p.result <- outcome{
-			err: fault.New(fault.NotLeader, r.node.Leader(), "the term in which this was decided has ended"),
-		}
-		return true
-	})
-	if len(batch) == 0 {
-		return
-	}
-	data := make([][]byte, len(batch))
-	for i, p := range batch {
-		data[i] = p.data
-	}
-	first, term, err := r.node.Propose(r.Now(), data...)
-	for i, p := range batch {
-		if err != nil {
-			p.result <- outcome{
-				err: err,
-			}
-			continue
-		}
-		p.term = term
-		r.waiting[first+uint64(i)] = p
-	}
-}
-
-func (r *Replica) failAll() {
-	for i, p := range r.waiting {
-		delete(r.waiting, i)
-		p.result <- outcome{
-			err: fault.New(fault.NoQuorum, r.cfg.Name, "leadership was lost before the answer"),
-		}
-	}
-}
-
 func (r *Replica) tick() {
 	now := r.Now()
 	r.node.Tick(now)
@@ -428,129 +335,6 @@
 	r.maybeBootstrap()
 }
 
-// work carries out what the node asks for until it asks for nothing.
-func (r *Replica) work() error {
-	for {
-		ready := r.node.Ready()
-		if ready.Empty() {
-			break
-		}
-		if err := r.persist(&ready); err != nil {
-			return err
-		}
-		r.node.Synced(r.Now())
-		for _, m := range ready.Messages {
-			if a := r.address(m.GetTo()); a != "" {
-				m.FromAddress = r.cfg.Address
-				r.cfg.Transport.Send(a, m)
-			}
-		}
-		for _, e := range ready.Committed {
-			r.applyEntry(e)
-		}
-		if err := r.maybeSnapshot(); err != nil {
-			return err
-		}
-	}
-	if !r.node.IsLeader() && len(r.waiting) > 0 {
-		r.failAll()
-	}
-	r.publish()
-	return nil
-}
-
-func (r *Replica) address(name string) string {
-	for _, m := range r.node.Members().GetMembers() {
-		if m.GetName() == name && m.GetAddress() != "" {
-			return m.GetAddress()
-		}
-	}
-	if a := r.heard[name]; a != "" {
-		return a
-	}
-	return r.cfg.Peers[name]
-}
-
-func (r *Replica) persist(ready *raftlog.Ready) error {
-	if ready.Snapshot != nil {
-		if err := r.log.SaveSnapshot(ready.Snapshot); err != nil {
-			return err
-		}
-		if err := r.rotate(ready.HardState); err != nil {
-			return err
-		}
-		return r.Ledger.Restore(ready.Snapshot.GetData())
-	}
-	if ready.HardState == nil && len(ready.Entries) == 0 {
-		return nil
-	}
-	return r.log.Append(&pb.WalRecord{
-		HardState: ready.HardState,
-		Entries:   ready.Entries,
-	})
-}
-
-func (r *Replica) rotate(hs *pb.RaftHardState) error {
-	return r.log.Rotate(&pb.WalRecord{
-		Identity:  r.identity,
-		HardState: hs,
-		Entries:   r.node.Retained(),
-	})
-}
-
-func (r *Replica) applyEntry(e *pb.RaftEntry) {
-	r.sinceSnap++
-	r.bytesSince += len(e.GetData())
-	result := &pb.Result{}
-	if e.GetKind() == pb.RaftEntryKind_RAFT_ENTRY_KIND_COMMAND && len(e.GetData()) > 0 {
-		c := &pb.Command{}
-		err := proto.Unmarshal(e.GetData(), c)
-		r.cfg.Checker.Holds(err == nil, "commandsDecode", "entry %d: %v", e.GetIndex(), err)
-		result = r.Ledger.Apply(e.GetIndex(), c)
-	}
-	p := r.waiting[e.GetIndex()]
-	if p == nil {
-		return
-	}
-	delete(r.waiting, e.GetIndex())
-	if p.term != e.GetTerm() {
-		p.result <- outcome{
-			err: fault.New(fault.NotLeader, r.node.Leader(), "another leader's entry took the place"),
-		}
-		return
-	}
-	p.result <- outcome{
-		result: result,
-	}
-}
-
-func (r *Replica) maybeSnapshot() error {
-	if r.sinceSnap < r.cfg.SnapshotEvery && r.bytesSince < snapshotBytes {
-		return nil
-	}
-	keep := uint64(keepEntries)
-	if r.bytesSince >= snapshotBytes {
-		keep = keepLarge
-	}
-	r.sinceSnap, r.bytesSince = 0, 0
-	data, err := r.Ledger.Encode()
-	if err != nil {
-		return err
-	}
-	index := r.node.Applied()
-	snap := &pb.RaftSnapshot{
-		Index:   index,
-		Term:    r.node.TermAt(index),
-		Members: r.node.MembersAt(index),
-		Data:    data,
-	}
-	if err := r.log.SaveSnapshot(snap); err != nil {
-		return err
-	}
-	r.node.Compact(snap, keep)
-	return r.rotate(r.node.HardState())
-}
-
 func (r *Replica) publish() {
 	now := r.Now()
 	r.status.Store(&Status{
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -5,9 +5,7 @@
 // operator and the platform are served in the platform's own dialect.
 
 import (
-	"context"
 	"errors"
-	"net"
 	"net/http"
 	"os"
 	"runtime"
@@ -318,125 +316,6 @@
 	}
 }
 
-// reloads reads the settings again when it is told to, and every so often, as
-// they may change without a signal.
-func (e *entry) reloads(stop <-chan struct{}) {
-	t := time.NewTicker(reloadInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-t.C:
-		case <-e.in.outside.Reload:
-		}
-		e.reload()
-	}
-}
-
-// reload takes the settings that may change while the process runs: where the
-// control group is found, and what is logged.
-func (e *entry) reload() {
-	next, err := e.in.outside.Settings()
-	if err != nil {
-		e.in.log.WithError(err).Error("daemon: the changed settings can't be used; the old ones stay")
-		return
-	}
-	if slices.Equal(next.Entry.Seeds, e.seeds.Load().Seeds) {
-		return
-	}
-	e.seeds.Store(&next.Entry)
-	e.in.control.SetSeeds(next.Entry.Seeds)
-	e.in.log.WithField("seeds", strings.Join(next.Entry.Seeds, ",")).Info("daemon: settings reloaded")
-}
-
-// Ready reports whether this instance takes callers.
-func (e *entry) Ready() bool {
-	return !e.leaving.Load() && e.in.agent.Fresh() && e.in.agent.View().RuleVersion > 0
-}
-
-// Addresses returns where callers in a failure domain connect: the instances
-// of that domain, or all of them while it has less than two. An instance that
-// is out of touch with the control group knows nothing and names nobody.
-func (e *entry) Addresses(failureDomain string) []string {
-	if !e.in.agent.Fresh() {
-		return nil
-	}
-	var near, all []string
-	for _, i := range e.in.agent.View().Routers() {
-		if i.GetName() == e.in.set.Instance && !e.Ready() {
-			continue
-		}
-		if i.GetLeaving() || e.in.agent.Silent(i.GetName()) || !isHostPort(i.GetCallerAddress()) {
-			continue
-		}
-		all = append(all, i.GetCallerAddress())
-		if i.GetFailureDomain() == failureDomain {
-			near = append(near, i.GetCallerAddress())
-		}
-	}
-	if len(near) >= 2 {
-		return near
-	}
-	return all
-}
-
-func isHostPort(a string) bool {
-	_, port, err := net.SplitHostPort(a)
-	return err == nil && port != ""
-}
-
-// Replace puts rules in force under a revision.
-func (e *entry) Replace(ctx context.Context, revision uint64, rules, source []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, rulebookLimit)
-	defer cancel()
-	r, err := e.in.control.ApplyRules(ctx, &pb.ApplyRulesRequest{
-		Content:  rules,
-		Revision: revision,
-		Source:   source,
-	})
-	if err != nil {
-		return err
-	}
-	e.in.log.WithField("revision", revision).WithField("ruleVer", r.GetVersion()).WithField("repeated", r.GetRepeated()).
-		Info("operator: a configuration is accepted")
-	return nil
-}
-
-// Source returns the newest revision and its text.
-func (e *entry) Source(ctx context.Context) (revision uint64, source []byte, err error) {
-	ctx, cancel := context.WithTimeout(ctx, sourceLimit)
-	defer cancel()
-	q, err := e.in.control.Query(ctx, &pb.QueryRequest{
-		Source: true,
-	})
-	if err != nil {
-		return 0, nil, err
-	}
-	if q.GetRevision() == 0 {
-		return 0, nil, fault.New(fault.RulesStale, "configuration", "none was accepted yet")
-	}
-	return q.GetRevision(), q.GetSource(), nil
-}
-
-// leave empties the instance: it leaves the directory at once, serves what
-// callers bring that still hold an older answer, finishes, and ends in time.
-func (e *entry) leave(ctx context.Context) {
-	start := e.in.now()
-	e.leaving.Store(true)
-	e.in.agent.Leave()
-	if e.in.replica != nil {
-		go e.in.transferLeadership(ctx)
-	}
-	last := start + e.in.set.Entry.Grace - exitMargin
-	for e.in.now() < min(start+keepListening, last) {
-		time.Sleep(idlePoll)
-	}
-	for e.inFlight.Load() > 0 && e.in.now() < last {
-		time.Sleep(idlePoll)
-	}
-}
-
 // seedAddresses returns the addresses by which the control group is found.
 func (in *instance) seedAddresses() []string {
 	if in.set.Entry.Front != "" {
