Let a replica go on once its disk can be used again

Cause: a replica whose write or sync had failed stopped for good, while its process went on, so two full disks one after the other took the quorum until a restart. Change: the replica lets go of its memory and starts anew from its folder, as after a crash, and writes what it has read once more before it counts. Test: TestFullDisksOneAfterTheOther; before the change its first wait did not end (not run to the end, as Failed() was never reset).

--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -176,3 +176,15 @@
 	}
 	return nil
 }
+
+// Reset empties the state, for a replica that starts anew from its disk.
+func (l *Ledger) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.applied, l.ruleVersion, l.rules, l.edits = 0, 0, nil, nil
+	l.revision, l.source = 0, nil
+	l.fencing, l.expiredBefore = 0, 0
+	l.listIndex, l.rowsIndex = 0, 0
+	l.servers = nil
+	l.init()
+}
--- a/internal/control/replica/bootstrap.go
+++ b/internal/control/replica/bootstrap.go
@@ -59,7 +59,7 @@
 func (r *Replica) askAll(names []string) *pb.RaftMembers {
 	members := &pb.RaftMembers{}
 	for _, name := range names {
-		identity := r.identity
+		identity := r.identity.Load()
 		if name != r.cfg.Name {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			st, err := r.cfg.Transport.State(ctx, r.cfg.Peers[name])
@@ -96,7 +96,7 @@
 			members.Members = append(members.Members, &pb.RaftMember{
 				Name:     r.cfg.Name,
 				Address:  address,
-				Identity: r.identity,
+				Identity: r.identity.Load(),
 			})
 			continue
 		}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -45,7 +45,10 @@
 	Name string
 	// DataDir is the data folder; it is not used when Storage is set.
 	DataDir string
-	// Storage and Stored replace the data folder.
+	// Open replaces the data folder: it opens the storage at the start, and again
+	// after a failure.
+	Open func() (control.Storage, *wal.Contents, func(), error)
+	// Storage and Stored replace the data folder, with a storage that never fails.
 	Storage control.Storage
 	Stored  *wal.Contents
 	// Peers are the addresses of all configured replicas, by name. It is empty
@@ -96,8 +99,9 @@
 
 	cfg      Config
 	log      control.Storage
+	closeLog func()
 	node     *raftlog.Node
-	identity uint64
+	identity atomic.Uint64
 	now      func() time.Duration
 
 	inbox     chan *pb.RaftMessage
@@ -140,7 +144,8 @@
 // Start opens the data folder and runs the replica. The clean-up function
 // stops it and closes the folder.
 func Start(cfg Config) (*Replica, func(), error) {
-	log, contents, closeLog, err := openStorage(cfg)
+	cfg.Open = opener(cfg)
+	log, contents, closeLog, err := cfg.Open()
 	if err != nil {
 		return nil, nil, err
 	}
@@ -154,9 +159,10 @@
 		Ledger: &ledger.Ledger{
 			Checker: cfg.Checker,
 		},
-		cfg:          cfg,
-		log:          log,
-		identity:     contents.Identity,
+		cfg:      cfg,
+		log:      log,
+		closeLog: closeLog,
+
 		now:          cfg.Now,
 		inbox:        make(chan *pb.RaftMessage, inboxLength),
 		proposals:    make(chan *proposal, inboxLength),
@@ -167,6 +173,7 @@
 		heard:        make(map[string]string),
 		bootstrapped: make(chan *pb.RaftMembers, 1),
 	}
+	r.identity.Store(contents.Identity)
 	if r.now == nil {
 		r.now = boottime.New().Now
 	}
@@ -181,26 +188,36 @@
 	cleanup := func() {
 		close(r.stop)
 		<-r.done
-		closeLog()
+		r.closeLog()
 	}
 	return r, cleanup, nil
 }
 
-func openStorage(cfg Config) (control.Storage, *wal.Contents, func(), error) {
-	if cfg.Storage != nil {
-		return cfg.Storage, cfg.Stored, func() {}, nil
+// opener returns how the storage is opened.
+func opener(cfg Config) func() (control.Storage, *wal.Contents, func(), error) {
+	switch {
+	case cfg.Open != nil:
+		return cfg.Open
+	case cfg.Storage != nil:
+		return func() (control.Storage, *wal.Contents, func(), error) { return cfg.Storage, cfg.Stored, func() {}, nil }
+	}
+	return func() (control.Storage, *wal.Contents, func(), error) {
+		log, contents, closeLog, err := wal.Open(cfg.DataDir)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		return log, contents, closeLog, nil
 	}
-	return wal.Open(cfg.DataDir)
 }
 
 func (r *Replica) load(c *wal.Contents) error {
 	if c.CutBytes > 0 {
 		r.cfg.Logger.Warnf("control: cut a torn tail of %d bytes", c.CutBytes)
 	}
-	if r.identity == 0 {
-		r.identity = rand.Uint64() | 1
+	if r.identity.Load() == 0 {
+		r.identity.Store(rand.Uint64() | 1)
 		if err := r.log.Append(&pb.WalRecord{
-			Identity: r.identity,
+			Identity: r.identity.Load(),
 		}); err != nil {
 			return err
 		}
@@ -222,11 +239,11 @@
 func (r *Replica) newNode(st raftlog.Stored) *raftlog.Node {
 	return raftlog.New(raftlog.Config{
 		Name:      r.cfg.Name,
-		Identity:  r.identity,
+		Identity:  r.identity.Load(),
 		Election:  r.cfg.Election,
 		Heartbeat: r.cfg.Heartbeat,
 		Voters:    r.cfg.Voters,
-		Rand:      rand.New(rand.NewPCG(r.cfg.Seed, r.identity)),
+		Rand:      rand.New(rand.NewPCG(r.cfg.Seed, r.identity.Load())),
 		Checker:   r.cfg.Checker,
 	}, st, r.Now())
 }
@@ -238,7 +255,7 @@
 func (r *Replica) Status() *Status { return r.status.Load() }
 
 // Identity returns the identity of the replica's disk.
-func (r *Replica) Identity() uint64 { return r.identity }
+func (r *Replica) Identity() uint64 { return r.identity.Load() }
 
 // Leads reports whether this replica leads and its lease holds.
 func (r *Replica) Leads() bool { return r.Now() < r.Status().LeaseUntil }
@@ -285,14 +302,9 @@
 		r.propose(batch)
 		batch = batch[:0]
 		if err := r.work(); err != nil {
-			// The disk failed: nothing more may be promised.
-			r.cfg.Logger.WithError(err).Error("control: replica stopped")
-			r.failed.Store(&err)
-			r.status.Store(&Status{
-				Role: "failed",
-			})
-			r.failAll()
-			return
+			if !r.reopen(err) {
+				return
+			}
 		}
 	}
 }
--- a/internal/control/replica/seeds_test.go
+++ b/internal/control/replica/seeds_test.go
@@ -20,6 +20,7 @@
 	"camphorspoke/internal/check/invariant"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/control/raftlog"
+	"camphorspoke/internal/control/wal"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/world/fault"
 )
@@ -35,6 +36,8 @@
 	replicas map[string]*Replica
 	stops    map[string]func()
 	dirs     map[string]string
+	// full holds the addresses whose disks refuse every write.
+	full map[string]bool
 }
 
 var _ control.Transport = (*core)(nil)
@@ -47,6 +50,7 @@
 		replicas: make(map[string]*Replica),
 		stops:    make(map[string]func()),
 		dirs:     make(map[string]string),
+		full:     make(map[string]bool),
 	}
 	t.Cleanup(func() {
 		for address := range c.dirs {
@@ -93,7 +97,7 @@
 	r, stop, err := Start(Config{
 		Name:       nameAt(address),
 		Address:    address,
-		DataDir:    c.dirs[address],
+		Open:       func() (control.Storage, *wal.Contents, func(), error) { return c.open(address) },
 		Seeds:      c.seeds,
 		FirstStart: firstStart,
 		Voters:     3,
@@ -112,6 +116,55 @@
 	c.replicas[address], c.stops[address] = r, stop
 }
 
+// disk is a data folder that may be full.
+type disk struct {
+	control.Storage
+
+	full func() bool
+}
+
+func (d disk) check() error {
+	if d.full() {
+		return fault.New(fault.BrokenLog, "disk", "no space is left")
+	}
+	return nil
+}
+
+func (d disk) Append(r *pb.WalRecord) error {
+	if err := d.check(); err != nil {
+		return err
+	}
+	return d.Storage.Append(r)
+}
+
+func (d disk) Rotate(r *pb.WalRecord) error {
+	if err := d.check(); err != nil {
+		return err
+	}
+	return d.Storage.Rotate(r)
+}
+
+func (c *core) open(address string) (control.Storage, *wal.Contents, func(), error) {
+	log, contents, closeLog, err := wal.Open(c.dirs[address])
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	return disk{
+		Storage: log,
+		full: func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.full[address]
+		},
+	}, contents, closeLog, nil
+}
+
+func (c *core) setFull(address string, full bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.full[address] = full
+}
+
 func (c *core) stop(address string) {
 	c.mu.Lock()
 	stop := c.stops[address]
@@ -302,3 +355,30 @@
 	}
 	require.Less(t, size, int64(20<<20), "20 MB of entries were written in all; the disk of an instance holds 64 MB with room to spare")
 }
+
+// TestFullDisksOneAfterTheOther: each disk refuses all writes for a while, one
+// after the other. A replica goes on once its disk does, without a restart, so
+// the group never lacks more than one.
+func TestFullDisksOneAfterTheOther(t *testing.T) {
+	c := newCore(t, "a", "b", "c")
+	for _, address := range c.seeds {
+		c.start(address, true)
+	}
+	c.propose(1)
+	for i, address := range c.seeds {
+		c.setFull(address, true)
+		c.propose(uint64(10 * (i + 1)))
+		require.Eventually(t, func() bool { return c.at(address).Failed() != nil }, 10*time.Second, 10*time.Millisecond)
+		time.Sleep(2 * reopenPause)
+		require.Error(t, c.at(address).Failed(), "the disk is still full")
+		c.setFull(address, false)
+		require.Eventually(t, func() bool { return c.at(address).Failed() == nil }, 10*time.Second, 10*time.Millisecond)
+	}
+	c.propose(40)
+	for _, address := range c.seeds {
+		require.Eventually(t, func() bool {
+			revision, _ := c.at(address).Ledger.Source()
+			return revision == 40
+		}, 10*time.Second, 10*time.Millisecond)
+	}
+}
