--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	bin/camphor-demo -bin bin
 
 test:
-	@if [ -n "$(RED)" ]; then echo "passed over (KNOWN-RED.txt):"; cat KNOWN-RED.txt; fi
+	@if [ -s KNOWN-RED.txt ]; then echo "known red (KNOWN-RED.txt; tests named there are passed over):"; cat KNOWN-RED.txt; fi
 	go test -race -timeout 20m $(SKIP) ./...
 
 fmt:
--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -20,7 +20,7 @@
 	"camphorspoke/internal/daemon/version"
 	"camphorspoke/internal/edge"
 	"camphorspoke/platform/dialect"
-	"camphorspoke/platform/doors"
+	"camphorspoke/platform/endpoints"
 	"camphorspoke/platform/engine"
 	"camphorspoke/platform/list"
 )
@@ -76,8 +76,8 @@
 		Caches: &engine.Client{
 			HTTP: http.DefaultClient,
 		},
-		Doors: func(d edge.Directory, r edge.Rulebook) edge.Doors {
-			return &doors.Doors{
+		Endpoints: func(d edge.Directory, r edge.Rulebook) edge.Endpoints {
+			return &endpoints.Endpoints{
 				Directory: d,
 				Rulebook:  r,
 				Logger:    log,
--- a/internal/check/entryfleet/entryfleet_test.go
+++ b/internal/check/entryfleet/entryfleet_test.go
@@ -26,7 +26,7 @@
 	"camphorspoke/internal/daemon/settings"
 	"camphorspoke/internal/edge"
 	"camphorspoke/platform/dialect"
-	"camphorspoke/platform/doors"
+	"camphorspoke/platform/endpoints"
 	"camphorspoke/platform/list"
 )
 
@@ -135,8 +135,8 @@
 			HTTP:    http.DefaultClient,
 			Logger:  f.log,
 		},
-		Doors: func(d edge.Directory, r edge.Rulebook) edge.Doors {
-			return &doors.Doors{
+		Endpoints: func(d edge.Directory, r edge.Rulebook) edge.Endpoints {
+			return &endpoints.Endpoints{
 				Directory: d,
 				Rulebook:  r,
 				Logger:    f.log,
--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -38,7 +38,7 @@
 		return broken, scheduler.Broken
 	}
 	if resp.Status >= http.StatusInternalServerError {
-		c.last = fault.New(fault.NotRun, c.service, "the backend server failed")
+		c.last = fault.New(fault.InDoubt, c.service, "the backend server failed")
 		if c.again(failed, 0) && c.h.Now() < c.limit {
 			return failed, scheduler.Failed
 		}
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -1,6 +1,6 @@
 package placer
 
-// This file defines the stream to another instance's desk, from the asking side.
+// This file defines the stream to another instance's schedulers, from the asking side.
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 // outLength is how many messages may wait to be sent to one instance.
 const outLength = 512
 
-// link is one stream. What can't be sent at once is dropped: the desk at the
+// link is one stream. What can't be sent at once is dropped: the instance at the
 // other end forgets the requests of a stream that has ended.
 type link struct {
 	out    chan *pb.PlaceRequest
@@ -82,8 +82,8 @@
 // known returns which prefixes this instance has seen placed.
 func (p *Placer) known() []*pb.PlaceRequest {
 	var out []*pb.PlaceRequest
-	for _, service := range p.desk.names() {
-		for _, k := range p.desk.kept(service) {
+	for _, service := range p.schedulers.names() {
+		for _, k := range p.schedulers.kept(service) {
 			ids, tokens := fromParts(k.Parts)
 			out = append(out, &pb.PlaceRequest{
 				Adopt: &pb.PlaceAdopt{
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -8,7 +8,7 @@
 // that both decide for a while place less well, and no more.
 //
 // An instance that does not answer within answerLimit is passed over for a
-// while, for the next of the order and at last for the asker's own desk. Each
+// while, for the next of the order and at last for the asker's own schedulers. Each
 // asker tells a new decider what it knows: its running requests, and which
 // prefixes it has seen placed.
 package placer
@@ -41,11 +41,11 @@
 	answerLimit = 60 * time.Millisecond
 	// passedOverFor is how long a silent decider is not asked.
 	passedOverFor = time.Second
-	// maxDeciders is how many of the order are asked before the own desk.
+	// maxDeciders is how many of the order are asked before the own schedulers.
 	maxDeciders = 2
 )
 
-// Streams opens the stream to another instance's desk.
+// Streams opens the stream to another instance's schedulers.
 type Streams interface {
 	Place(ctx context.Context, address string) (pb.PeerService_PlaceClient, error)
 }
@@ -71,11 +71,11 @@
 
 // Placer places the requests of one instance.
 type Placer struct {
-	cfg    Config
-	desk   *Desk
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	cfg        Config
+	schedulers *Schedulers
+	ctx        context.Context
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
 
 	mu      sync.Mutex
 	view    *view.View
@@ -93,7 +93,7 @@
 
 	p       *Placer
 	service string
-	// own is the number of the request at the own desk, remote and link name it
+	// own is the number of the request at the own schedulers, remote and link name it
 	// at another one.
 	own    uint64
 	remote uint64
@@ -103,11 +103,11 @@
 // New returns a placer; the clean-up function stops it.
 func New(cfg Config) (*Placer, func()) {
 	p := &Placer{
-		cfg:     cfg,
-		desk:    newDesk(cfg),
-		view:    &view.View{},
-		links:   make(map[string]*link),
-		avoided: make(map[string]time.Duration),
+		cfg:        cfg,
+		schedulers: newSchedulers(cfg),
+		view:       &view.View{},
+		links:      make(map[string]*link),
+		avoided:    make(map[string]time.Duration),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wg.Go(p.ticks)
@@ -125,7 +125,7 @@
 		case <-p.ctx.Done():
 			return
 		case <-t.C:
-			p.desk.tick()
+			p.schedulers.tick()
 		}
 	}
 }
@@ -138,7 +138,7 @@
 	p.mu.Lock()
 	p.view = v
 	p.mu.Unlock()
-	p.desk.update(v)
+	p.schedulers.update(v)
 	for name := range v.Rules.Services {
 		// The stream is open before the first request needs it.
 		if order := p.deciders(name); len(order) > 0 && order[0].GetName() != p.cfg.Instance {
@@ -147,8 +147,8 @@
 	}
 }
 
-// Desk returns the own desk, for the questions of other instances.
-func (p *Placer) Desk() *Desk { return p.desk }
+// Schedulers returns the own schedulers, for the questions of other instances.
+func (p *Placer) Schedulers() *Schedulers { return p.schedulers }
 
 // Place returns a place for a request of a service, or why there is none.
 func (p *Placer) Place(ctx context.Context, service string, a scheduler.Ask) (*Grant, error) {
@@ -165,7 +165,7 @@
 	return g, nil
 }
 
-// decide asks the deciders in their order, the own desk last.
+// decide asks the deciders in their order, the own schedulers last.
 func (p *Placer) decide(ctx context.Context, g *Grant, a scheduler.Ask) error {
 	decides := false
 	for _, i := range p.deciders(g.service) {
@@ -182,7 +182,7 @@
 			return refusal(g.service, d)
 		}
 		if p.fill(g, d, i.GetName()) {
-			g.own = p.desk.adopt(g.service, d.Server, a.Parts, true)
+			g.own = p.schedulers.adopt(g.service, d.Server, a.Parts, true)
 			return nil
 		}
 		// The decider knows a server that is not known here yet.
@@ -213,10 +213,10 @@
 	return true
 }
 
-// askOwn puts the question to the own desk and waits for its answer.
+// askOwn puts the question to the own schedulers and waits for its answer.
 func (p *Placer) askOwn(ctx context.Context, g *Grant, decides bool, a scheduler.Ask) (scheduler.Decision, error) {
 	answers := make(chan scheduler.Decision, 1)
-	id, waits := p.desk.ask(g.service, decides, a, func(d scheduler.Decision) { answers <- d })
+	id, waits := p.schedulers.ask(g.service, decides, a, func(d scheduler.Decision) { answers <- d })
 	g.own = id
 	if !waits {
 		return <-answers, nil
@@ -225,7 +225,7 @@
 	case d := <-answers:
 		return d, nil
 	case <-ctx.Done():
-		p.desk.report(g.service, id, scheduler.Report{
+		p.schedulers.report(g.service, id, scheduler.Report{
 			Event: scheduler.Cancelled,
 		})
 		return scheduler.Decision{}, fault.Wrap(fault.DeadlineTooNear, g.service, ctx.Err())
@@ -289,7 +289,7 @@
 // Report tells what became of the request.
 func (g *Grant) Report(r scheduler.Report) {
 	if g.own != 0 {
-		g.p.desk.report(g.service, g.own, r)
+		g.p.schedulers.report(g.service, g.own, r)
 	}
 	if g.link != nil {
 		g.link.report(g.remote, r)
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -32,7 +32,7 @@
 
 const service = "llm"
 
-// instance serves its desk, unless it is silent.
+// instance serves its schedulers, unless it is silent.
 type instance struct {
 	pb.UnimplementedPeerServiceServer
 
@@ -49,7 +49,7 @@
 		<-s.Context().Done()
 		return s.Context().Err()
 	}
-	return i.placer.Desk().Serve(s)
+	return i.placer.Schedulers().Serve(s)
 }
 
 // caches answers for all engines.
@@ -183,7 +183,7 @@
 	require.Less(t, time.Since(start), 50*time.Millisecond)
 }
 
-// TestNobodyElse: with every other instance gone, the own desk decides.
+// TestNobodyElse: with every other instance gone, the own schedulers decide.
 func TestNobodyElse(t *testing.T) {
 	fleet, order := fleet(t, 3, nil)
 	for _, name := range order[:2] {
@@ -243,7 +243,7 @@
 	}, 5*time.Second, 20*time.Millisecond)
 }
 
-// TestReadsWhatEnginesKeep: a desk that has just started asks each engine once.
+// TestReadsWhatEnginesKeep: an instance that has just started asks each engine once.
 func TestReadsWhatEnginesKeep(t *testing.T) {
 	c := &caches{}
 	fleet, order := fleet(t, 1, c)
@@ -284,7 +284,7 @@
 	require.Equal(t, order[0], g.Decider)
 }
 
-// TestAskersReadNothing: an instance that falls back to its own desk, because
+// TestAskersReadNothing: an instance that falls back to its own schedulers, because
 // the deciders are silent, does not ask all engines for what they keep.
 func TestAskersReadNothing(t *testing.T) {
 	c := &caches{}
--- a/internal/daemon/placer/prime.go
+++ b/internal/daemon/placer/prime.go
@@ -1,6 +1,6 @@
 package placer
 
-// This file defines how the desk learns what engines keep when it begins to
+// This file defines how the instance learns what engines keep when it begins to
 // decide after a start, with no memory of what was sent to them.
 
 import (
@@ -14,8 +14,8 @@
 const primeLimit = 400 * time.Millisecond
 
 // primeOnce asks the engines of a service for what they keep, the first time
-// that this desk is asked to decide for the service. The caller holds mu.
-func (d *Desk) primeOnce(service string) {
+// that this instance is asked to decide for the service. The caller holds mu.
+func (d *Schedulers) primeOnce(service string) {
 	if d.primed[service] || d.cfg.Caches == nil {
 		return
 	}
@@ -30,7 +30,7 @@
 	name, address string
 }
 
-func (d *Desk) prime(service string, e engine) {
+func (d *Schedulers) prime(service string, e engine) {
 	ctx, cancel := context.WithTimeout(context.Background(), primeLimit)
 	defer cancel()
 	kept, err := d.cfg.Caches.Kept(ctx, e.address)
--- a/internal/daemon/placer/desk.go
+++ b/internal/daemon/placer/schedulers.go
@@ -1,6 +1,6 @@
 package placer
 
-// This file defines Desk, the schedulers of one process and what waits there.
+// This file defines Schedulers, the schedulers of one process and what waits there.
 
 import (
 	"slices"
@@ -12,9 +12,9 @@
 	"camphorspoke/internal/routing/view"
 )
 
-// Desk decides for the requests that are put to it, whoever asks. Lock order:
+// Schedulers decides for the requests that are put to it, whoever asks. Lock order:
 // mu is a leaf, but for the answers, which must not block.
-type Desk struct {
+type Schedulers struct {
 	cfg Config
 
 	mu       sync.Mutex
@@ -27,8 +27,8 @@
 	primed  map[string]bool
 }
 
-func newDesk(cfg Config) *Desk {
-	return &Desk{
+func newSchedulers(cfg Config) *Schedulers {
+	return &Schedulers{
 		cfg:      cfg,
 		services: make(map[string]*scheduler.Scheduler),
 		waiting:  make(map[uint64]func(scheduler.Decision)),
@@ -38,7 +38,7 @@
 }
 
 // tick decides on what waits.
-func (d *Desk) tick() {
+func (d *Schedulers) tick() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.waiting) == 0 {
@@ -51,7 +51,7 @@
 }
 
 // deliver hands decisions to the requests that wait for them.
-func (d *Desk) deliver(ds []scheduler.Decision) {
+func (d *Schedulers) deliver(ds []scheduler.Decision) {
 	for _, decision := range ds {
 		if answer := d.waiting[decision.ID]; answer != nil {
 			delete(d.waiting, decision.ID)
@@ -61,7 +61,7 @@
 }
 
 // update takes a new view.
-func (d *Desk) update(v *view.View) {
+func (d *Schedulers) update(v *view.View) {
 	lists := make(map[string][]scheduler.Server)
 	engines := make(map[string][]engine)
 	for _, s := range v.Servers {
@@ -109,8 +109,8 @@
 }
 
 // ask puts a question. answer is called once, at once or later; id names the
-// request in reports. decides is true when this desk decides for all instances.
-func (d *Desk) ask(service string, decides bool, a scheduler.Ask, answer func(scheduler.Decision)) (id uint64, waits bool) {
+// request in reports. decides is true when this instance decides for all instances.
+func (d *Schedulers) ask(service string, decides bool, a scheduler.Ask, answer func(scheduler.Decision)) (id uint64, waits bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.nextID++
@@ -136,7 +136,7 @@
 }
 
 // report tells what became of a request; a waiting one is withdrawn.
-func (d *Desk) report(service string, id uint64, r scheduler.Report) {
+func (d *Schedulers) report(service string, id uint64, r scheduler.Report) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r.Event != scheduler.Started {
@@ -147,9 +147,9 @@
 	}
 }
 
-// adopt counts a request that another desk granted, or notes parts that a
+// adopt counts a request that another instance granted, or notes parts that a
 // server keeps when running is false.
-func (d *Desk) adopt(service, server string, parts []prefixcache.Part, running bool) uint64 {
+func (d *Schedulers) adopt(service, server string, parts []prefixcache.Part, running bool) uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.services[service]
@@ -166,7 +166,7 @@
 }
 
 // kept returns what the servers of a service are taken to keep.
-func (d *Desk) kept(service string) []scheduler.Kept {
+func (d *Schedulers) kept(service string) []scheduler.Kept {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s := d.services[service]; s != nil {
@@ -176,7 +176,7 @@
 }
 
 // names returns the services known.
-func (d *Desk) names() []string {
+func (d *Schedulers) names() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := make([]string, 0, len(d.services))
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -1,6 +1,6 @@
 package placer
 
-// This file defines how the desk serves another instance.
+// This file defines how the instance serves another instance.
 
 import (
 	"sync"
@@ -10,29 +10,29 @@
 	"camphorspoke/internal/routing/scheduler"
 )
 
-// asker is the other end of one stream. Lock order: the desk's mu, then mu.
+// asker is the other end of one stream. Lock order: the mu of Schedulers, then mu.
 type asker struct {
-	desk *Desk
-	out  chan *pb.PlaceResponse
+	schedulers *Schedulers
+	out        chan *pb.PlaceResponse
 
 	mu       sync.Mutex
 	requests map[uint64]placed
 }
 
-// placed names a request at the desk.
+// placed names a request at the instance.
 type placed struct {
 	service string
 	id      uint64
 }
 
 // Serve answers the questions of one instance until its stream ends. What it
-// had running is forgotten then: it asks another desk, or it has died and its
+// had running is forgotten then: it asks another instance, or it has died and its
 // connections to the backend servers with it.
-func (d *Desk) Serve(s pb.PeerService_PlaceServer) error {
+func (d *Schedulers) Serve(s pb.PeerService_PlaceServer) error {
 	a := &asker{
-		desk:     d,
-		out:      make(chan *pb.PlaceResponse, outLength),
-		requests: make(map[uint64]placed),
+		schedulers: d,
+		out:        make(chan *pb.PlaceResponse, outLength),
+		requests:   make(map[uint64]placed),
 	}
 	defer a.forgetAll()
 	go func() {
@@ -64,12 +64,12 @@
 		a.report(m.GetId(), m.GetReport())
 	case m.GetAdopt() != nil:
 		ad := m.GetAdopt()
-		a.desk.adopt(ad.GetService(), ad.GetBackendServer(), toParts(ad.GetParts(), ad.GetPartTokens()), false)
+		a.schedulers.adopt(ad.GetService(), ad.GetBackendServer(), toParts(ad.GetParts(), ad.GetPartTokens()), false)
 	}
 }
 
 func (a *asker) ask(id uint64, q *pb.PlaceAsk) {
-	deskID, waits := a.desk.ask(q.GetService(), true, scheduler.Ask{
+	localID, waits := a.schedulers.ask(q.GetService(), true, scheduler.Ask{
 		Account:       q.GetAccount(),
 		Parts:         toParts(q.GetParts(), q.GetPartTokens()),
 		Output:        int(q.GetOutputTokens()),
@@ -82,7 +82,7 @@
 	a.mu.Lock()
 	a.requests[id] = placed{
 		service: q.GetService(),
-		id:      deskID,
+		id:      localID,
 	}
 	a.mu.Unlock()
 	if waits {
@@ -106,7 +106,7 @@
 }
 
 // send drops a message that the asker does not take in time: it then passes
-// this desk over.
+// this instance over.
 func (a *asker) send(m *pb.PlaceResponse) {
 	select {
 	case a.out <- m:
@@ -124,7 +124,7 @@
 	if !ok {
 		return
 	}
-	a.desk.report(p.service, p.id, scheduler.Report{
+	a.schedulers.report(p.service, p.id, scheduler.Report{
 		Event:   scheduler.Event(r.GetEvent()),
 		HasLoad: r.GetHasLoad(),
 		Running: int(r.GetRunning()),
@@ -139,7 +139,7 @@
 	a.requests = make(map[uint64]placed)
 	a.mu.Unlock()
 	for _, p := range requests {
-		a.desk.report(p.service, p.id, scheduler.Report{
+		a.schedulers.report(p.service, p.id, scheduler.Report{
 			Event: scheduler.Cancelled,
 		})
 	}
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -73,9 +73,9 @@
 
 // Outside is what meets the users' platform.
 type Outside struct {
-	Dialect edge.Dialect
-	List    edge.Platform
-	Doors   func(edge.Directory, edge.Rulebook) edge.Doors
+	Dialect   edge.Dialect
+	List      edge.Platform
+	Endpoints func(edge.Directory, edge.Rulebook) edge.Endpoints
 	// Caches reads what engines keep.
 	Caches edge.CacheReader
 	// Reload tells that the settings may have changed; Settings reads them.
@@ -207,9 +207,9 @@
 	}
 	s := grpc.NewServer(grpc.MaxRecvMsgSize(16 << 20))
 	pb.RegisterPeerServiceServer(s, &peerserver.Server{
-		Agent:  in.agent,
-		Desk:   e.placer.Desk(),
-		Finder: e.finder,
+		Agent:      in.agent,
+		Schedulers: e.placer.Schedulers(),
+		Finder:     e.finder,
 	})
 	in.serveGRPC(s, in.wire.Listener(l, "peerServer"))
 	in.agent.Start()
@@ -240,7 +240,7 @@
 // serve opens the addresses of callers, the platform and the operator.
 func (e *entry) serve(meters *metrics.Meters) error {
 	in := e.in
-	doors := in.outside.Doors(e, e)
+	endpoints := in.outside.Endpoints(e, e)
 	handler := &ingress.Handler{
 		Member:        in.agent,
 		Dialect:       in.outside.Dialect,
@@ -256,9 +256,9 @@
 		address string
 		handler http.Handler
 	}{
-		{in.set.Entry.Operator, doors.Configuration()},
-		{in.set.Entry.Directory, doors.Resolve()},
-		{in.set.Entry.Ready, doors.Ready()},
+		{in.set.Entry.Operator, endpoints.Configuration()},
+		{in.set.Entry.Directory, endpoints.Resolve()},
+		{in.set.Entry.Ready, endpoints.Ready()},
 		{in.set.Entry.Front, e.counted(handler)},
 	} {
 		if err := e.open(d.address, d.handler); err != nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -136,9 +136,9 @@
 	Source(ctx context.Context) (revision uint64, source []byte, err error)
 }
 
-// Doors are the calls that the platform, its callers and its operator make at
+// Endpoints are the calls that the platform, its callers and its operator make at
 // an entry instance, beside the requests themselves.
-type Doors interface {
+type Endpoints interface {
 	// Ready serves the readiness check.
 	Ready() http.Handler
 	// Resolve serves the directory.
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -145,7 +145,7 @@
 	return err
 }
 
-// Place opens the stream to the desk of another instance.
+// Place opens the stream to the instance of another instance.
 func (c *Client) Place(ctx context.Context, address string) (pb.PeerService_PlaceClient, error) {
 	p, err := c.at(address, true)
 	if err != nil {
--- a/internal/edge/peerserver/peerserver.go
+++ b/internal/edge/peerserver/peerserver.go
@@ -24,8 +24,8 @@
 
 	Router *router.Router
 	Agent  *membership.Agent
-	// Desk answers questions for places; it is nil where servers have owners.
-	Desk *placer.Desk
+	// Schedulers answers questions for places; it is nil where servers have owners.
+	Schedulers *placer.Schedulers
 	// Finder is nil where the control group is named in the settings.
 	Finder *finder.Finder
 }
@@ -81,10 +81,10 @@
 
 // Place serves questions for places.
 func (s *Server) Place(stream grpc.BidiStreamingServer[pb.PlaceRequest, pb.PlaceResponse]) error {
-	if s.Desk == nil {
+	if s.Schedulers == nil {
 		return status.FromFault(fault.New(fault.BadRequest, "place", "this instance's backend servers have owners"))
 	}
-	return s.Desk.Serve(stream)
+	return s.Schedulers.Serve(stream)
 }
 
 // Acquaint takes and gives where the control group is.
