--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -8,9 +8,8 @@
 // that both decide for a while place less well, and no more.
 //
 // An instance that does not answer within answerLimit is passed over for a
-// while, for the next of the order and at last for the asker's own schedulers. Each
-// asker tells a new decider what it knows: its running requests, and which
-// prefixes it has seen placed.
+// while, for the next of the order and at last for the asker's own schedulers.
+// Each asker tells a new decider which prefixes it has seen placed.
 package placer
 
 // This file defines Placer and the choice of who decides.
