--- a/internal/check/entryfleet/entryfleet_test.go
+++ b/internal/check/entryfleet/entryfleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"camphorspoke/internal/client/command"
 	"camphorspoke/internal/daemon/server"
 	"camphorspoke/internal/daemon/settings"
 	"camphorspoke/internal/edge"
@@ -165,6 +166,15 @@
 	}
 }
 
+// camphor runs the operators' client against an instance.
+func (f *fleet) camphor(i int, args ...string) string {
+	f.t.Helper()
+	var out strings.Builder
+	const operatorPort = 2
+	require.NoError(f.t, command.Root(&out).ParseAndRun(f.t.Context(), append([]string{"-addr", f.at(i, operatorPort)}, args...)))
+	return out.String()
+}
+
 var client = &http.Client{
 	Timeout: 5 * time.Second,
 }
@@ -265,6 +275,11 @@
 	_, source := get("http://" + f.at(1, operator) + "/api/configuration/read")
 	require.Contains(t, source, `"version":9`)
 
+	// The operators' client works at any instance.
+	require.Contains(t, f.camphor(2, "show"), "route r host=h.example prefix=/p/ kind=unsafe to=app")
+	require.NotContains(t, f.camphor(2, "show"), "k2", "keys are not shown")
+	require.Contains(t, f.camphor(3, "status"), "e1")
+
 	// A graceful stop cuts off nothing and answers what still comes.
 	f.work.Store(int64(700 * time.Millisecond))
 	answers := make(chan int, 4)
--- a/internal/control/raftlog/election.go
+++ b/internal/control/raftlog/election.go
@@ -38,7 +38,7 @@
 // campaign asks the voters for a pre-vote or a vote.
 func (n *Node) campaign(now time.Duration, as role, transfer bool) {
 	n.resetElection(now)
-	if as == preCandidate {
+	if as == preCandidate && n.cfg.Voters > 0 {
 		n.resetPreVote(now)
 	}
 	n.role = as
--- a/internal/control/raftlog/raftlog.go
+++ b/internal/control/raftlog/raftlog.go
@@ -57,7 +57,8 @@
 	Heartbeat time.Duration
 	// Voters is how many voters the group wants, an odd number. The other
 	// members stand by as learners, and one of them takes the place of a voter
-	// that has been silent for long. Zero makes every member a voter.
+	// that has been silent for long, and pre-votes are asked for again sooner
+	// than an election. Zero makes every member a voter.
 	Voters  int
 	Rand    *rand.Rand
 	Checker *invariant.Checker
--- a/internal/daemon/logging/logging.go
+++ b/internal/daemon/logging/logging.go
@@ -65,7 +65,9 @@
 		return nil, nil
 	}
 	if leftOut > 0 {
-		e = e.WithField("leftOut", leftOut)
+		told := e.WithField("leftOut", leftOut)
+		told.Level, told.Message, told.Time = e.Level, e.Message, e.Time
+		e = told
 	}
 	return b.inner.Format(e)
 }
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -40,7 +40,8 @@
 	Interval = 250 * time.Millisecond
 	// maxInterval is the longest time between heartbeats.
 	maxInterval = time.Second
-	// lostInterval is the time between heartbeats while none is answered.
+	// lostInterval is the time between heartbeats while none is answered, where
+	// the leader alone proves the rules and servers have no owners to wait for.
 	lostInterval = 60 * time.Millisecond
 	// FreshFor is how long a proof of the rule version counts.
 	FreshFor = 2500 * time.Millisecond
@@ -261,7 +262,7 @@
 func (a *Agent) heartbeats(ctx context.Context) {
 	for {
 		every := a.interval()
-		if !a.heartbeat(ctx) {
+		if !a.heartbeat(ctx) && a.cfg.LeaderOnly {
 			every = min(every, lostInterval)
 		}
 		pause := every - every/10 + rand.N(every/5)
