--- a/internal/routing/scheduler/scheduler_test.go
+++ b/internal/routing/scheduler/scheduler_test.go
@@ -102,6 +102,24 @@
 	require.Len(t, running, 9)
 }
 
+// TestHotSubjectStaysWithinTheBound: the same where no server lacks places, so
+// that the bound alone spreads the subject.
+func TestHotSubjectStaysWithinTheBound(t *testing.T) {
+	s, _ := engines(9)
+	list(s, 9, 200)
+	running := make(map[string]int)
+	for id := uint64(1); id <= 300; id++ {
+		d, ok := s.Ask(time.Second, scheduler.Ask{
+			ID:    id,
+			Parts: prompt(100, 10_000+id),
+			Wait:  time.Second,
+		})
+		require.True(t, ok)
+		running[d.Server]++
+		require.LessOrEqual(t, float64(running[d.Server]), 2*float64(id)/9+3, "request %d", id)
+	}
+}
+
 // TestWaitsAndRefuses: more requests than places. The urgent ones get the next
 // places, and a request that would wait too long is refused at once with the
 // time at which there will be room.
