Count no process that has ended as the owner of a server

Cause: a router named the owner of a server by the instance's name alone. After a restart of the control replicas the tables still named the processes of before, whose leases (2 s) were running; the dump showed owners, AwaitReady went on, and a request was refused as notOwner. The faster redial only made routers ready sooner. Change: view.Owner compares the incarnation; routing, hand-over, directory and dump use it. Before: TestControlGroupAway failed (go test -race -count=1 -run TestControlGroupAway ./internal/check/fleet, 1 of 1 on this machine). After: passed 2 of 2 (-count=2).

--- a/internal/daemon/router/call.go
+++ b/internal/daemon/router/call.go
@@ -223,7 +223,7 @@
 		return r.callHere(ctx, p, server)
 	}
 	v := r.Agent.View()
-	owner := v.Instances[v.Servers[server].GetOwner()]
+	owner := v.Owner(server)
 	if owner == nil || owner.GetName() == r.cfg.Instance {
 		return nil, fault.New(fault.NotOwner, server, "the backend server has no owner that can be reached")
 	}
--- a/internal/daemon/router/generate.go
+++ b/internal/daemon/router/generate.go
@@ -222,7 +222,7 @@
 // forward sends a request to the owner of a server. An owner that has just
 // handed the server over names the next one, which is tried once.
 func (r *Router) forward(ctx context.Context, v *view.View, server string, f *pb.ForwardGenerateRequest, out sink) error {
-	owner := v.Instances[v.Servers[server].GetOwner()]
+	owner := v.Owner(server)
 	for range 2 {
 		if owner == nil || owner.GetName() == r.cfg.Instance {
 			return fault.New(fault.NotOwner, server, "the engine has no owner that can be reached")
--- a/internal/daemon/router/handover.go
+++ b/internal/daemon/router/handover.go
@@ -234,7 +234,7 @@
 		r.gates.Import(to, rows, nil)
 		return
 	}
-	owner := v.Instances[to.GetOwner()]
+	owner := v.Owner(to.GetName())
 	if owner == nil {
 		return
 	}
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -254,7 +254,7 @@
 		out = append(out, i)
 	}
 	for _, name := range order {
-		if add(v.Instances[v.Servers[name].GetOwner()], false); len(out) > 0 {
+		if add(v.Owner(name), false); len(out) > 0 {
 			break
 		}
 	}
--- a/internal/daemon/server/dump.go
+++ b/internal/daemon/server/dump.go
@@ -81,7 +81,7 @@
 			Service:       s.GetService(),
 			Address:       s.GetAddress(),
 			FailureDomain: s.GetFailureDomain(),
-			Owner:         s.GetOwner(),
+			Owner:         v.Owner(s.GetName()).GetName(),
 			Epoch:         s.GetEpoch(),
 			Leaving:       s.GetLeaving(),
 			Drained:       s.GetDrained(),
--- a/internal/routing/view/view.go
+++ b/internal/routing/view/view.go
@@ -88,6 +88,17 @@
 	return out
 }
 
+// Owner returns the instance that owns a server, nil when there is none: a
+// process that has ended owns nothing, though its lease may still be running.
+func (v *View) Owner(server string) *pb.Instance {
+	s := v.Servers[server]
+	i := v.Instances[s.GetOwner()]
+	if i == nil || i.GetGone() || i.GetIncarnation() != s.GetOwnerIncarnation() {
+		return nil
+	}
+	return i
+}
+
 // Routers returns the listed instances, by name.
 func (v *View) Routers() []*pb.Instance {
 	var out []*pb.Instance
