--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -19,6 +19,7 @@
 	"camphorspoke/internal/check/invariant"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/world/fault"
+	"camphorspoke/internal/world/pack"
 )
 
 // claimKey identifies a request: keys are scoped by account and service.
@@ -137,17 +138,21 @@
 	return s
 }
 
-// Encode returns the state as bytes.
+// Encode returns the state as bytes, packed.
 func (l *Ledger) Encode() ([]byte, error) {
 	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(l.Snapshot())
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, "ledger", err)
 	}
-	return b, nil
+	return pack.Codec{}.Pack(b), nil
 }
 
 // Restore replaces the state by an encoded one. A bad encoding changes nothing.
 func (l *Ledger) Restore(data []byte) error {
+	data, err := pack.Codec{}.Unpack(data)
+	if err != nil {
+		return fault.Wrap(fault.DamagedSnapshot, "ledger", err)
+	}
 	s := &pb.LedgerState{}
 	if err := proto.Unmarshal(data, s); err != nil {
 		return fault.Wrap(fault.DamagedSnapshot, "ledger", err)
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -85,6 +85,9 @@
 	seen    map[lease.Holder]uint64
 	// silent holds the listed instances not heard lately, as of the last plan.
 	silent []string
+	// changes holds the packed changes to changesTo, by the version they begin at.
+	changes   map[uint64][]byte
+	changesTo uint64
 }
 
 // Start runs a manager; the clean-up function stops it.
@@ -177,12 +180,7 @@
 	version, content := l.Rules()
 	resp.RuleVersion = version
 	if version > req.GetRuleVersion() {
-		edits, ok := l.EditsSince(req.GetRuleVersion())
-		if ok && edits[len(edits)-1].GetVersion() == version {
-			resp.Edits = edits
-		} else {
-			resp.Rules = content
-		}
+		resp.RuleChange = m.ruleChange(req.GetRuleVersion(), version, content)
 	}
 	resp.Silent = m.silent
 	for _, member := range m.cfg.Replica.Status().Members {
--- a/internal/control/manager/rules.go
+++ b/internal/control/manager/rules.go
@@ -6,12 +6,18 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"camphorspoke/internal/control/lease"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/rules/parse"
 	"camphorspoke/internal/world/fault"
+	"camphorspoke/internal/world/pack"
 )
 
+// maxChanges is how many packed changes are kept for other routers.
+const maxChanges = 64
+
 // inForceLimit is how long an edit waits for a majority of routers.
 const inForceLimit = 3500 * time.Millisecond
 
@@ -87,3 +93,29 @@
 		}
 	}
 }
+
+// ruleChange returns, packed, what brings a router from one version of the rules
+// to another, whose text is content. Nearly all routers are behind by the same
+// edits, so each change is packed once for all of them. The caller holds mu.
+func (m *Manager) ruleChange(from, to uint64, content []byte) []byte {
+	if m.changesTo != to || len(m.changes) >= maxChanges {
+		m.changes, m.changesTo = make(map[uint64][]byte), to
+	}
+	if packed, ok := m.changes[from]; ok {
+		return packed
+	}
+	change := &pb.RuleChange{}
+	edits, ok := m.cfg.Replica.Ledger.EditsSince(from)
+	if ok && edits[len(edits)-1].GetVersion() == to {
+		change.Edits = edits
+	} else {
+		change.Whole = content
+	}
+	plain, err := proto.Marshal(change)
+	if err != nil {
+		m.cfg.Logger.WithError(err).Errorf("control: the change of the rules from version %d to %d can't be encoded", from, to)
+		return nil
+	}
+	m.changes[from] = pack.Codec{}.Pack(plain)
+	return m.changes[from]
+}
--- a/internal/control/replica/persist.go
+++ b/internal/control/replica/persist.go
@@ -8,6 +8,7 @@
 	"camphorspoke/internal/control/raftlog"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/world/fault"
+	"camphorspoke/internal/world/pack"
 )
 
 // work carries out what the node asks for until it asks for nothing.
@@ -85,8 +86,7 @@
 	r.bytesSince += len(e.GetData())
 	result := &pb.Result{}
 	if e.GetKind() == pb.RaftEntryKind_RAFT_ENTRY_KIND_COMMAND && len(e.GetData()) > 0 {
-		c := &pb.Command{}
-		err := proto.Unmarshal(e.GetData(), c)
+		c, err := decodeCommand(e.GetData())
 		r.cfg.Checker.Holds(err == nil, "commandsDecode", "entry %d: %v", e.GetIndex(), err)
 		result = r.Ledger.Apply(e.GetIndex(), c)
 	}
@@ -106,6 +106,20 @@
 	}
 }
 
+// decodeCommand returns the command of an entry; what can't be decoded is a
+// command without effect, at every replica alike.
+func decodeCommand(data []byte) (*pb.Command, error) {
+	c := &pb.Command{}
+	plain, err := pack.Codec{}.Unpack(data)
+	if err != nil {
+		return c, err
+	}
+	if err := proto.Unmarshal(plain, c); err != nil {
+		return &pb.Command{}, fault.Wrap(fault.DamagedLog, "command", err)
+	}
+	return c, nil
+}
+
 func (r *Replica) maybeSnapshot() error {
 	if r.sinceSnap < r.cfg.SnapshotEvery && r.bytesSince < snapshotBytes {
 		return nil
--- a/internal/control/replica/propose.go
+++ b/internal/control/replica/propose.go
@@ -12,6 +12,7 @@
 	"camphorspoke/internal/control/raftlog"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/world/fault"
+	"camphorspoke/internal/world/pack"
 )
 
 // Propose commits a command and returns its result. A NoQuorum failure means
@@ -28,7 +29,7 @@
 		return nil, fault.Wrap(fault.Internal, "command", err)
 	}
 	p := &proposal{
-		data:   data,
+		data:   pack.Codec{}.Pack(data),
 		onlyIn: term,
 		result: make(chan outcome, 1),
 	}
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"camphorspoke/internal/check/invariant"
 	"camphorspoke/internal/control"
@@ -33,6 +34,8 @@
 	"camphorspoke/internal/routing/ownership"
 	"camphorspoke/internal/routing/view"
 	"camphorspoke/internal/rules/parse"
+	"camphorspoke/internal/world/fault"
+	"camphorspoke/internal/world/pack"
 )
 
 const (
@@ -49,6 +52,8 @@
 	askAfter       = 1500 * time.Millisecond
 	askLimit       = 500 * time.Millisecond
 	heartbeatLimit = 900 * time.Millisecond
+	// maxChange bounds an unpacked change of the rules, in bytes.
+	maxChange = 2 * parse.MaxBytes
 )
 
 // Config names what an Agent works with.
@@ -390,15 +395,24 @@
 }
 
 // ruleText returns the rule file of an answer: given whole, or as edits of the
-// text held. Edits that don't fit give nil, and the next heartbeat asks for the
-// whole file.
+// text held. A change that can't be decoded or doesn't fit gives nil, and the
+// next heartbeat asks for the whole file.
 func (a *Agent) ruleText(v *view.View, resp *pb.HeartbeatResponse) []byte {
 	a.wantWhole = false
-	if len(resp.GetEdits()) == 0 || resp.GetRuleVersion() <= v.RuleVersion {
-		return resp.GetRules()
+	if resp.GetRuleVersion() <= v.RuleVersion {
+		return nil
+	}
+	change, err := decodeChange(resp.GetRuleChange())
+	if err != nil {
+		a.cfg.Logger.WithError(err).Errorf("member: the change to version %d can't be decoded", resp.GetRuleVersion())
+		a.wantWhole = true
+		return nil
+	}
+	if len(change.GetEdits()) == 0 {
+		return change.GetWhole()
 	}
 	text := v.RuleText
-	for _, e := range resp.GetEdits() {
+	for _, e := range change.GetEdits() {
 		if e.GetVersion() <= v.RuleVersion {
 			continue
 		}
@@ -416,6 +430,21 @@
 	return text
 }
 
+// decodeChange unpacks a change of the rules.
+func decodeChange(packed []byte) (*pb.RuleChange, error) {
+	plain, err := pack.Codec{
+		Limit: maxChange,
+	}.Unpack(packed)
+	if err != nil {
+		return nil, err
+	}
+	change := &pb.RuleChange{}
+	if err := proto.Unmarshal(plain, change); err != nil {
+		return nil, fault.Wrap(fault.DamagedText, "change of the rules", err)
+	}
+	return change, nil
+}
+
 // adopt takes a newer rule file; versions only go up. It reports whether the
 // view holds at least the given version.
 func (a *Agent) adopt(v *view.View, version uint64, text []byte) (*view.View, bool) {
--- a/internal/world/fault/fault.go
+++ b/internal/world/fault/fault.go
@@ -73,11 +73,13 @@
 	Internal    Kind = "internal"
 
 	// DamagedLog, BrokenLog and DamagedSnapshot stop a replica; PlatformList
-	// means that the platform's list can't be read.
+	// means that the platform's list can't be read, and DamagedText that packed
+	// bytes can't be unpacked.
 	DamagedLog      Kind = "damagedLog"
 	BrokenLog       Kind = "brokenLog"
 	DamagedSnapshot Kind = "damagedSnapshot"
 	PlatformList    Kind = "platformList"
+	DamagedText     Kind = "damagedText"
 )
 
 type class struct {
