--- a/internal/control/manager/change_test.go
+++ b/internal/control/manager/change_test.go
@@ -60,12 +60,17 @@
 		apply(1, manyRoutes(20+changeRoutes))
 		router := w.running()[0]
 		for _, from := range []uint64{0, 1} {
-			resp, err := c.Heartbeat(t.Context(), &pb.HeartbeatRequest{
-				Instance:    router.name,
-				Incarnation: router.incarnation,
-				RuleVersion: from,
-			})
-			require.NoError(t, err)
+			var resp *pb.HeartbeatResponse
+			// A router that is not listed yet is told to wait.
+			require.Eventually(t, func() bool {
+				var err error
+				resp, err = c.Heartbeat(t.Context(), &pb.HeartbeatRequest{
+					Instance:    router.name,
+					Incarnation: router.incarnation,
+					RuleVersion: from,
+				})
+				return err == nil
+			}, time.Minute, 50*time.Millisecond)
 			require.EqualValues(t, 2, resp.GetRuleVersion())
 			most := changeLink * int(changeTime/time.Millisecond) / 1000 / changeRouters
 			require.LessOrEqual(t, proto.Size(resp), most, "from version %d", from)
