Elect the former leader at once after a restart of every process

Change: the leader of a term is kept with the vote, and a replica grants a vote at once to the leader of its own term: only that one can hold a lease it has backed, and a leader that asks for votes leads no longer. The former leader does not wait itself. Ruled out: shorter elections for all, as a freeze or a slow disk would unseat leaders. TestFormerLeaderIsBackAtOnce fails without the change.

--- a/internal/control/raftlog/election.go
+++ b/internal/control/raftlog/election.go
@@ -47,7 +47,7 @@
 	kind, term := pb.RaftKind_RAFT_KIND_PRE_VOTE, n.term+1
 	if as == candidate {
 		n.term++
-		n.vote = n.cfg.Name
+		n.vote, n.termLeader = n.cfg.Name, ""
 		kind = pb.RaftKind_RAFT_KIND_VOTE
 	}
 	for _, m := range n.voters() {
@@ -89,8 +89,7 @@
 // stepVoteRequest answers a request for a vote or a pre-vote.
 func (n *Node) stepVoteRequest(now time.Duration, m *pb.RaftMessage) {
 	pre := m.GetKind() == pb.RaftKind_RAFT_KIND_PRE_VOTE
-	sticky := n.role == leader || now-n.leaderSeen < n.cfg.Election
-	if sticky && !m.GetTransfer() {
+	if n.sticky(now, m) {
 		// Within the lease of a leader no vote is granted and no term adopted.
 		return
 	}
@@ -126,6 +125,20 @@
 	})
 }
 
+// sticky reports whether a leader's lease, as far as this replica may have
+// backed it, forbids a vote. The leader of this replica's own term and a target
+// of its transfer are free to ask.
+func (n *Node) sticky(now time.Duration, m *pb.RaftMessage) bool {
+	if m.GetTransfer() {
+		return false
+	}
+	if n.role == leader {
+		return true
+	}
+	formerLeader := m.GetFrom() == n.termLeader && m.GetTerm() > n.term && n.known(m)
+	return !formerLeader && now-n.leaderSeen < n.cfg.Election
+}
+
 func (n *Node) stepVoteReply(now time.Duration, m *pb.RaftMessage) {
 	if !n.known(m) {
 		return
@@ -149,7 +162,10 @@
 
 func (n *Node) becomeFollower(now time.Duration, term uint64, leaderName string) {
 	if term > n.term {
-		n.term, n.vote = term, ""
+		n.term, n.vote, n.termLeader = term, "", ""
+	}
+	if leaderName != "" {
+		n.termLeader = leaderName
 	}
 	if n.role != follower || n.leaderName != leaderName {
 		n.resetElection(now)
@@ -161,7 +177,7 @@
 
 func (n *Node) becomeLeader(now time.Duration) {
 	n.role = leader
-	n.leaderName = n.cfg.Name
+	n.leaderName, n.termLeader = n.cfg.Name, n.cfg.Name
 	n.leaderSince = now
 	n.transferTo = ""
 	n.sentAt = make(map[uint64]time.Duration)
--- a/internal/control/raftlog/machine_test.go
+++ b/internal/control/raftlog/machine_test.go
@@ -353,6 +353,27 @@
 				}
 			}
 		}
+	case 11:
+		// All processes are killed at the same moment and are back at once, a few
+		// of them later.
+		for _, name := range g.names {
+			g.start(g.members[name])
+			if g.rnd.IntN(4) == 0 {
+				g.members[name].node = nil
+			}
+		}
+	case 12:
+		// The leader restarts, and at times its successor too, while one member
+		// still hears nothing of it.
+		for range 1 + g.rnd.IntN(3) {
+			if l := g.leader(); l != nil {
+				g.cut[[2]string{l.name, m.name}] = true
+				g.start(l)
+			}
+			for range g.rnd.IntN(30) {
+				g.step(0)
+			}
+		}
 	}
 }
 
@@ -376,7 +397,7 @@
 			g.step(0)
 		}
 		g.crash = rapid.SampledFrom([]float64{0, 0.002, 0.01}).Draw(rt, "crash")
-		for _, kind := range rapid.SliceOfN(rapid.IntRange(0, 12), 5, 25).Draw(rt, "acts") {
+		for _, kind := range rapid.SliceOfN(rapid.IntRange(0, 14), 5, 25).Draw(rt, "acts") {
 			g.act(kind)
 			for range g.rnd.IntN(1 + 40*g.rnd.IntN(2)) {
 				g.step(loss)
@@ -423,3 +444,53 @@
 	}
 	t.Fatalf("the group does not recover: %d committed, %d before\n%s", len(g.committed), before, state)
 }
+
+// TestFormerLeaderIsBackAtOnce: after a restart of every process the former
+// leader leads again in a fraction of an election timeout; without its disk the
+// others take their time.
+func TestFormerLeaderIsBackAtOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := newGroup(rt, rapid.SampledFrom([]int{3, 5}).Draw(rt, "size"))
+		for range 200 {
+			g.step(0)
+			g.propose()
+		}
+		former := g.leader()
+		require.NotNil(rt, former)
+		for _, name := range g.names {
+			g.start(g.members[name])
+		}
+		for range int(testElection / 2 / stepTime) {
+			g.step(0)
+		}
+		require.Equal(rt, former, g.leader())
+		require.True(rt, former.node.LeaseValid(g.clock(former)))
+	})
+}
+
+// TestOthersStaySilent: a replica that has backed the lease of one leader grants
+// no vote to another one right after a restart.
+func TestOthersStaySilent(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := newGroup(rt, 3)
+		for range 200 {
+			g.step(0)
+			g.propose()
+		}
+		former := g.leader()
+		require.NotNil(rt, former)
+		var first *member
+		for _, name := range g.names {
+			if m := g.members[name]; m != former {
+				g.start(m)
+				first = m
+			}
+		}
+		first.node.electionAt = 0
+		g.isolate(former)
+		for range int(testElection*(100-2*MaxDriftPercent)/100/stepTime) - 1 {
+			g.step(0)
+			require.Equal(rt, former, g.leader())
+		}
+	})
+}
--- a/internal/control/raftlog/raftlog.go
+++ b/internal/control/raftlog/raftlog.go
@@ -19,6 +19,11 @@
 //     acknowledged by a quorum therefore has no successor before
 //     t+Election, less the drift of clocks: this is the leader lease. A
 //     transfer of leadership gives the lease up first.
+//   - The one replica to which a vote is granted earlier is the leader of the
+//     voter's own term. Only that replica can hold a lease which the voter has
+//     backed, since leases of earlier terms had run out when it was elected, and
+//     it leads no longer when it asks for votes. So a group whose processes were
+//     all restarted has its former leader back at once.
 //   - Only entries of the leader's own term are committed by counting.
 package raftlog
 
@@ -120,6 +125,8 @@
 	term   uint64
 	vote   string
 	commit uint64
+	// termLeader is the leader of term, once it is known. It outlives a restart.
+	termLeader string
 	// applied is the last index handed out as committed.
 	applied uint64
 	// persisted is the last index known to be synced here.
@@ -150,6 +157,7 @@
 	term   uint64
 	vote   string
 	commit uint64
+	leader string
 }
 
 // New returns a node that resumes from what was stored.
@@ -165,6 +173,7 @@
 		term:       st.HardState.GetTerm(),
 		vote:       st.HardState.GetVote(),
 		commit:     st.HardState.GetCommit(),
+		termLeader: st.HardState.GetLeader(),
 		leaderSeen: now,
 	}
 	if st.Snapshot != nil {
@@ -184,6 +193,10 @@
 	n.persisted = n.log.last()
 	n.synced = n.hardState()
 	n.resetElection(now)
+	if n.termLeader == cfg.Name {
+		// The former leader need not be silent first: the lease was its own.
+		n.electionAt = now
+	}
 	return n
 }
 
@@ -206,6 +219,7 @@
 		term:   n.term,
 		vote:   n.vote,
 		commit: n.commit,
+		leader: n.termLeader,
 	}
 }
 
@@ -245,12 +259,8 @@
 		Messages: n.messages,
 	}
 	// A commit index alone need not be synced: it is learned again.
-	if hs := n.hardState(); hs.term != n.synced.term || hs.vote != n.synced.vote || len(n.unsynced) > 0 || n.install != nil {
-		r.HardState = &pb.RaftHardState{
-			Term:   n.term,
-			Vote:   n.vote,
-			Commit: n.commit,
-		}
+	if hs := n.hardState(); hs.term != n.synced.term || hs.vote != n.synced.vote || hs.leader != n.synced.leader || len(n.unsynced) > 0 || n.install != nil {
+		r.HardState = n.HardState()
 		n.synced = hs
 	}
 	if n.install == nil && n.commit > n.applied {
@@ -296,6 +306,7 @@
 		Term:   n.term,
 		Vote:   n.vote,
 		Commit: n.commit,
+		Leader: n.termLeader,
 	}
 }
 
