Let a new leader tell every instance that it does not hear

TestLeaderIsToldAtOnce covers it; it was written with the change, as the old interface has no leader.

--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -201,13 +201,23 @@
 		return nil
 	}
 	var out []string
+	for _, i := range m.unheard(now) {
+		out = append(out, i.GetName())
+	}
+	return out
+}
+
+// unheard returns the listed instances that were not heard lately, or not since
+// this replica began to lead. The caller holds mu.
+func (m *Manager) unheard(now time.Duration) []*pb.Instance {
+	var out []*pb.Instance
 	for _, i := range m.cfg.Replica.Ledger.Routers() {
 		row := m.leases.Row(lease.Holder{
 			Instance:    i.GetName(),
 			Incarnation: i.GetIncarnation(),
 		})
 		if row == nil || now-row.Seen > hearingAge {
-			out = append(out, i.GetName())
+			out = append(out, i)
 		}
 	}
 	return out
--- a/internal/control/manager/plan.go
+++ b/internal/control/manager/plan.go
@@ -157,14 +157,18 @@
 	m.silent = m.findSilent(now)
 }
 
-// SilentPeers returns the peer addresses of the listed instances that were not
-// heard lately, as of the last plan.
-func (m *Manager) SilentPeers() []string {
+// UnheardPeers returns the peer addresses of the listed instances that were not
+// heard lately, or not since this replica began to lead; none while it does not.
+func (m *Manager) UnheardPeers() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := m.cfg.Replica.Now()
+	if !m.leads(now) {
+		return nil
+	}
 	var out []string
-	for _, name := range m.silent {
-		if a := m.cfg.Replica.Ledger.Instance(name).GetPeerAddress(); a != "" {
+	for _, i := range m.unheard(now) {
+		if a := i.GetPeerAddress(); a != "" {
 			out = append(out, a)
 		}
 	}
--- a/internal/daemon/finder/finder_test.go
+++ b/internal/daemon/finder/finder_test.go
@@ -21,18 +21,23 @@
 type net struct {
 	mu      sync.Mutex
 	finders map[string]*finder.Finder
-	calls   int
+	// dark are the addresses of machines without power: nobody answers there.
+	dark  map[string]bool
+	calls int
 }
 
-func (n *net) Acquaint(_ context.Context, address string, control []string) ([]string, error) {
+func (n *net) Acquaint(ctx context.Context, address string, control []string, leader string) ([]string, error) {
 	n.mu.Lock()
 	n.calls++
-	f := n.finders[address]
+	f, dark := n.finders[address], n.dark[address]
 	n.mu.Unlock()
+	if dark {
+		<-ctx.Done()
+	}
 	if f == nil {
 		return nil, fault.New(fault.Unreachable, address, "down")
 	}
-	f.Acquaint(control)
+	f.Acquaint(control, leader)
 	return f.Known(), nil
 }
 
@@ -40,9 +45,22 @@
 type instance struct {
 	mu      sync.Mutex
 	learned []string
+	leader  string
 	touch   atomic.Bool
 }
 
+func (i *instance) learnLeader(leader string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.leader = leader
+}
+
+func (i *instance) knowsLeader() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.leader
+}
+
 func (i *instance) learn(control []string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -55,19 +73,26 @@
 	return i.learned
 }
 
-func (n *net) add(address string, seeds, replica, silent []string) (*instance, func()) {
+// add starts an instance; one with unheard instances leads.
+func (n *net) add(address string, seeds, replica, unheard []string) (*instance, func()) {
 	i := &instance{}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	list := func(l []string) func() []string { return func() []string { return l } }
 	f, stop := finder.New(finder.Config{
 		Seeds:   list(seeds),
-		Silent:  list(silent),
 		InTouch: func() bool { return i.touch.Load() },
 		Replica: list(replica),
-		Learn:   i.learn,
-		Peers:   n,
-		Logger:  log,
+		Leads: func() (string, []string) {
+			if len(unheard) == 0 {
+				return "", nil
+			}
+			return replica[0], unheard
+		},
+		Learn:       i.learn,
+		LearnLeader: i.learnLeader,
+		Peers:       n,
+		Logger:      log,
 	})
 	n.mu.Lock()
 	n.finders[address] = f
@@ -99,6 +124,33 @@
 	})
 }
 
+// TestLeaderIsToldAtOnce: after all machines lost power and the seeds were
+// exchanged, one seed stays dark and the others know nothing. Who leads is known
+// to every instance a fraction of a second after the leader is.
+func TestLeaderIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &net{
+			finders: make(map[string]*finder.Finder),
+			dark:    map[string]bool{"s1": true},
+		}
+		group := []string{"r1:7340", "r2:7340"}
+		seeds := []string{"s1", "s2"}
+		s2, stop1 := n.add("s2", seeds, nil, nil)
+		other, stop2 := n.add("o", seeds, nil, nil)
+		time.Sleep(time.Second)
+		r1, stop3 := n.add("r1", seeds, group, []string{"s1", "s2", "o"})
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, group, r1.knows())
+		for _, i := range []*instance{s2, other} {
+			require.Equal(t, group, i.knows())
+			require.Equal(t, group[0], i.knowsLeader())
+		}
+		for _, stop := range []func(){stop1, stop2, stop3} {
+			stop()
+		}
+	})
+}
+
 // TestSeedsAreDown: the leader tells the listed instances that fell silent.
 func TestSeedsAreDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -130,7 +182,7 @@
 		n.mu.Unlock()
 		require.Zero(t, calls)
 		f.Confirm([]string{"r1:1"})
-		f.Acquaint([]string{"old:1"})
+		f.Acquaint([]string{"old:1"}, "")
 		require.True(t, slices.Equal([]string{"r1:1"}, f.Known()))
 		stop()
 	})
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -178,13 +178,14 @@
 	in.onCleanUp(stopAgent)
 	var stopFinder func()
 	e.finder, stopFinder = finder.New(finder.Config{
-		Seeds:   func() []string { return e.seeds.Load().PeerSeeds },
-		Silent:  e.silentPeers,
-		InTouch: func() bool { return in.agent.Contact() < touchLimit },
-		Replica: in.memberAddresses,
-		Learn:   in.control.Learn,
-		Peers:   peers,
-		Logger:  in.log,
+		Seeds:       func() []string { return e.seeds.Load().PeerSeeds },
+		InTouch:     func() bool { return in.agent.Contact() < touchLimit },
+		Replica:     in.memberAddresses,
+		Leads:       e.leads,
+		Learn:       in.control.Learn,
+		LearnLeader: e.learnLeader,
+		Peers:       peers,
+		Logger:      in.log,
 	})
 	in.onCleanUp(stopFinder)
 	var stopPlacer func()
@@ -216,13 +217,19 @@
 	return nil
 }
 
-// silentPeers returns the peer addresses of listed instances that the control
-// group does not hear.
-func (e *entry) silentPeers() []string {
+// leads returns the address of the own replica while it leads, and the peer
+// addresses of the listed instances that it does not hear.
+func (e *entry) leads() (leader string, unheard []string) {
 	if e.in.manager == nil || !e.in.manager.Leads() {
-		return nil
+		return "", nil
 	}
-	return e.in.manager.SilentPeers()
+	return e.in.set.ControlListen, e.in.manager.UnheardPeers()
+}
+
+// learnLeader takes a leader's word that it leads, and asks it at once.
+func (e *entry) learnLeader(address string) {
+	e.in.control.LearnLeader(address)
+	e.in.agent.Kick()
 }
 
 // memberAddresses returns the members that the own replica knows.
--- a/internal/edge/controlclient/controlclient.go
+++ b/internal/edge/controlclient/controlclient.go
@@ -117,6 +117,9 @@
 	return addr, pb.NewControlServiceClient(conn), nil
 }
 
+// LearnLeader takes the word of the replica at an address that it leads.
+func (c *Client) LearnLeader(address string) { c.setLeader(address) }
+
 func (c *Client) setLeader(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -158,13 +158,14 @@
 	return s, nil
 }
 
-// Acquaint exchanges with another instance where the control group is.
-func (c *Client) Acquaint(ctx context.Context, address string, control []string) ([]string, error) {
+// Acquaint exchanges with another instance where the control group and its leader are.
+func (c *Client) Acquaint(ctx context.Context, address string, control []string, leader string) ([]string, error) {
 	p, err := c.at(address, true)
 	if err != nil {
 		return nil, err
 	}
 	r, err := p.Acquaint(ctx, &pb.AcquaintRequest{
+		Leader:           leader,
 		ControlAddresses: control,
 	})
 	if err != nil {
--- a/internal/edge/peerserver/peerserver.go
+++ b/internal/edge/peerserver/peerserver.go
@@ -92,7 +92,7 @@
 	if s.Finder == nil {
 		return &pb.AcquaintResponse{}, nil
 	}
-	s.Finder.Acquaint(r.GetControlAddresses())
+	s.Finder.Acquaint(r.GetControlAddresses(), r.GetLeader())
 	return &pb.AcquaintResponse{
 		ControlAddresses: s.Finder.Known(),
 	}, nil
