Let a server's failure rate fall with time

Cause: a plain server's rate of failures changed only with outcomes, and a server that had failed was not chosen while any other was cheaper, so it had no outcomes: after four seconds of failures it got 0 of a share of 30 requests for the rest of the replay (TestGreyServer, which failed first so). Change: the rate halves each second without outcomes.

--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -146,7 +146,7 @@
 		if sv.domain != a.FailureDomain {
 			c += 0.5 / float64(sv.slots)
 		}
-		return c*sv.slowness() + tie(sv.name, a.ID)/100
+		return c*sv.slowness(now) + tie(sv.name, a.ID)/100
 	}
 	miss := total(a) - sv.cache.Cached(a.Parts)
 	c := float64(miss) + pendingWeight*float64(max(sv.pending, 0)) + loadTokens*float64(sv.load(now))
@@ -154,7 +154,7 @@
 		at := max(len(a.Parts)-2, 0)
 		c += tieTokens * tie(sv.name, a.Parts[at].ID)
 	}
-	return (c + loadTokens) * sv.slowness()
+	return (c + loadTokens) * sv.slowness(now)
 }
 
 // tie returns a figure in [0, 1) that orders servers anew for each key.
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -3,6 +3,7 @@
 // This file defines what is known of one server, and the pace of a service.
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,8 +16,11 @@
 	holdMax   = 6 * time.Second
 	// breaksToHold is how many breaks in a row hold a server back.
 	breaksToHold = 2
-	// failureWeight is the weight of the newest outcome in the failure rate.
-	failureWeight = 0.1
+	// failureWeight is the weight of the newest outcome in the failure rate, and
+	// failureHalfLife the time in which the rate falls by half without outcomes: a
+	// server that failed is tried again although others are cheaper until then.
+	failureWeight   = 0.1
+	failureHalfLife = time.Second
 	// failurePenalty multiplies the cost of a server that always fails.
 	failurePenalty = 8
 	// toldFor is how long a load counts that a server told.
@@ -46,7 +50,9 @@
 	trips     int
 	heldUntil time.Duration
 	shedUntil time.Duration
-	failures  float64
+	// failures is the failure rate as of failuresAt.
+	failures   float64
+	failuresAt time.Duration
 }
 
 func newServer(name string) *server {
@@ -89,22 +95,39 @@
 
 func (sv *server) heldBack(now time.Duration) bool { return now < sv.heldUntil }
 
+// failureRate returns the part of the outcomes that were failures, the newest
+// weighing most.
+func (sv *server) failureRate(now time.Duration) float64 {
+	return sv.failures * math.Exp2(-float64(now-sv.failuresAt)/float64(failureHalfLife))
+}
+
+// note counts an outcome in the failure rate.
+func (sv *server) note(now time.Duration, failed bool) {
+	rate := sv.failureRate(now) * (1 - failureWeight)
+	if failed {
+		rate += failureWeight
+	}
+	sv.failures, sv.failuresAt = rate, now
+}
+
 // slowness is what the cost is multiplied by, 1 for a sound server.
-func (sv *server) slowness() float64 { return 1 + failurePenalty*sv.failures }
+func (sv *server) slowness(now time.Duration) float64 {
+	return 1 + failurePenalty*sv.failureRate(now)
+}
 
 func (sv *server) outcome(now time.Duration, r Report) {
 	switch r.Event {
 	case Done:
 		sv.breaks, sv.trips = 0, 0
-		sv.failures *= 1 - failureWeight
+		sv.note(now, false)
 	case Rejected:
 		sv.shedUntil = now + shedFor
-		sv.failures += failureWeight * (1 - sv.failures)
+		sv.note(now, true)
 	case Failed:
 		sv.breaks = 0
-		sv.failures += failureWeight * (1 - sv.failures)
+		sv.note(now, true)
 	case Broken, Unreachable:
-		sv.failures += failureWeight * (1 - sv.failures)
+		sv.note(now, true)
 		sv.breaks++
 		if sv.breaks >= breaksToHold || r.Event == Unreachable {
 			sv.heldUntil = now + min(holdFirst<<min(sv.trips, 8), holdMax)
