--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -224,6 +224,7 @@
 		Left:      c.left(),
 		LastEvent: c.lastEvent,
 		Urgency:   c.engineUrgency(),
+		FetchFrom: g.FetchAddress,
 	})
 	return &backend.Message{
 		Method: c.r.Method,
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -295,6 +295,9 @@
 		fields["server"], fields["decider"] = g.Server, g.Decider
 		fields["waitedMs"] = g.Waited.Milliseconds()
 		fields["cached"], fields["bestCached"], fields["load"] = g.Cached, g.BestCached, g.Load
+		if g.FetchFrom != "" {
+			fields["fetchFrom"] = g.FetchFrom
+		}
 	}
 	if err != nil {
 		fields["cause"] = err.Error()
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -193,6 +193,7 @@
 				Cached:     int(m.GetCached()),
 				Load:       int(m.GetLoad()),
 				BestCached: int(m.GetBestCached()),
+				FetchFrom:  m.GetFetchFrom(),
 			}, true
 		case <-limit.C:
 			forget()
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -86,6 +86,9 @@
 type Grant struct {
 	scheduler.Decision
 	Address string
+	// FetchAddress is where the server should read what it lacks of the prompt;
+	// empty when nobody keeps more of it.
+	FetchAddress string
 	// Decider is the instance that decided.
 	Decider string
 	Waited  time.Duration
@@ -209,6 +212,10 @@
 		return false
 	}
 	g.Decision, g.Address, g.Decider = d, s.GetAddress(), decider
+	g.FetchAddress = ""
+	if from := p.view.Servers[d.FetchFrom]; from != nil && !from.GetGone() {
+		g.FetchAddress = from.GetAddress()
+	}
 	return true
 }
 
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -90,6 +90,7 @@
 			Engine:      !rule.Plain,
 			Slots:       rule.Slots,
 			CacheTokens: rule.CacheTokens,
+			Fetches:     rule.Fetches,
 			Bound:       d.cfg.Bound,
 			RetryWindow: d.cfg.RetryWindow,
 			RetryRatio:  d.cfg.RetryRatio,
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -102,6 +102,7 @@
 		Cached:        uint32(d.Cached),
 		Load:          uint32(d.Load),
 		BestCached:    uint32(d.BestCached),
+		FetchFrom:     d.FetchFrom,
 	})
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,6 +94,9 @@
 	LastEvent string
 	// Urgency is 0 to 9, 0 first; below zero nothing is said.
 	Urgency int
+	// FetchFrom is the address of another engine from which the server reads
+	// what it lacks of the prompt; empty to read nothing.
+	FetchFrom string
 }
 
 // Answer is what the head of a backend server's answer says.
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -30,6 +30,9 @@
 	lookAhead = 48
 	// rankTokens is what each more urgent rank that waits counts.
 	rankTokens = 1000
+	// fetchTokens is the least prefix that an engine reads from another one: to
+	// read fewer tokens anew takes no longer than to set the transfer up.
+	fetchTokens = 400
 	// tieTokens spreads prompts that no server keeps.
 	tieTokens = 40
 	// cacheShare is the part of an engine's memory that keeps prefixes while
@@ -50,6 +53,7 @@
 func (s *Scheduler) grant(now time.Duration, a Ask, sv *server) Decision {
 	cached := sv.cache.Cached(a.Parts)
 	best := s.bestCached(a)
+	from := s.fetchFrom(now, a, sv, cached)
 	g := &grant{
 		server: sv,
 		ask:    a,
@@ -68,9 +72,35 @@
 		Cached:     cached,
 		Load:       sv.running,
 		BestCached: best,
+		FetchFrom:  from,
 	}
 }
 
+// fetchFrom returns the server from which sv should read what it lacks of a
+// prompt: the one that keeps most of it, whether or not it takes new work, so
+// that what a leaving server keeps is not lost. Of equals it is one in the same
+// failure domain.
+func (s *Scheduler) fetchFrom(now time.Duration, a Ask, sv *server, cached int) string {
+	if !s.svc.Fetches {
+		return ""
+	}
+	var best *server
+	most := cached + fetchTokens - 1
+	for _, o := range s.order {
+		if o == sv || o.heldBack(now) {
+			continue
+		}
+		kept := o.cache.Cached(a.Parts)
+		if kept > most || best != nil && kept == most && best.domain != sv.domain && o.domain == sv.domain {
+			best, most = o, kept
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.name
+}
+
 // bestCached returns the most tokens of a prompt that any open server keeps.
 func (s *Scheduler) bestCached(a Ask) int {
 	best := 0
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -40,6 +40,8 @@
 	// Slots and CacheTokens hold for servers whose own figures are not known.
 	Slots       int
 	CacheTokens int
+	// Fetches is true when an engine can read a prefix from another one.
+	Fetches bool
 	// Bound is the multiple of the mean load that a server may carry.
 	Bound float64
 	// RetryWindow, RetryRatio and RetrySlack bound the repeats.
@@ -99,6 +101,9 @@
 	Load   int
 	// BestCached are the most tokens of the prompt that any open server keeps.
 	BestCached int
+	// FetchFrom is the server from which the granted one should read what it
+	// lacks; empty when nobody keeps enough more of the prompt.
+	FetchFrom string
 }
 
 // Event is what became of a granted request.
--- a/internal/rules/file/file.go
+++ b/internal/rules/file/file.go
@@ -70,6 +70,9 @@
 	// not: requests run at once, and tokens held in memory.
 	Slots       int
 	CacheTokens int
+	// Fetches is true when an engine can read a prefix from another engine that
+	// keeps it.
+	Fetches bool
 	// CheckedFence is true when the engines refuse old fencing numbers.
 	CheckedFence bool
 }
--- a/internal/rules/parse/parse.go
+++ b/internal/rules/parse/parse.go
@@ -17,7 +17,7 @@
 //
 // The host and the prefix of a route are percent-encoded where a character would
 // end the word. A service also takes [health=PATH] [connections=N] [slots=N]
-// [cache-tokens=N], an account [priority=N] [keys=DIGEST,...].
+// [cache-tokens=N] [fetch=no|yes], an account [priority=N] [keys=DIGEST,...].
 //
 // A file is taken whole or refused whole; every problem is reported as
 // file:line:column, as a compiler would.
@@ -215,6 +215,7 @@
 		Connections:   s.integer("connections", 0, 1, 1_000_000),
 		Slots:         s.integer("slots", 0, 1, 1_000_000),
 		CacheTokens:   s.integer("cache-tokens", 0, 1, 1_000_000_000),
+		Fetches:       s.choice("fetch", no, no, yes) == yes,
 		CheckedFence:  s.choice("fence", "ignored", "checked", "ignored") == "checked",
 	}
 	p.out.Services[name.text] = svc
