Add a soak of real processes under random faults; take signals first

The soak: camphord processes on loopback; two series of seeded faults beside each other (kills, freezes, planned stops, reloads, kill of all, lost and torn disks, links to backend servers delayed, silent, one way or reset, failing backend servers, a list that is away, backend servers replaced) under callers and an operator. What it checks is in check/observed, apart from the faults. Cause: the handlers were installed after the settings were read. What is left is the time before main; the soak sends such signals after 0.2 s.

--- /dev/null
+++ b/cmd/camphor-soak/main.go
@@ -0,0 +1,89 @@
+// Command camphor-soak runs a fleet of real processes on loopback under random
+// faults, a seed after the other, and says which promises were broken.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"camphorspoke/internal/check/soak"
+)
+
+func main() {
+	fs := flag.NewFlagSet("camphor-soak", flag.ContinueOnError)
+	bin := fs.String("bin", "bin", "folder of the programs")
+	seed := fs.Uint64("seed", 1, "first seed")
+	count := fs.Uint64("count", 1, "how many seeds to run, one after the other")
+	span := fs.Duration("span", 20*time.Second, "how long faults come, for each seed")
+	daemons := fs.Int("daemons", 6, "daemons, at least as many as replicas")
+	replicas := fs.Int("replicas", 3, "daemons with a disk")
+	callers := fs.Int("callers", 12, "callers at the same time")
+	keep := fs.String("keep", "", "folder for the logs of seeds that fail; none are kept without it")
+	verbose := fs.Bool("v", false, "print each fault")
+	root := &ffcli.Command{
+		Name:       "camphor-soak",
+		ShortUsage: "camphor-soak [flags]",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			broken := 0
+			for s := *seed; s < *seed+*count && ctx.Err() == nil; s++ {
+				cfg := soak.Config{
+					Bin:      *bin,
+					Seed:     s,
+					Span:     *span,
+					Daemons:  max(*daemons, *replicas),
+					Replicas: max(*replicas, 1),
+					Callers:  *callers,
+				}
+				if *verbose {
+					cfg.Log = os.Stdout
+				}
+				failed, err := one(ctx, cfg, *keep)
+				if err != nil {
+					return err
+				}
+				if failed {
+					broken++
+				}
+			}
+			if broken > 0 {
+				return fmt.Errorf("%d seeds failed", broken)
+			}
+			return nil
+		},
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "camphor-soak:", err)
+		os.Exit(1)
+	}
+}
+
+// one runs one seed and prints its report.
+func one(ctx context.Context, cfg soak.Config, keep string) (failed bool, err error) {
+	if cfg.Dir, err = os.MkdirTemp("", "camphor-soak-"); err != nil {
+		return false, err
+	}
+	report, err := soak.Run(ctx, cfg)
+	if err != nil {
+		return false, err
+	}
+	report.Print(os.Stdout)
+	failed = len(report.Broken) > 0
+	if failed && keep != "" {
+		if err := os.MkdirAll(keep, 0o750); err != nil {
+			return failed, err
+		}
+		return failed, os.Rename(cfg.Dir, filepath.Join(keep, fmt.Sprintf("seed-%d", cfg.Seed)))
+	}
+	return failed, os.RemoveAll(cfg.Dir)
+}
--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -34,6 +34,12 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	// Signals are taken first: one that comes before would end the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	set, err := settings.Parse(args)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
@@ -45,15 +51,10 @@
 		fmt.Println("camphord", version.String())
 		return 0
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	// The first signal starts a graceful stop; a second one cuts.
 	context.AfterFunc(ctx, stop)
 	log, flush := logging.New(os.Stdout, set.LogLevel, set.Instance)
 	defer flush()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	out := outside(set, log)
 	out.Reload = hup
 	out.Settings = func() (*settings.Settings, error) { return settings.Parse(args) }
--- a/internal/check/fleet/process.go
+++ b/internal/check/fleet/process.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"camphorspoke/internal/world/fault"
@@ -22,6 +24,42 @@
 	err     error
 }
 
+// Launch starts a program as a process called name, whose output is appended to
+// a file below dir. The caller must end it.
+func Launch(program, dir, name, address string, args []string) (*Process, error) {
+	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, name, err)
+	}
+	defer log.Close()
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return nil, fault.Wrap(fault.Internal, name, err)
+	}
+	p := &Process{
+		Name:    name,
+		Address: address,
+		cmd:     cmd,
+		args:    args,
+		done:    make(chan struct{}),
+	}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Kill ends the process at once, also when it is stopped, and waits for its end.
+func (p *Process) Kill() {
+	if ended, _ := p.Exited(); !ended {
+		_ = p.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+	}
+	<-p.done
+}
+
 // Exited reports whether the process has ended, and how.
 func (p *Process) Exited() (bool, error) {
 	select {
