--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -45,6 +45,13 @@
 	// prove its rules: about as long as the control group takes to choose a
 	// leader. Callers are spread over half of it more.
 	staleRetry = 900 * time.Millisecond
+	// recentLoss is the time after a start, or after the proof of the rules was
+	// lost, in which a new proof is to be expected soon, and proofWait how long a
+	// request waits for it then.
+	recentLoss = time.Second
+	proofWait  = 300 * time.Millisecond
+	// proofShare is the part of the caller's patience that it waits at most.
+	proofShare = 0.25
 )
 
 // Member is what the handler asks of the instance's place in the fleet.
@@ -52,6 +59,8 @@
 	View() *view.View
 	// Fresh reports whether the rules held are proved to be in force.
 	Fresh() bool
+	// AwaitFresh waits for that, unless it has not been so for longer than recent.
+	AwaitFresh(ctx context.Context, recent, limit time.Duration) bool
 }
 
 // Handler serves callers.
@@ -146,6 +155,10 @@
 		return err
 	}
 	v := c.h.Member.View()
+	if !c.h.Member.Fresh() && !c.public(v) {
+		c.awaitProof()
+		v = c.h.Member.View()
+	}
 	if v.Rules == nil || v.RuleVersion == 0 {
 		return stale("no rules are known yet")
 	}
@@ -166,6 +179,26 @@
 	return c.readBody(v.Rules.Ingress.BodyBytes)
 }
 
+// public reports whether the request needs no proof that the rules are in force.
+func (c *call) public(v *view.View) bool {
+	if v.Rules == nil {
+		return false
+	}
+	route := v.Rules.Match(host(c.r.Host), path(c.r.RequestURI))
+	return route != nil && route.Public
+}
+
+// awaitProof lets a request wait for a moment where the rules can't be proved but
+// are likely to be soon: an instance that has just started is refused by nobody,
+// and answers in time all the same.
+func (c *call) awaitProof() {
+	limit := proofWait
+	if c.req.Patience > 0 {
+		limit = min(limit, time.Duration(proofShare*float64(c.req.Patience)))
+	}
+	c.h.Member.AwaitFresh(c.r.Context(), recentLoss, limit)
+}
+
 // identify finds the account that holds the caller's key.
 func (c *call) identify(rules *file.File) error {
 	c.rank(file.Account{})
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -86,6 +86,20 @@
 type member struct {
 	view  *view.View
 	stale atomic.Bool
+	// soon is true when a proof is likely to come soon.
+	soon atomic.Bool
+}
+
+func (m *member) AwaitFresh(ctx context.Context, _, limit time.Duration) bool {
+	if !m.soon.Load() {
+		return m.Fresh()
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !m.Fresh() && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return m.Fresh()
 }
 
 func (m *member) View() *view.View { return m.view }
@@ -287,6 +301,25 @@
 	require.Equal(t, 1, w.arrivals())
 }
 
+// TestWaitsForTheProof: right after a start a request waits for the rules and is
+// served; where they don't come it is refused after a fraction of a second.
+func TestWaitsForTheProof(t *testing.T) {
+	w := newWorld(t, good)
+	w.member.stale.Store(true)
+	w.member.soon.Store(true)
+	time.AfterFunc(50*time.Millisecond, func() { w.member.stale.Store(false) })
+	require.Equal(t, http.StatusOK, w.status("/read/x"))
+	w.member.stale.Store(true)
+	start := time.Now()
+	require.Equal(t, http.StatusOK, w.status("/open/x"))
+	require.Less(t, time.Since(start), 200*time.Millisecond)
+	start = time.Now()
+	resp, _, err := w.do("/read/x")
+	require.NoError(t, err)
+	require.Equal(t, fault.RulesStale, resp.Header.Get("Kind"))
+	require.Less(t, time.Since(start), 900*time.Millisecond)
+}
+
 // TestOutcomes: what a caller is told, and how often the request was sent, for
 // each way in which backend servers fail.
 func TestOutcomes(t *testing.T) {
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -96,9 +96,14 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	// started is when the agent was made.
+	started time.Duration
+
 	mu         sync.Mutex
 	book       ownership.Book
 	freshUntil time.Duration
+	// renewed is closed, and replaced, when the rules are proved anew.
+	renewed chan struct{}
 	// known is set once a version was learned from a majority.
 	known   bool
 	leaving bool
@@ -125,6 +130,8 @@
 			Incarnation: cfg.Incarnation,
 		},
 		releasing: make(map[string]uint64),
+		renewed:   make(chan struct{}),
+		started:   cfg.Now(),
 	}
 	if a.cfg.FreshFor == 0 {
 		a.cfg.FreshFor = FreshFor
@@ -163,6 +170,43 @@
 	return a.known && a.cfg.Now() < a.freshUntil
 }
 
+// AwaitFresh waits until the rules held are proved to be in force, for limit at
+// most, and reports whether they are. It does not wait where they have not been
+// for longer than recent: then nothing says that they will be soon.
+func (a *Agent) AwaitFresh(ctx context.Context, recent, limit time.Duration) bool {
+	if a.Fresh() {
+		return true
+	}
+	timeout := time.NewTimer(limit)
+	defer timeout.Stop()
+	for {
+		a.mu.Lock()
+		since := a.cfg.Now() - max(a.freshUntil, a.started)
+		renewed := a.renewed
+		a.mu.Unlock()
+		if since > recent {
+			return a.Fresh()
+		}
+		select {
+		case <-renewed:
+			if a.Fresh() {
+				return true
+			}
+		case <-timeout.C:
+			return a.Fresh()
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// prove notes a proof of the rules as of a time. The caller holds mu.
+func (a *Agent) prove(sent time.Duration) {
+	a.freshUntil = max(a.freshUntil, sent+a.cfg.FreshFor)
+	close(a.renewed)
+	a.renewed = make(chan struct{})
+}
+
 // Known reports whether a version of the rules was ever proved.
 func (a *Agent) Known() bool {
 	a.mu.Lock()
@@ -388,7 +432,7 @@
 	a.silent = resp.GetSilent()
 	if ok {
 		a.known = true
-		a.freshUntil = max(a.freshUntil, sent+a.cfg.FreshFor)
+		a.prove(sent)
 		a.book.Renew(sent, time.Duration(resp.GetLeaseMs())*time.Millisecond)
 	}
 	return old, next
--- a/internal/daemon/membership/questions.go
+++ b/internal/daemon/membership/questions.go
@@ -102,7 +102,7 @@
 		}
 		a.view.Store(next)
 	}
-	a.freshUntil = max(a.freshUntil, sent+a.cfg.FreshFor)
+	a.prove(sent)
 }
 
 // noteSilent remembers which of the listed routers did not answer.
