--- a/internal/check/soak/faults.go
+++ b/internal/check/soak/faults.go
@@ -27,32 +27,50 @@
 	rng *rand.Rand
 }
 
-// kinds are the faults by name; each returns once it is over.
-var kinds = []struct {
+// kind is one kind of fault.
+type kind struct {
 	name string
+	// weight is how often it comes, against the others.
+	weight int
 	// planned faults must cut off no request and disturb no promise.
 	planned bool
-	do      func(f *faults) error
-}{
-	{"kill", false, (*faults).kill},
-	{"killLater", false, (*faults).kill},
-	{"freeze", false, (*faults).freeze},
-	{"stop", true, (*faults).stop},
-	{"stopAgain", true, (*faults).stop},
-	{"reload", true, (*faults).reload},
-	{"killAll", false, (*faults).killAll},
-	{"loseDisk", false, (*faults).loseDisk},
-	{"tearTail", false, (*faults).tearTail},
-	{"proxy", false, (*faults).proxy},
-	{"reset", false, (*faults).reset},
-	{"grey", false, (*faults).grey},
-	{"list", false, (*faults).list},
-	{"replaceRunner", true, (*faults).replaceRunner},
+	// do brings it about and returns once it is over.
+	do func(f *faults) error
+}
+
+var kinds = []kind{
+	{name: "kill", weight: 2, do: (*faults).kill},
+	{name: "freeze", weight: 1, do: (*faults).freeze},
+	{name: "stop", weight: 2, planned: true, do: (*faults).stop},
+	{name: "reload", weight: 1, planned: true, do: (*faults).reload},
+	{name: "killAll", weight: 1, do: (*faults).killAll},
+	{name: "loseDisk", weight: 1, do: (*faults).loseDisk},
+	{name: "tearTail", weight: 1, do: (*faults).tearTail},
+	{name: "proxy", weight: 1, do: (*faults).proxy},
+	{name: "reset", weight: 1, do: (*faults).reset},
+	{name: "grey", weight: 1, do: (*faults).grey},
+	{name: "list", weight: 1, do: (*faults).list},
+	{name: "replaceRunner", weight: 1, planned: true, do: (*faults).replaceRunner},
+}
+
+// draw returns a kind of fault at random, by weight.
+func (f *faults) draw() kind {
+	total := 0
+	for _, k := range kinds {
+		total += k.weight
+	}
+	at := f.rng.IntN(total)
+	for _, k := range kinds {
+		if at -= k.weight; at < 0 {
+			return k
+		}
+	}
+	return kinds[0]
 }
 
 func (f *faults) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		k := kinds[f.rng.IntN(len(kinds))]
+		k := f.draw()
 		f.s.log("fault", k.name)
 		f.s.record.Count("fault " + k.name)
 		ends := func() {}
