Take only requests that a leaving instance can finish

Callers may come for 6 s, the grace period is 8 s, and a stream can take longer than what is between. Cause: a leaving instance took whatever came. Change: durations remembers the longest recent request of each route; a leaving instance refuses what is not likely to end in time, as not run, and the caller goes elsewhere. TestTakesOnlyWhatItCanFinish; the handler had no such notion before.

--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -98,7 +98,7 @@
 			h.Del(name)
 		}
 	}
-	if c.h.Leaving != nil && c.h.Leaving() {
+	if _, leaving := c.h.ending(); leaving {
 		h.Set("Connection", "close")
 	}
 	c.status = resp.Status
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -28,6 +28,7 @@
 	"camphorspoke/internal/daemon/placer"
 	"camphorspoke/internal/edge"
 	"camphorspoke/internal/edge/backend"
+	"camphorspoke/internal/routing/durations"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/view"
 	"camphorspoke/internal/rules/file"
@@ -45,6 +46,9 @@
 	// prove its rules: about as long as the control group takes to choose a
 	// leader. Callers are spread over half of it more.
 	staleRetry = 900 * time.Millisecond
+	// leavingRetry is when callers should come back, to another instance, after one
+	// that ends too soon for their request; they are spread over as much again.
+	leavingRetry = 30 * time.Millisecond
 	// recentLoss is the time after a start, or after the proof of the rules was
 	// lost, in which a new proof is to be expected soon, and proofWait how long a
 	// request waits for it then.
@@ -74,8 +78,12 @@
 	Now     func() time.Duration
 	// FailureDomain is the instance's own.
 	FailureDomain string
-	// Leaving reports whether callers should connect elsewhere.
-	Leaving func() bool
+	// Leaving reports whether callers should connect elsewhere, and how much time
+	// is left until the instance ends; nil where it never leaves.
+	Leaving func() (left time.Duration, leaving bool)
+
+	// took holds how long the requests of each route take.
+	took durations.Book
 }
 
 // call is one request of a caller under way.
@@ -127,7 +135,7 @@
 		r:     r,
 		start: h.Now(),
 	}
-	if h.Leaving != nil && h.Leaving() {
+	if _, leaving := h.ending(); leaving {
 		w.Header().Set("Connection", "close")
 	}
 	if err := c.admit(); err != nil {
@@ -140,9 +148,20 @@
 	defer cancel()
 	c.ctx = ctx
 	c.run()
+	if c.begun {
+		h.took.Note(c.route.Name, h.Now()-c.start)
+	}
 	c.dropLost()
 }
 
+// ending returns how much time is left until the instance ends, if it leaves.
+func (h *Handler) ending() (left time.Duration, leaving bool) {
+	if h.Leaving == nil {
+		return 0, false
+	}
+	return h.Leaving()
+}
+
 // dropLost closes the caller's connection where nothing more can be said on it.
 func (c *call) dropLost() {
 	if c.lost {
@@ -172,6 +191,14 @@
 	if err := c.identify(v.Rules); err != nil {
 		return err
 	}
+	if left, leaving := c.h.ending(); leaving && !c.h.took.Fits(c.route.Name, c.route.Timeout, left) {
+		return &fault.Fault{
+			Kind:       fault.Leaving,
+			Subject:    c.route.Name,
+			Advice:     "the instance ends before the request would",
+			RetryAfter: leavingRetry + rand.N(leavingRetry),
+		}
+	}
 	c.limit = c.start + c.route.Timeout
 	if c.req.Patience > 0 {
 		c.limit = min(c.limit, c.start+c.req.Patience)
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -113,6 +113,16 @@
 	mu      sync.Mutex
 	arrived []string
 	client  *http.Client
+	// ends is set while the instance is leaving.
+	ends atomic.Pointer[time.Time]
+}
+
+// leaving returns the time left until ends.
+func (w *world) leaving() (time.Duration, bool) {
+	if at := w.ends.Load(); at != nil {
+		return time.Until(*at), true
+	}
+	return 0, false
 }
 
 // answer writes one answer to a raw connection; the request is read.
@@ -176,6 +186,7 @@
 		Pool:    pool,
 		Logger:  log,
 		Now:     clock.Now,
+		Leaving: w.leaving,
 	})
 	t.Cleanup(s.Close)
 	w.url = s.URL
@@ -320,6 +331,30 @@
 	require.Less(t, time.Since(start), 900*time.Millisecond)
 }
 
+// TestTakesOnlyWhatItCanFinish: shortly before an instance ends it refuses a
+// request that would be cut off, as not run, and serves one that is short.
+func TestTakesOnlyWhatItCanFinish(t *testing.T) {
+	slow := func(c net.Conn, r *http.Request) {
+		if r.URL.Path == "/book/long" {
+			time.Sleep(400 * time.Millisecond)
+		}
+		good(c, r)
+	}
+	w := newWorld(t, slow)
+	require.Equal(t, http.StatusOK, w.status("/book/long"))
+	require.Equal(t, http.StatusOK, w.status("/read/x"))
+	ends := time.Now().Add(300 * time.Millisecond)
+	w.ends.Store(&ends)
+	resp, _, err := w.do("/book/long")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, fault.Leaving, resp.Header.Get("Kind"))
+	require.NotEmpty(t, resp.Header.Get("Retry"))
+	require.True(t, resp.Close)
+	require.Equal(t, http.StatusOK, w.status("/read/x"))
+	require.Equal(t, 3, w.arrivals())
+}
+
 // TestOutcomes: what a caller is told, and how often the request was sent, for
 // each way in which backend servers fail.
 func TestOutcomes(t *testing.T) {
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -91,6 +91,8 @@
 	seeds   atomic.Pointer[settings.Entry]
 	finder  *finder.Finder
 	leaving atomic.Bool
+	// ends is when a leaving instance ends, on the clock of the instance.
+	ends atomic.Int64
 	// inFlight counts the callers' requests under way.
 	inFlight atomic.Int64
 }
@@ -257,7 +259,7 @@
 		Meters:        meters,
 		Now:           in.now,
 		FailureDomain: in.set.FailureDomain,
-		Leaving:       e.leaving.Load,
+		Leaving:       e.ending,
 	}
 	for _, d := range []struct {
 		address string
--- a/internal/daemon/server/entryleave.go
+++ b/internal/daemon/server/entryleave.go
@@ -42,16 +42,25 @@
 	e.in.log.WithField("seeds", strings.Join(next.Entry.Seeds, ",")).Info("daemon: settings reloaded")
 }
 
+// ending returns how much time is left until this instance ends, if it leaves.
+func (e *entry) ending() (left time.Duration, leaving bool) {
+	if !e.leaving.Load() {
+		return 0, false
+	}
+	return time.Duration(e.ends.Load()) - e.in.now(), true
+}
+
 // leave empties the instance: it leaves the directory at once, serves what
 // callers bring that still hold an older answer, finishes, and ends in time.
 func (e *entry) leave(ctx context.Context) {
 	start := e.in.now()
+	last := start + e.in.set.Entry.Grace - exitMargin
+	e.ends.Store(int64(last))
 	e.leaving.Store(true)
 	e.in.agent.Leave()
 	if e.in.replica != nil {
 		go e.in.transferLeadership(ctx)
 	}
-	last := start + e.in.set.Entry.Grace - exitMargin
 	for e.in.now() < min(start+keepListening, last) {
 		time.Sleep(idlePoll)
 	}
--- /dev/null
+++ b/internal/routing/durations/durations_test.go
@@ -0,0 +1,25 @@
+package durations_test
+
+// This file tests which requests are taken shortly before a stop.
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"camphorspoke/internal/routing/durations"
+)
+
+func TestFits(t *testing.T) {
+	var b durations.Book
+	require.True(t, b.Fits("r", time.Second, time.Second))
+	require.False(t, b.Fits("r", time.Second, 900*time.Millisecond), "nothing is known yet")
+	b.Note("r", 400*time.Millisecond)
+	require.True(t, b.Fits("r", time.Second, 500*time.Millisecond))
+	require.False(t, b.Fits("r", time.Second, 490*time.Millisecond))
+	for range 2000 {
+		b.Note("r", 20*time.Millisecond)
+	}
+	require.True(t, b.Fits("r", time.Second, 50*time.Millisecond), "one long request is forgotten in time")
+}
