Move the platform's words that the soak speaks to platform/standin

Cause: callers, operator, list and backend servers of the soak held the platform's names outside platform/. The daemon is unchanged.

--- a/internal/check/soak/callers.go
+++ b/internal/check/soak/callers.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"camphorspoke/internal/check/observed"
+	"camphorspoke/platform/standin"
 )
 
 const (
@@ -67,7 +68,7 @@
 	at := c.s.daemons[c.rng.IntN(len(c.s.daemons))].at(directoryPort)
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/api/resolve?name="+hostName+"&region=r&zone=a", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+standin.ResolvePath+"?name="+hostName+"&region=r&zone=a", nil)
 	if err != nil {
 		c.s.record.Breaks("requests can be made", err.Error())
 		return
@@ -78,9 +79,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	answer := struct {
-		Addresses []string `json:"addresses"`
-	}{}
+	answer := standin.Addresses{}
 	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&answer) != nil || len(answer.Addresses) == 0 {
 		c.s.record.Count("directory without answer")
 		return
@@ -120,9 +119,9 @@
 	}
 	req.ContentLength = 1
 	req.Host = hostName
-	req.Header.Set("X-Attempt-Id", a.ID)
-	req.Header.Set("X-Deadline-Milliseconds", fmt.Sprint(patience.Milliseconds()))
-	req.Header.Set("Authorization", "Token "+key)
+	req.Header.Set(standin.RequestID, a.ID)
+	req.Header.Set(standin.Patience, fmt.Sprint(patience.Milliseconds()))
+	req.Header.Set(standin.Key, standin.KeyScheme+key)
 	c.s.record.Sent(a)
 	resp, err := c.client.Do(req)
 	if err != nil {
@@ -151,7 +150,7 @@
 		if path == "/chat/x" {
 			want = streamOf(a.ID)
 		}
-		if body != want || resp.Header.Get("X-Response-Signature") == "" {
+		if body != want || resp.Header.Get(standin.Signature) == "" {
 			c.s.record.Breaks("answers are whole and one's own", fmt.Sprintf("%s on %s got %d bytes %.80q, not %d bytes", a.ID, path, len(body), body, len(want)))
 		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
--- a/internal/check/soak/operator.go
+++ b/internal/check/soak/operator.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"camphorspoke/platform/standin"
 )
 
 const (
@@ -35,14 +37,6 @@
 	spare   int
 }
 
-// document is a configuration.
-type document struct {
-	Version  uint64           `json:"version"`
-	Routes   []map[string]any `json:"routes"`
-	Services []map[string]any `json:"services"`
-	Tenants  []map[string]any `json:"tenants"`
-}
-
 func (s *Soak) newOperator() *operator {
 	return &operator{
 		s:   s,
@@ -67,28 +61,43 @@
 	return fmt.Sprintf("base-%d", rng.IntN(2)), true
 }
 
-func (o *operator) document() document {
-	d := document{
+func (o *operator) document() standin.Configuration {
+	d := standin.Configuration{
 		Version: o.version,
-		Services: []map[string]any{
-			{"name": "app", "healthPath": "/health", "connectionLimit": 200},
-			{"name": "llm", "healthPath": "/health", "connectionLimit": 200, "engine": map[string]any{"slots": slots, "kvTokens": 100_000}},
+		Services: []standin.Service{
+			{
+				Name:        "app",
+				Health:      "/health",
+				Connections: 200,
+			},
+			{
+				Name:        "llm",
+				Health:      "/health",
+				Connections: 200,
+				Engine: &standin.Engine{
+					Slots:       slots,
+					CacheTokens: 100_000,
+				},
+			},
 		},
-		Tenants: []map[string]any{
-			{"name": "acme", "keys": []string{"base-0", "base-1", spareKey(o.spare)}},
+		Accounts: []standin.Account{
+			{
+				Name: "acme",
+				Keys: []string{"base-0", "base-1", spareKey(o.spare)},
+			},
 		},
 	}
 	route := func(name, prefix, kind, service string, attempts int) {
-		d.Routes = append(d.Routes, map[string]any{
-			"name":          name,
-			"host":          hostName,
-			"pathPrefix":    prefix,
-			"kind":          kind,
-			"service":       service,
-			"attempts":      attempts,
-			"timeoutMs":     patience.Milliseconds(),
-			"objectiveMs":   500,
-			"resumeStreams": kind == "stream",
+		d.Routes = append(d.Routes, standin.Route{
+			Name:      name,
+			Host:      hostName,
+			Prefix:    prefix,
+			Kind:      kind,
+			Service:   service,
+			Attempts:  attempts,
+			Timeout:   patience.Milliseconds(),
+			Objective: 500,
+			Resumes:   kind == "stream",
 		})
 	}
 	route("book", "/book/", "unsafe", "app", 1)
@@ -139,7 +148,7 @@
 	d := o.document()
 	o.mu.Unlock()
 	d.Version += 1000
-	d.Routes[0]["service"] = "nobody"
+	d.Routes[0].Service = "nobody"
 	body, err := json.Marshal(d)
 	if err != nil {
 		o.s.record.Breaks("configurations can be written", err.Error())
@@ -155,7 +164,7 @@
 	o.mu.Lock()
 	at := o.s.daemons[o.rng.IntN(len(o.s.daemons))].at(operatorPort)
 	o.mu.Unlock()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+"/api/configuration/replace", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+standin.ReplacePath, bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
@@ -174,7 +183,7 @@
 // read reads the configuration back from a daemon; 0 when it gives none.
 func (o *operator) read(ctx context.Context, d *daemon) uint64 {
 	sent := time.Now()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.at(operatorPort)+"/api/configuration/read", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.at(operatorPort)+standin.ReadPath, nil)
 	if err != nil {
 		return 0
 	}
@@ -183,7 +192,7 @@
 		return 0
 	}
 	defer resp.Body.Close()
-	got := document{}
+	got := standin.Configuration{}
 	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&got) != nil {
 		return 0
 	}
--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"camphorspoke/internal/check/observed"
+	"camphorspoke/platform/standin"
 )
 
 const (
@@ -62,17 +63,17 @@
 // ServeHTTP runs a request.
 func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	if req.URL.Path == "/health" {
-		w.Header().Set("X-Instance-Id", r.id)
+		w.Header().Set(standin.ServerName, r.id)
 		return
 	}
-	if strings.HasPrefix(req.URL.Path, "/api/") {
-		io.WriteString(w, `{"epoch":1,"nextToken":0,"held":[]}`)
+	if strings.HasPrefix(req.URL.Path, standin.EnginePaths) {
+		io.WriteString(w, standin.NothingKept)
 		return
 	}
-	id := req.Header.Get("X-Attempt-Id")
-	w.Header().Set("X-Attempt-Id", id)
-	if req.Header.Get("X-Expected-Instance") != r.id {
-		w.Header().Set("X-Not-Executed", "1")
+	id := req.Header.Get(standin.RequestID)
+	w.Header().Set(standin.RequestID, id)
+	if req.Header.Get(standin.OnlyServer) != r.id {
+		w.Header().Set(standin.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -80,7 +81,7 @@
 		return
 	}
 	r.record.Ran(id, r.id, time.Now())
-	w.Header().Set("X-Response-Signature", r.id)
+	w.Header().Set(standin.Signature, r.id)
 	if r.grey.Load() && rand.IntN(2) == 0 {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -102,7 +103,7 @@
 func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
 
 func (r *runner) stream(w http.ResponseWriter, req *http.Request, id string) {
-	last, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	last, err := strconv.Atoi(req.Header.Get(standin.LastEvent))
 	if err != nil {
 		last = 0 // no event was seen yet
 	}
@@ -170,22 +171,24 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	entries := []any{map[string]any{"id": 7, "state": "ready"}}
+	out := standin.List{
+		Entries: []any{"no entry"},
+	}
 	for _, r := range l.all() {
-		state := "ready"
+		state := standin.Open
 		if r.leaving.Load() {
-			state = "draining"
+			state = standin.Leaving
 		}
-		entries = append(entries, map[string]any{
-			"id":      r.id,
-			"service": r.service,
-			"address": r.proxy.address(),
-			"zone":    "a",
-			"slots":   slots,
-			"state":   state,
+		out.Entries = append(out.Entries, standin.Entry{
+			ID:      r.id,
+			Service: r.service,
+			Address: r.proxy.address(),
+			Domain:  "a",
+			Slots:   slots,
+			State:   state,
 		})
 	}
-	if err := json.NewEncoder(w).Encode(map[string]any{"instances": entries, "nextToken": nil}); err != nil {
+	if err := json.NewEncoder(w).Encode(out); err != nil {
 		l.record.Count("list not written")
 	}
 }
