--- a/internal/check/soak/daemon.go
+++ b/internal/check/soak/daemon.go
@@ -14,14 +14,13 @@
 	"camphorspoke/internal/check/fleet"
 )
 
-// The ports of a daemon, as offsets from the soak's base port. The first
+// The ports of a daemon, as indexes into the soak's range of ports. The first
 // internalPortCount are for its internal listeners.
 const (
 	frontPort = iota + 10
 	readyPort
 	directoryPort
 	operatorPort
-	portsPerDaemon
 	internalPortCount = 5
 )
 
@@ -56,7 +55,7 @@
 	}
 }
 
-func (d *daemon) address(port int) string { return fmt.Sprintf("%s:%d", d.ip, d.s.basePort+port) }
+func (d *daemon) address(port int) string { return d.s.ports.Address(d.ip, port) }
 
 func (d *daemon) dataDir() string { return filepath.Join(d.s.cfg.Dir, "data-"+d.name) }
 
@@ -73,7 +72,7 @@
 	args := []string{
 		"-instance", d.name, "-failure-domain", "a", "-ip", d.ip,
 		"-front", d.address(frontPort), "-ready", d.address(readyPort), "-directory", d.address(directoryPort), "-operator", d.address(operatorPort),
-		"-ports", fmt.Sprintf("%d,%d", d.s.basePort, d.s.basePort+internalPortCount-1),
+		"-ports", fmt.Sprintf("%d,%d", d.s.ports.First, d.s.ports.First+internalPortCount-1),
 		"-seeds", seeds, fmt.Sprintf("-first-start=%t", firstStart),
 		"-list", d.s.serverList.server.Listener.Addr().String(),
 		"-grace-s", fmt.Sprint(gracePeriod.Seconds()), "-revoke-ms", fmt.Sprint(d.s.checker.Bounds.Revoke.Milliseconds()),
--- a/internal/control/manager/machine_test.go
+++ b/internal/control/manager/machine_test.go
@@ -207,11 +207,7 @@
 		sim.injectFault(kind)
 		checkFor(time.Duration(sim.random()*3000) * time.Millisecond)
 	}
-	sim.mu.Lock()
-	for _, timer := range sim.timers {
-		timer.Stop()
-	}
-	sim.mu.Unlock()
+	sim.stopScheduling()
 	sim.injectFault(4)
 	for i := range routers {
 		name := fmt.Sprintf("n%d", i)
--- a/internal/control/manager/simulation_test.go
+++ b/internal/control/manager/simulation_test.go
@@ -101,7 +101,11 @@
 	slowdown     float64
 	incarnations uint64
 	timers       []*time.Timer
-	listed       []*pb.ListedServer
+	// scheduled serializes the scheduled faults; it guards schedulingStopped, which
+	// is set once none may start any more. It is locked before mu.
+	scheduled         sync.Mutex
+	schedulingStopped bool
+	listed            []*pb.ListedServer
 }
 
 func discardLogger() logrus.FieldLogger {
