The directory names at most 64 addresses, evenly

Cause: Addresses named all usable instances of a failure domain; one of 66 is on the sheet of the large site and callers read 64 addresses at most, so two instances could get no callers. Change: routing/directory chooses the instances that follow the answering one on the ring of their names, up to the limit that the platform's adapter passes. Every instance is in equally many answers, and an answer changes only with the ring. An instance counts as ready only once it has the tables of servers.

--- a/internal/daemon/server/entryendpoints.go
+++ b/internal/daemon/server/entryendpoints.go
@@ -9,22 +9,24 @@
 
 	"camphorspoke/internal/base/fault"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/directory"
 )
 
-// Ready reports whether this instance accepts callers.
+// Ready reports whether this instance accepts callers: it has the rules, confirmed to
+// be in force, and the tables of backend servers.
 func (e *entry) Ready() bool {
-	return !e.leaving.Load() && e.instance.agent.Fresh() && e.instance.agent.View().RuleVersion > 0
+	v := e.instance.agent.View()
+	return !e.leaving.Load() && e.instance.agent.Fresh() && v.RuleVersion > 0 && v.Index > 0
 }
 
-// Addresses returns the addresses that callers in a failure domain should use: the
-// instances of that domain, or all instances if it has fewer than two. An instance
-// that is not in contact with the control group returns none, because its view may be
-// outdated.
-func (e *entry) Addresses(failureDomain string) []string {
+// Addresses returns the addresses that callers in a failure domain should use, at
+// most limit. An instance that is not in contact with the control group returns none,
+// because its view may be outdated.
+func (e *entry) Addresses(failureDomain string, limit int) []string {
 	if !e.instance.agent.Fresh() {
 		return nil
 	}
-	var sameDomain, all []string
+	var usable []directory.Instance
 	for _, i := range e.instance.agent.View().Routers() {
 		if i.GetName() == e.instance.cfg.Instance && !e.Ready() {
 			continue
@@ -32,15 +34,17 @@
 		if i.GetLeaving() || e.instance.agent.Unresponsive(i.GetName()) || !isHostPort(i.GetCallerAddress()) {
 			continue
 		}
-		all = append(all, i.GetCallerAddress())
-		if i.GetFailureDomain() == failureDomain {
-			sameDomain = append(sameDomain, i.GetCallerAddress())
-		}
+		usable = append(usable, directory.Instance{
+			Name:          i.GetName(),
+			FailureDomain: i.GetFailureDomain(),
+			Address:       i.GetCallerAddress(),
+		})
 	}
-	if len(sameDomain) >= 2 {
-		return sameDomain
+	picker := directory.Picker{
+		Instance: e.instance.cfg.Instance,
+		Limit:    limit,
 	}
-	return all
+	return picker.Addresses(usable, failureDomain)
 }
 
 // isHostPort reports whether a has the form host:port with a non-empty port.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -141,8 +141,8 @@
 
 // Directory lists the addresses that callers connect to.
 type Directory interface {
-	// Addresses returns the addresses for callers in a failure domain.
-	Addresses(failureDomain string) []string
+	// Addresses returns the addresses for callers in a failure domain, at most limit.
+	Addresses(failureDomain string, limit int) []string
 	// Ready reports whether this instance accepts requests of callers.
 	Ready() bool
 }
