Large tables come from any replica, not with heartbeats

Cause of the collapse at 300 machines and 2,999 runners, from the code and a replay in virtual time: the leader put the whole tables (300 kB) into the first reply to each of 300 routers, 90 MB over its link of 100 Mbit/s. The routers wait 300 ms, ask again, and the replies that nobody waits for still take the link: 365 s of queue after 30 s. Change: a heartbeat reply carries at most 128 rows. The view is not rebuilt when only the log index moves.

--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"camphorspoke/internal/daemon/logging"
 	"camphorspoke/internal/daemon/server"
@@ -67,6 +68,23 @@
 	return 0
 }
 
+const (
+	// listRateShare is the share of the accepted rate of list calls that is used. Two
+	// instances may read the list for a moment, when the leadership changes.
+	listRateShare = 0.8
+	// listBurst is how many list calls may follow one another without a pause.
+	listBurst = 8
+)
+
+// listLimiter returns the limiter of the list calls, where the platform accepts
+// callsPerSecond; nil if that is zero.
+func listLimiter(callsPerSecond float64) *rate.Limiter {
+	if callsPerSecond == 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(listRateShare*callsPerSecond), listBurst)
+}
+
 // platformAdapters returns the adapters to the users' platform.
 func platformAdapters(set *settings.Settings, log logrus.FieldLogger) server.PlatformAdapters {
 	return server.PlatformAdapters{
@@ -75,6 +93,7 @@
 			Address: set.Entry.List,
 			HTTP:    http.DefaultClient,
 			Logger:  log,
+			Limiter: listLimiter(set.Entry.ListRate),
 		},
 		CacheReader: &engine.Client{
 			HTTP: http.DefaultClient,
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -39,4 +39,6 @@
 	Query(ctx context.Context, q *pb.QueryRequest) (*pb.QueryResponse, error)
 	ApplyRules(ctx context.Context, r *pb.ApplyRulesRequest) (*pb.ApplyRulesResponse, error)
 	ChangeReplica(ctx context.Context, r *pb.ChangeReplicaRequest) error
+	// Tables reads table rows from any replica, preferably not from the leader.
+	Tables(ctx context.Context, r *pb.TablesRequest) (*pb.TablesResponse, error)
 }
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -46,7 +46,12 @@
 	minHeartbeatInterval = 250 * time.Millisecond
 	maxHeartbeatInterval = 650 * time.Millisecond
 	planInterval         = 100 * time.Millisecond
-	proposeTimeout       = 2 * time.Second
+	// maxHeartbeatRows is the number of table rows that a heartbeat reply carries at
+	// most. A router that lacks more reads them from any replica: otherwise, when
+	// many routers start at once, the replies would queue on the leader's link for
+	// longer than the routers wait.
+	maxHeartbeatRows = 128
+	proposeTimeout   = 2 * time.Second
 )
 
 // Config configures a Manager.
@@ -198,6 +203,10 @@
 		Term:       m.term,
 		Loads:      m.otherLoads(now, h, row.Loads),
 	}
+	if len(changes.Servers)+len(changes.Instances) > maxHeartbeatRows {
+		resp.Index, resp.Servers, resp.Instances, resp.Whole = req.GetSeenIndex(), nil, nil, false
+		resp.TablesBehind = true
+	}
 	version, content := l.Rules()
 	resp.RuleVersion = version
 	if version > req.GetRuleVersion() {
--- a/internal/control/manager/platform.go
+++ b/internal/control/manager/platform.go
@@ -17,10 +17,8 @@
 )
 
 const (
-	listInterval = 300 * time.Millisecond
-	// billedListInterval replaces listInterval if Config.WithoutOwnership is set,
-	// as each read of the list is billed there.
-	billedListInterval = 500 * time.Millisecond
+	// listTimeout bounds one read of the platform's list, over all its pages.
+	listTimeout = 5 * time.Second
 	// goneAfterMissing is how long a server must be missing from the list before
 	// it is marked gone, as the list lags and servers may briefly drop out of it.
 	goneAfterMissing = 2 * time.Second
@@ -32,23 +30,23 @@
 )
 
 func (m *Manager) platformLoop(ctx context.Context) {
-	interval := listInterval
-	if m.cfg.WithoutOwnership {
-		interval = billedListInterval
+	pace := listPace{
+		billed: m.cfg.WithoutOwnership,
 	}
-	t := time.NewTicker(interval)
-	defer t.Stop()
 	var nextExpiry time.Duration
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case <-time.After(pace.interval(m.cfg.Replica.Now())):
 		}
 		if !m.Leads() {
+			pace.changed(m.cfg.Replica.Now())
 			continue
 		}
-		m.syncServers(ctx)
+		if m.syncServers(ctx) {
+			pace.changed(m.cfg.Replica.Now())
+		}
 		if now := m.cfg.Replica.Now(); now >= nextExpiry {
 			nextExpiry = now + expireInterval
 			m.expireClaims(ctx)
@@ -57,23 +55,25 @@
 	}
 }
 
-// syncServers reads the platform's list and commits its changes to the ledger.
-func (m *Manager) syncServers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+// syncServers reads the platform's list and commits its changes to the ledger. It
+// reports whether more changes are likely soon: there were some now, or the list
+// could not be read.
+func (m *Manager) syncServers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	listed, err := m.cfg.Platform.List(ctx)
 	if err != nil {
 		m.listFailed = true
 		m.cfg.Logger.WithError(err).Warn("control: can't read the platform's server list")
-		return
+		return true
 	}
 	if m.listFailed {
 		m.listFailed = false
 		m.cfg.Logger.Info("control: the platform's server list can be read again")
 	}
-	rows := m.listChanges(listed)
+	rows, missing := m.listChanges(listed)
 	if len(rows) == 0 {
-		return
+		return missing
 	}
 	for _, r := range rows {
 		m.cfg.Logger.WithFields(logrus.Fields{
@@ -84,27 +84,26 @@
 			"gone":    r.GetGone(),
 		}).Info("control: a backend server changed in the platform's list")
 	}
-	if _, err := m.cfg.Replica.Propose(ctx, &pb.Command{
+	m.proposeAndLog(ctx, &pb.Command{
 		Kind: &pb.Command_UpdateServers{
 			UpdateServers: &pb.UpdateServers{
 				Servers: rows,
 			},
 		},
-	}); err != nil {
-		m.cfg.Logger.WithError(err).Warn("control: proposing an update of backend servers failed; it may still be committed")
-	}
+	})
+	return true
 }
 
 // listChanges returns the new rows of the servers for which the list differs from
-// the ledger. It marks a server gone once it has been missing long enough.
-func (m *Manager) listChanges(listed []*pb.ListedServer) []*pb.BackendServer {
+// the ledger. It marks a server gone once it has been missing long enough, and
+// reports whether any has been missing for less.
+func (m *Manager) listChanges(listed []*pb.ListedServer) (rows []*pb.BackendServer, missing bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.cfg.Replica.Now()
 	if !m.checkLeadership(now) {
-		return nil
+		return nil, false
 	}
-	var rows []*pb.BackendServer
 	inList := make(map[string]bool)
 	for _, s := range listed {
 		inList[s.GetName()] = true
@@ -114,9 +113,13 @@
 		}
 	}
 	for _, s := range m.cfg.Replica.Ledger.Changes(0).Servers {
+		if s.GetGone() {
+			delete(m.missingSince, s.GetName())
+		}
 		if inList[s.GetName()] || s.GetGone() {
 			continue
 		}
+		missing = true
 		since, ok := m.missingSince[s.GetName()]
 		if !ok {
 			m.missingSince[s.GetName()] = now
@@ -128,7 +131,7 @@
 			rows = append(rows, row)
 		}
 	}
-	return rows
+	return rows, missing
 }
 
 // updatedRow returns the new row for a listed server, or nil if nothing changed.
--- a/internal/control/manager/simulation_test.go
+++ b/internal/control/manager/simulation_test.go
@@ -20,6 +20,7 @@
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/control/manager"
 	"camphorspoke/internal/control/replica"
+	"camphorspoke/internal/control/tables"
 	"camphorspoke/internal/control/wal"
 	"camphorspoke/internal/daemon"
 	"camphorspoke/internal/daemon/membership"
@@ -106,6 +107,8 @@
 	scheduled         sync.Mutex
 	schedulingStopped bool
 	listed            []*pb.ListedServer
+	// withoutOwnership starts managers that assign no owners.
+	withoutOwnership bool
 }
 
 func discardLogger() logrus.FieldLogger {
@@ -212,6 +215,8 @@
 		Platform: sim,
 		Logger:   discardLogger(),
 		Checker:  sim.checker,
+
+		WithoutOwnership: sim.withoutOwnership,
 	})
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
@@ -289,6 +294,21 @@
 	return callLeader(ctx, c, func(n *node) (*pb.ApplyRulesResponse, error) { return n.manager.ApplyRules(ctx, r) })
 }
 
+// Tables reads the rows of a random replica.
+func (c client) Tables(ctx context.Context, r *pb.TablesRequest) (*pb.TablesResponse, error) {
+	n := c.sim.node(fmt.Sprintf("r%d", int(c.sim.random()*replicas)))
+	time.Sleep(c.sim.delay())
+	if n == nil || !c.sim.delivers(c.from, n.name) || !c.sim.delivers(n.name, c.from) {
+		return nil, fault.New(fault.NoQuorum, "control", "no replica replied")
+	}
+	source := tables.Source{
+		Ledger: n.replica.Ledger,
+		Now:    func() time.Duration { return time.Since(c.sim.start) },
+	}
+	time.Sleep(c.sim.delay())
+	return source.Rows(ctx, r.GetSeenIndex())
+}
+
 func (c client) ChangeReplica(context.Context, *pb.ChangeReplicaRequest) error { return nil }
 
 // peerClient calls the other routers. Only RuleVersion is implemented; the test
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -20,7 +20,6 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,6 +96,8 @@
 	view atomic.Pointer[view.View]
 	// heartbeatNow makes the heartbeat loop send without waiting.
 	heartbeatNow chan struct{}
+	// readTables makes the table loop read the tables.
+	readTables chan struct{}
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -105,6 +106,9 @@
 	// createdAt is the time at which the agent was created.
 	createdAt time.Duration
 
+	// viewChange serializes the changes of the view; it is locked before mu.
+	viewChange sync.Mutex
+
 	mu        sync.Mutex
 	ownership ownership.Tracker
 	// freshUntil is when the last confirmation of the rules expires.
@@ -125,7 +129,7 @@
 	needFullRules bool
 	// unresponsive holds the instances that have not answered recently, according
 	// to the leader's last answer or this router's last query, whichever is later.
-	unresponsive []string
+	unresponsive map[string]bool
 }
 
 // New returns an agent that sends nothing until Start is called. The clean-up
@@ -134,6 +138,7 @@
 	a := &Agent{
 		cfg:          cfg,
 		heartbeatNow: make(chan struct{}, 1),
+		readTables:   make(chan struct{}, 1),
 		ownership: ownership.Tracker{
 			Instance:    cfg.Instance,
 			Incarnation: cfg.Incarnation,
@@ -157,6 +162,7 @@
 // other routers.
 func (a *Agent) Start() {
 	a.wg.Go(func() { a.heartbeatLoop(a.ctx) })
+	a.wg.Go(func() { a.tableLoop(a.ctx) })
 	if !a.cfg.LeaderOnly {
 		a.wg.Go(func() { a.peerQueryLoop(a.ctx) })
 	}
@@ -256,7 +262,7 @@
 func (a *Agent) Unresponsive(instance string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return slices.Contains(a.unresponsive, instance)
+	return a.unresponsive[instance]
 }
 
 // Assigned reports whether the named server is assigned to this router and not
@@ -396,13 +402,13 @@
 		a.recordError(err)
 		return false
 	}
-	old, next := a.applyHeartbeat(sent, req, resp)
+	next := a.changeView(func() (old, next *view.View) { return a.applyHeartbeat(sent, req, resp) })
 	if a.cfg.OnControlAddresses != nil {
 		a.cfg.OnControlAddresses(resp.GetControlAddresses())
 	}
 	a.cfg.OnLoads(resp.GetLoads())
-	if next != old {
-		a.cfg.OnViewChange(old, next)
+	if resp.GetTablesBehind() {
+		a.requestTables()
 	}
 	if next.RuleVersion > req.GetRuleVersion() {
 		// The leader waits until enough routers report the new version, so report
@@ -415,6 +421,19 @@
 	return true
 }
 
+// changeView calls apply, which returns the view before and after it, and then
+// OnViewChange if the view has changed. Views change one at a time, so that
+// OnViewChange is called in their order.
+func (a *Agent) changeView(apply func() (old, next *view.View)) *view.View {
+	a.viewChange.Lock()
+	defer a.viewChange.Unlock()
+	old, next := apply()
+	if next != old {
+		a.cfg.OnViewChange(old, next)
+	}
+	return next
+}
+
 // recordError stores the error of a failed heartbeat, and logs the first one of an
 // outage.
 func (a *Agent) recordError(err error) {
@@ -438,15 +457,9 @@
 	a.lastError = ""
 	a.requestedInterval = time.Duration(resp.GetIntervalMs()) * time.Millisecond
 	old = a.view.Load()
-	next = old
-	if resp.GetIndex() < old.Index {
-		// An outdated answer must not replace newer state.
-		a.cfg.Checker.Check(false, "tablesRise", "heartbeat answer with log index %d after index %d", resp.GetIndex(), old.Index)
-		return old, old
-	}
-	if len(resp.GetServers()) > 0 || len(resp.GetInstances()) > 0 || resp.GetWhole() || resp.GetIndex() != old.Index {
-		next = next.WithTables(resp.GetIndex(), resp.GetWhole(), resp.GetServers(), resp.GetInstances())
-	}
+	a.cfg.Checker.Check(resp.GetIndex() >= req.GetSeenIndex(), "tablesRise",
+		"the leader answered with log index %d, this router had index %d when it sent the heartbeat", resp.GetIndex(), req.GetSeenIndex())
+	next = withRows(old, resp.GetIndex(), resp.GetWhole(), resp.GetServers(), resp.GetInstances())
 	a.cfg.Checker.Check(resp.GetRuleVersion() >= req.GetRuleVersion(), "ruleVersionRises",
 		"the leader answered with rule version %d, this router held %d when it sent the heartbeat", resp.GetRuleVersion(), req.GetRuleVersion())
 	next, ok := a.applyRules(next, resp.GetRuleVersion(), a.ruleText(next, resp))
@@ -457,11 +470,22 @@
 		}
 	}
 	a.ownership.SetFrozen(resp.GetFrozen())
-	a.unresponsive = resp.GetSilent()
+	a.setUnresponsive(resp.GetSilent())
 	if ok {
 		a.everConfirmed = true
 		a.confirm(sent)
+	}
+	if ok && !resp.GetTablesBehind() {
 		a.ownership.Renew(sent, time.Duration(resp.GetLeaseMs())*time.Millisecond)
 	}
 	return old, next
 }
+
+// setUnresponsive records the instances that have not answered recently. The caller
+// holds mu.
+func (a *Agent) setUnresponsive(names []string) {
+	a.unresponsive = make(map[string]bool, len(names))
+	for _, name := range names {
+		a.unresponsive[name] = true
+	}
+}
--- a/internal/daemon/membership/peerqueries.go
+++ b/internal/daemon/membership/peerqueries.go
@@ -125,7 +125,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.unresponsive = unresponsive
+	a.setUnresponsive(unresponsive)
 }
 
 // RuleVersion answers the query of another router. The answer of a router whose
--- /dev/null
+++ b/internal/daemon/membership/tables.go
@@ -0,0 +1,108 @@
+package membership
+
+// This file defines how a router reads table rows from a replica, when more have
+// changed than a heartbeat answer carries.
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"camphorspoke/internal/base/compress"
+	"camphorspoke/internal/base/fault"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/view"
+)
+
+const (
+	// maxTableBytes limits the size of decompressed table rows.
+	maxTableBytes = 64 << 20
+	// tablesTimeout limits one read of the tables, over all replicas that are tried.
+	tablesTimeout = 10 * time.Second
+)
+
+// requestTables makes the table loop read the tables, unless it is already due to.
+func (a *Agent) requestTables() {
+	select {
+	case a.readTables <- struct{}{}:
+	default:
+	}
+}
+
+// tableLoop reads the tables when a heartbeat answer was without rows. It is apart
+// from the heartbeats, so that a slow transfer delays no confirmation of the rules
+// and is not cut off by their timeout.
+func (a *Agent) tableLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.readTables:
+		}
+		if err := a.fetchTables(ctx); err != nil && ctx.Err() == nil {
+			a.cfg.Logger.WithError(err).Warn("member: reading the tables from a replica failed; the next heartbeat requests them again")
+		}
+	}
+}
+
+// fetchTables reads the rows that have changed and applies them to the view. The
+// next heartbeat is sent at once, as the replica may have been behind the leader.
+func (a *Agent) fetchTables(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, tablesTimeout)
+	defer cancel()
+	resp, err := a.cfg.Control.Tables(ctx, &pb.TablesRequest{
+		SeenIndex: a.View().Index,
+	})
+	if err != nil {
+		return err
+	}
+	rows, err := decodeRows(resp.GetRows())
+	if err != nil {
+		return err
+	}
+	before := a.View()
+	next := a.changeView(func() (old, next *view.View) { return a.applyRows(resp.GetIndex(), rows) })
+	if next != before {
+		a.HeartbeatNow()
+	}
+	return nil
+}
+
+// applyRows applies rows that are complete up to index to the view, and returns the
+// view before and after.
+func (a *Agent) applyRows(index uint64, rows *pb.TableRows) (old, next *view.View) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	old = a.view.Load()
+	next = withRows(old, index, rows.GetWhole(), rows.GetServers(), rows.GetInstances())
+	a.view.Store(next)
+	return old, next
+}
+
+// decodeRows decompresses and decodes table rows.
+func decodeRows(compressed []byte) (*pb.TableRows, error) {
+	decompressed, err := compress.Codec{
+		Limit: maxTableBytes,
+	}.Decompress(compressed)
+	if err != nil {
+		return nil, err
+	}
+	rows := &pb.TableRows{}
+	if err := proto.Unmarshal(decompressed, rows); err != nil {
+		return nil, fault.Wrap(fault.DamagedText, "table rows", err)
+	}
+	return rows, nil
+}
+
+// withRows returns v with the given rows, which are complete up to index; v itself if
+// it is as recent. Rows that arrive late must not replace newer ones.
+func withRows(v *view.View, index uint64, whole bool, servers []*pb.BackendServer, instances []*pb.Instance) *view.View {
+	if index <= v.Index {
+		return v
+	}
+	if len(servers) == 0 && len(instances) == 0 && !whole {
+		return v.WithIndex(index)
+	}
+	return v.WithTables(index, whole, servers, instances)
+}
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -32,6 +32,7 @@
 	"camphorspoke/internal/control/manager"
 	"camphorspoke/internal/control/raftlog"
 	"camphorspoke/internal/control/replica"
+	"camphorspoke/internal/control/tables"
 	"camphorspoke/internal/daemon/membership"
 	"camphorspoke/internal/daemon/metrics"
 	"camphorspoke/internal/daemon/router"
@@ -253,6 +254,11 @@
 		Replica:   in.replica,
 		Manager:   in.manager,
 		Transport: in.transport,
+		TableSource: &tables.Source{
+			Ledger:   in.replica.Ledger,
+			Now:      in.now,
+			LinkMbps: in.cfg.Entry.LinkMbps,
+		},
 	})
 	in.serveGRPC(s, in.byteCounter.Listener(l, "controlServer"))
 	return nil
--- a/internal/daemon/settings/entry.go
+++ b/internal/daemon/settings/entry.go
@@ -39,6 +39,8 @@
 	fs.StringVar(&r.seeds, "seeds", "", "addresses of some instances, through which the control group is found; their ports are ignored")
 	fs.BoolVar(&e.FirstStart, "first-start", false, "the whole system starts for the first time: allow the seeds to form a new control group")
 	fs.StringVar(&e.List, "list", "", "address of the platform's list of backend servers")
+	fs.Float64Var(&e.ListRate, "list-rate", 0, "calls per second that the platform accepts for its list, from all instances together; 0 means no limit")
+	fs.Float64Var(&e.LinkMbps, "link-mbps", 0, "bandwidth of the link of this instance, in Mbit/s; 0 means unknown")
 	fs.IntVar(&e.MemoryMB, "memory-mb", 0, "memory limit of the process, in MB")
 	fs.IntVar(&e.Cores, "cores", 0, "number of processor cores that the process may use")
 	fs.IntVar(&r.lossesBorne, "losses-borne", 1, "number of control replicas that may fail at the same time")
@@ -115,6 +117,10 @@
 		return invalid("retry-ratio", fmt.Sprint(e.RetryRatio), "0 to 10")
 	case e.RetrySlack < 0:
 		return invalid("retry-slack", fmt.Sprint(e.RetrySlack), "0 or more")
+	case e.ListRate < 0:
+		return invalid("list-rate", fmt.Sprint(e.ListRate), "0 or more")
+	case e.LinkMbps < 0:
+		return invalid("link-mbps", fmt.Sprint(e.LinkMbps), "0 or more")
 	case e.LoadBound < 1:
 		return invalid("bound", fmt.Sprint(e.LoadBound), "1 or more")
 	case e.MemoryMB < 0 || e.Cores < 0:
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -74,6 +74,12 @@
 	Voters int
 	// List is the address of the platform's list of backend servers.
 	List string
+	// ListRate is the number of calls per second that the platform accepts from all
+	// instances together for its list; zero means no limit.
+	ListRate float64
+	// LinkMbps is the bandwidth of this instance's link in Mbit/s; zero means that
+	// it is unknown.
+	LinkMbps float64
 	// MemoryMB is the memory limit in MB, above which the process is killed; zero
 	// means no limit.
 	MemoryMB int
--- a/internal/edge/controlclient/controlclient.go
+++ b/internal/edge/controlclient/controlclient.go
@@ -36,6 +36,9 @@
 	// applyAttemptTimeout bounds one attempt of a rule edit, which waits for
 	// routers to acknowledge the new version.
 	applyAttemptTimeout = 5 * time.Second
+	// tablesAttemptTimeout bounds one attempt to read the tables. It is long enough
+	// for a replica that limits the rate at which it sends them.
+	tablesAttemptTimeout = 3 * time.Second
 )
 
 // Client sends requests to the presumed leader and follows the leader addresses
@@ -119,15 +122,21 @@
 		addr = c.addresses[c.nextIndex%len(c.addresses)]
 		c.nextIndex++
 	}
+	client, err := c.clientFor(addr)
+	return addr, client, err
+}
+
+// clientFor returns a client for the replica at an address. The caller holds mu.
+func (c *Client) clientFor(addr string) (pb.ControlServiceClient, error) {
 	conn := c.conns[addr]
 	if conn == nil {
 		var err error
 		if conn, err = grpc.NewClient(addr, c.dialOptions...); err != nil {
-			return addr, nil, fault.Wrap(fault.NoQuorum, addr, err)
+			return nil, fault.Wrap(fault.NoQuorum, addr, err)
 		}
 		c.conns[addr] = conn
 	}
-	return addr, pb.NewControlServiceClient(conn), nil
+	return pb.NewControlServiceClient(conn), nil
 }
 
 // SetLeader records the address of a replica that announced itself as leader.
@@ -245,6 +254,54 @@
 	return out, err
 }
 
+// Tables reads table rows from the known replicas in random order, the presumed
+// leader last, until one of them responds.
+func (c *Client) Tables(ctx context.Context, r *pb.TablesRequest) (*pb.TablesResponse, error) {
+	var err error = fault.New(fault.NoQuorum, "control", "no control replica is configured")
+	for _, addr := range c.tableSources() {
+		var resp *pb.TablesResponse
+		if resp, err = c.tablesFrom(ctx, addr, r); err == nil {
+			return resp, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, err
+}
+
+// tableSources returns the known addresses in random order, the presumed leader
+// last: its link carries the heartbeats of all routers.
+func (c *Client) tableSources() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := slices.DeleteFunc(slices.Clone(c.addresses), func(a string) bool { return a == c.leader })
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	if c.leader != "" {
+		out = append(out, c.leader)
+	}
+	return out
+}
+
+func (c *Client) tablesFrom(ctx context.Context, addr string, r *pb.TablesRequest) (*pb.TablesResponse, error) {
+	c.mu.Lock()
+	client, err := c.clientFor(addr)
+	c.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, tablesAttemptTimeout)
+	defer cancel()
+	resp, err := client.Tables(ctx, r)
+	if err != nil {
+		return nil, fault.Wrap(fault.NoQuorum, addr, err)
+	}
+	if resp.GetIndex() <= r.GetSeenIndex() {
+		return nil, fault.New(fault.NoQuorum, addr, "the replica has applied no newer rows")
+	}
+	return resp, nil
+}
+
 // ChangeReplica sends a membership change of the control group to the leader.
 func (c *Client) ChangeReplica(ctx context.Context, r *pb.ChangeReplicaRequest) error {
 	return c.call(ctx, attemptTimeout, retryIfNotLeader, func(ctx context.Context, cl pb.ControlServiceClient) error {
--- a/internal/edge/controlserver/controlserver.go
+++ b/internal/edge/controlserver/controlserver.go
@@ -17,6 +17,7 @@
 	"camphorspoke/internal/control/manager"
 	"camphorspoke/internal/control/raftlog"
 	"camphorspoke/internal/control/replica"
+	"camphorspoke/internal/control/tables"
 	"camphorspoke/internal/edge/status"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 )
@@ -30,6 +31,8 @@
 	Replica   *replica.Replica
 	Manager   *manager.Manager
 	Transport control.Transport
+	// TableSource serves the rows of the replica's ledger.
+	TableSource *tables.Source
 }
 
 var _ pb.ControlServiceServer = (*Server)(nil)
@@ -63,6 +66,12 @@
 	return resp, status.FromFault(err)
 }
 
+// Tables returns table rows that this replica has applied.
+func (s *Server) Tables(ctx context.Context, r *pb.TablesRequest) (*pb.TablesResponse, error) {
+	resp, err := s.TableSource.Rows(ctx, r.GetSeenIndex())
+	return resp, status.FromFault(err)
+}
+
 // Raft receives the Raft messages of another replica.
 func (s *Server) Raft(stream grpc.ClientStreamingServer[pb.RaftRequest, pb.RaftResponse]) error {
 	for {
--- a/internal/gen/camphorspoke/v1/camphorspokev1connect/peer.connect.go
+++ b/internal/gen/camphorspoke/v1/camphorspokev1connect/peer.connect.go
@@ -66,6 +66,8 @@
 	// ControlServiceChangeReplicaProcedure is the fully-qualified name of the ControlService's
 	// ChangeReplica RPC.
 	ControlServiceChangeReplicaProcedure = "/camphorspoke.v1.ControlService/ChangeReplica"
+	// ControlServiceTablesProcedure is the fully-qualified name of the ControlService's Tables RPC.
+	ControlServiceTablesProcedure = "/camphorspoke.v1.ControlService/Tables"
 )
 
 // PeerServiceClient is a client for the camphorspoke.v1.PeerService service.
@@ -285,6 +287,7 @@
 	ReplicaState(context.Context, *connect.Request[v1.ReplicaStateRequest]) (*connect.Response[v1.ReplicaStateResponse], error)
 	ApplyRules(context.Context, *connect.Request[v1.ApplyRulesRequest]) (*connect.Response[v1.ApplyRulesResponse], error)
 	ChangeReplica(context.Context, *connect.Request[v1.ChangeReplicaRequest]) (*connect.Response[v1.ChangeReplicaResponse], error)
+	Tables(context.Context, *connect.Request[v1.TablesRequest]) (*connect.Response[v1.TablesResponse], error)
 }
 
 // NewControlServiceClient constructs a client for the camphorspoke.v1.ControlService service. By
@@ -340,6 +343,12 @@
 			connect.WithSchema(controlServiceMethods.ByName("ChangeReplica")),
 			connect.WithClientOptions(opts...),
 		),
+		tables: connect.NewClient[v1.TablesRequest, v1.TablesResponse](
+			httpClient,
+			baseURL+ControlServiceTablesProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Tables")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -352,6 +361,7 @@
 	replicaState  *connect.Client[v1.ReplicaStateRequest, v1.ReplicaStateResponse]
 	applyRules    *connect.Client[v1.ApplyRulesRequest, v1.ApplyRulesResponse]
 	changeReplica *connect.Client[v1.ChangeReplicaRequest, v1.ChangeReplicaResponse]
+	tables        *connect.Client[v1.TablesRequest, v1.TablesResponse]
 }
 
 // Heartbeat calls camphorspoke.v1.ControlService.Heartbeat.
@@ -389,6 +399,11 @@
 	return c.changeReplica.CallUnary(ctx, req)
 }
 
+// Tables calls camphorspoke.v1.ControlService.Tables.
+func (c *controlServiceClient) Tables(ctx context.Context, req *connect.Request[v1.TablesRequest]) (*connect.Response[v1.TablesResponse], error) {
+	return c.tables.CallUnary(ctx, req)
+}
+
 // ControlServiceHandler is an implementation of the camphorspoke.v1.ControlService service.
 type ControlServiceHandler interface {
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
@@ -398,6 +413,7 @@
 	ReplicaState(context.Context, *connect.Request[v1.ReplicaStateRequest]) (*connect.Response[v1.ReplicaStateResponse], error)
 	ApplyRules(context.Context, *connect.Request[v1.ApplyRulesRequest]) (*connect.Response[v1.ApplyRulesResponse], error)
 	ChangeReplica(context.Context, *connect.Request[v1.ChangeReplicaRequest]) (*connect.Response[v1.ChangeReplicaResponse], error)
+	Tables(context.Context, *connect.Request[v1.TablesRequest]) (*connect.Response[v1.TablesResponse], error)
 }
 
 // NewControlServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -449,6 +465,12 @@
 		connect.WithSchema(controlServiceMethods.ByName("ChangeReplica")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceTablesHandler := connect.NewUnaryHandler(
+		ControlServiceTablesProcedure,
+		svc.Tables,
+		connect.WithSchema(controlServiceMethods.ByName("Tables")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/camphorspoke.v1.ControlService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlServiceHeartbeatProcedure:
@@ -465,6 +487,8 @@
 			controlServiceApplyRulesHandler.ServeHTTP(w, r)
 		case ControlServiceChangeReplicaProcedure:
 			controlServiceChangeReplicaHandler.ServeHTTP(w, r)
+		case ControlServiceTablesProcedure:
+			controlServiceTablesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -501,3 +525,7 @@
 func (UnimplementedControlServiceHandler) ChangeReplica(context.Context, *connect.Request[v1.ChangeReplicaRequest]) (*connect.Response[v1.ChangeReplicaResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.ControlService.ChangeReplica is not implemented"))
 }
+
+func (UnimplementedControlServiceHandler) Tables(context.Context, *connect.Request[v1.TablesRequest]) (*connect.Response[v1.TablesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.ControlService.Tables is not implemented"))
+}
--- a/internal/routing/view/view.go
+++ b/internal/routing/view/view.go
@@ -50,6 +50,13 @@
 	return &next
 }
 
+// WithIndex returns a copy of v at index, up to which no row has changed.
+func (v *View) WithIndex(index uint64) *View {
+	next := *v
+	next.Index = index
+	return &next
+}
+
 // WithRules returns a copy of v with another rule file.
 func (v *View) WithRules(version uint64, text []byte, rules *ruleset.Rules) *View {
 	next := *v
