Large services: compare holders and a sample, not every engine

Cause: choose, bestCached and fetchSource looked at every server for every request; a new decider queried all engines at once; every request sorted all instances to find the decider. Up to 256 servers nothing changes. The order of deciders is computed when the view changes; at most 16 engines are queried at a time. Tests: TestMachineLargeService (the same best prefix as a full search, never queued while a slot is free), TestLargeServiceReuse, TestLargeServiceSpreads.

--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -20,8 +20,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -86,6 +84,9 @@
 
 	mu   sync.Mutex
 	view *view.View
+	// order holds, by service, the instances that may decide for it, in rendezvous
+	// order.
+	order map[string][]*pb.Instance
 	// streams holds the stream to each decider, by peer address.
 	streams map[string]*clientStream
 	// skippedUntil holds the time until which a decider that did not answer is
@@ -150,8 +151,9 @@
 	if v.Rules == nil {
 		return
 	}
+	order := deciderOrder(v)
 	p.mu.Lock()
-	p.view = v
+	p.view, p.order = v, order
 	p.mu.Unlock()
 	p.schedulers.update(v)
 	for name := range v.Rules.Services {
@@ -263,19 +265,13 @@
 	}
 }
 
-// deciders returns the reachable instances that may decide for a service, in
-// rendezvous order, at most maxDeciders of them.
-func (p *Placer) deciders(service string) []*pb.Instance {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.cfg.Now()
+// deciderOrder returns, for each service, the instances that may decide for it, in
+// rendezvous order.
+func deciderOrder(v *view.View) map[string][]*pb.Instance {
 	byName := make(map[string]*pb.Instance)
 	var names []routing.Server
-	for _, i := range p.view.Instances {
-		if i.GetGone() || i.GetLeaving() || now < p.skippedUntil[i.GetName()] {
-			continue
-		}
-		if i.GetName() != p.cfg.Instance && p.cfg.Unresponsive != nil && p.cfg.Unresponsive(i.GetName()) {
+	for _, i := range v.Routers() {
+		if i.GetLeaving() {
 			continue
 		}
 		byName[i.GetName()] = i
@@ -283,10 +279,27 @@
 			Name: i.GetName(),
 		})
 	}
-	slices.SortFunc(names, func(a, b routing.Server) int { return strings.Compare(a.Name, b.Name) })
+	order := make(map[string][]*pb.Instance)
+	for service := range v.Rules.Services {
+		for _, name := range (rendezvous.Picker{}).Order(service, names) {
+			order[service] = append(order[service], byName[name])
+		}
+	}
+	return order
+}
+
+// deciders returns the reachable instances that may decide for a service, in
+// rendezvous order, at most maxDeciders of them.
+func (p *Placer) deciders(service string) []*pb.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Now()
 	var out []*pb.Instance
-	for _, name := range (rendezvous.Picker{}).Order(service, names) {
-		out = append(out, byName[name])
+	for _, i := range p.order[service] {
+		if !p.reachable(now, i.GetName()) {
+			continue
+		}
+		out = append(out, i)
 		if len(out) == maxDeciders {
 			break
 		}
@@ -294,6 +307,15 @@
 	return out
 }
 
+// reachable reports whether an instance is expected to answer as a decider. The
+// caller holds mu.
+func (p *Placer) reachable(now time.Duration, name string) bool {
+	if now < p.skippedUntil[name] {
+		return false
+	}
+	return name == p.cfg.Instance || p.cfg.Unresponsive == nil || !p.cfg.Unresponsive(name)
+}
+
 func (p *Placer) skipDecider(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/daemon/placer/prime.go
+++ b/internal/daemon/placer/prime.go
@@ -10,8 +10,14 @@
 	"camphorspoke/internal/routing/prefixcache"
 )
 
-// engineQueryTimeout bounds the query to one engine.
-const engineQueryTimeout = 400 * time.Millisecond
+const (
+	// engineQueryTimeout bounds the query to one engine.
+	engineQueryTimeout = 400 * time.Millisecond
+	// maxEngineQueries is how many engines are queried at a time. The answers of all
+	// engines of a large service together would keep the decider's link busy for
+	// longer than requests wait for a decision.
+	maxEngineQueries = 16
+)
 
 // queryEnginesOnce queries the engines of a service for their cached prefixes the
 // first time that this instance decides for the service. It sends no queries if the
@@ -27,8 +33,17 @@
 	if s := d.services[service]; s != nil && len(s.CachedPrefixes()) > 0 {
 		return
 	}
+	pending := make(chan engine, len(d.engines[service]))
 	for _, e := range d.engines[service] {
-		go d.queryEngine(service, e)
+		pending <- e
+	}
+	close(pending)
+	for range min(maxEngineQueries, len(pending)) {
+		go func() {
+			for e := range pending {
+				d.queryEngine(service, e)
+			}
+		}()
 	}
 }
 
--- a/internal/routing/prefixcache/prefixcache.go
+++ b/internal/routing/prefixcache/prefixcache.go
@@ -16,11 +16,19 @@
 	Tokens int
 }
 
+// Observer is told which parts a Cache has cached and evicted.
+type Observer interface {
+	Cached(id uint64)
+	Evicted(id uint64)
+}
+
 // Cache models the prefix cache of one engine, with LRU eviction. The zero value has no
 // capacity. It is not safe for concurrent use.
 type Cache struct {
 	// Capacity is the size of the cache in tokens; a lower one takes effect at the next Use.
 	Capacity int
+	// Observer, if not nil, is told of every change of the cached parts.
+	Observer Observer
 
 	// used is the number of cached tokens.
 	used int
@@ -57,6 +65,9 @@
 		}
 		c.byID[p.ID] = c.lru.PushFront(p)
 		c.used += p.Tokens
+		if c.Observer != nil {
+			c.Observer.Cached(p.ID)
+		}
 	}
 	for c.used > c.Capacity {
 		c.evict()
@@ -73,10 +84,18 @@
 	c.lru.Remove(e)
 	delete(c.byID, p.ID)
 	c.used -= p.Tokens
+	if c.Observer != nil {
+		c.Observer.Evicted(p.ID)
+	}
 }
 
 // Reset empties the cache, as after a restart of the engine.
 func (c *Cache) Reset() {
+	if c.Observer != nil {
+		for _, p := range c.Parts() {
+			c.Observer.Evicted(p.ID)
+		}
+	}
 	c.byID, c.used = nil, 0
 	c.lru.Init()
 }
--- a/internal/routing/scheduler/bench_test.go
+++ b/internal/routing/scheduler/bench_test.go
@@ -3,6 +3,7 @@
 // This file measures the time of a placement decision at the size of a large site.
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -12,7 +13,14 @@
 
 // BenchmarkSchedule places requests with 300 distinct prefixes on 90 engines; 400
 // requests run at a time.
+// BenchmarkSchedule measures a decision in services of several sizes.
 func BenchmarkSchedule(b *testing.B) {
+	for _, servers := range []int{90, 163, 256, 1000, 3000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) { benchmarkSchedule(b, servers) })
+	}
+}
+
+func benchmarkSchedule(b *testing.B, servers int) {
 	s := scheduler.New(scheduler.Service{
 		Name:            "llm",
 		Engine:          true,
@@ -22,7 +30,7 @@
 		LoadBound:       2,
 		RetryWindow:     10 * time.Second,
 	})
-	listServers(s, 90, 0)
+	listServers(s, servers, 0)
 	rng := rand.New(rand.NewPCG(1, 2))
 	now := time.Duration(0)
 	id := uint64(0)
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -45,6 +45,9 @@
 	// tieBreakTokens scales the hash that breaks ties, in prefill tokens. It spreads
 	// prompts that no engine has cached.
 	tieBreakTokens = 40
+	// maxLimitAge is how long the load limit of a large service is used, and how long
+	// its servers count as full if no request ends.
+	maxLimitAge = 10 * time.Millisecond
 	// prefixCacheFraction is the fraction of an engine's cache memory that holds
 	// prefixes; running requests use the rest.
 	prefixCacheFraction = 0.85
@@ -98,7 +101,7 @@
 	}
 	var best *server
 	most := cached + minFetchTokens - 1
-	for _, o := range s.listedServers {
+	for _, o := range s.holders(req) {
 		if o == sv || o.ejected(now) {
 			continue
 		}
@@ -117,7 +120,7 @@
 // any accepting server has cached.
 func (s *Scheduler) bestCached(req Request) int {
 	best := 0
-	for _, sv := range s.listedServers {
+	for _, sv := range s.holders(req) {
 		if sv.accepting {
 			best = max(best, sv.cache.CachedTokens(req.Parts))
 		}
@@ -138,29 +141,44 @@
 // server is chosen only when every accepting one that req may go to is ejected: a
 // server that is down has the lowest load of all and would otherwise attract requests.
 func (s *Scheduler) choose(now time.Duration, req Request) *server {
-	limit := s.loadLimit(now)
-	skipEjected := s.anyHealthy(now, req)
-	for _, bounded := range []bool{true, false} {
-		var best *server
-		bestCost := math.Inf(1)
-		for _, sv := range s.listedServers {
-			if !sv.eligible(now, req) || skipEjected && sv.ejected(now) || sv.load(now)+1 > s.maxGrants(sv) {
-				continue
-			}
-			if bounded && float64(sv.load(now)+1) > limit {
-				continue
-			}
-			if c := s.cost(now, sv, req); c < bestCost {
-				best, bestCost = sv, c
-			}
+	if s.full && now-s.fullAt < maxLimitAge {
+		return nil
+	}
+	limit := s.currentLimit(now)
+	if s.index != nil {
+		if sv := s.chooseFrom(now, req, s.candidates(req), limit); sv != nil {
+			return sv
 		}
-		if best != nil {
-			return best
+	}
+	for _, limit := range []float64{limit, math.Inf(1)} {
+		if sv := s.chooseFrom(now, req, s.listedServers, limit); sv != nil {
+			return sv
 		}
 	}
+	if s.index != nil && len(req.Tried) == 0 {
+		s.full, s.fullAt = true, now
+	}
 	return nil
 }
 
+// chooseFrom returns the cheapest of the given servers that has room for req within
+// the load limit, or nil.
+func (s *Scheduler) chooseFrom(now time.Duration, req Request, servers []*server, limit float64) *server {
+	skipEjected := s.anyHealthy(now, req)
+	var best *server
+	bestCost := math.Inf(1)
+	for _, sv := range servers {
+		load := sv.load(now) + 1
+		if !sv.eligible(now, req) || skipEjected && sv.ejected(now) || load > s.maxGrants(sv) || float64(load) > limit {
+			continue
+		}
+		if c := s.cost(now, sv, req); c < bestCost {
+			best, bestCost = sv, c
+		}
+	}
+	return best
+}
+
 // maxGrants returns how many requests may be granted to sv at a time. A server that
 // is not an engine gets more requests than slots: its requests are short, so
 // for part of the time for which one counts as running, the request or the report of
@@ -180,6 +198,17 @@
 	})
 }
 
+// currentLimit returns the load limit. In a large service it may be maxLimitAge old.
+func (s *Scheduler) currentLimit(now time.Duration) float64 {
+	if s.index == nil {
+		return s.loadLimit(now)
+	}
+	if now-s.limitAt >= maxLimitAge {
+		s.limit, s.limitAt = s.loadLimit(now), now
+	}
+	return s.limit
+}
+
 // loadLimit returns the number of requests that one server may run, derived from the
 // mean load of the accepting servers that are not ejected, with the new request
 // included.
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -161,6 +161,17 @@
 	budget        retrybudget.Budget
 	// completions measures how fast slots become free.
 	completions completionRate
+	// index finds the servers that have a part cached; nil in a small service.
+	index *holderIndex
+	// candidateList and candidateRound hold the servers compared last.
+	candidateList  []*server
+	candidateRound uint64
+	// limit is the load limit as of limitAt, and full is set if no server had room
+	// at fullAt and no request has ended since; both only in a large service.
+	limit   float64
+	limitAt time.Duration
+	full    bool
+	fullAt  time.Duration
 }
 
 // grant is a request that counts as running on a server.
@@ -220,11 +231,14 @@
 		if listed[name] {
 			continue
 		}
-		sv.accepting = false
+		sv.accepting, sv.listed = false, false
 		if sv.running == 0 {
+			s.forget(sv)
 			delete(s.servers, name)
 		}
 	}
+	s.updateIndex()
+	s.limitAt, s.full = -maxLimitAge, false
 }
 
 // Schedule decides on a request at once, or queues it and returns false; the decision is
@@ -282,6 +296,7 @@
 		return nil
 	}
 	delete(s.granted, id)
+	s.full = false
 	g.server.running--
 	g.server.applyReport(now, r)
 	if r.Event == Done {
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -44,6 +44,10 @@
 	// listedSlots is the slot count from the server list; zero when it has none.
 	listedSlots int
 	accepting   bool
+	// listed is true while the server is listed.
+	listed bool
+	// candidateRound is the last round in which the server became a candidate.
+	candidateRound uint64
 	// running is the number of granted requests that have not ended.
 	running int
 	// pendingTokens are the tokens that await prefill, of requests granted here whose
@@ -75,6 +79,7 @@
 }
 
 func (sv *server) applyListing(l Server) {
+	sv.listed = true
 	sv.accepting, sv.domain, sv.listedSlots = l.Accepting, l.FailureDomain, l.Slots
 }
 
