Bytes without end and late copies from a backend server

What operators of similar systems met; looked for here, found by tests that failed: - a response head without end (status line, one header, many headers) was read into memory until the deadline: http.ReadResponse has no limit.

--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -68,16 +68,19 @@
 func (c *call) hasMore(resp *backend.Response) bool { return !resp.Ended() }
 
 // relayRemainder writes the buffered part of a large body, then copies the rest as it
-// arrives.
+// arrives. If the rest does not arrive, the response to the caller is truncated.
 func (c *call) relayRemainder(resp *backend.Response, first []byte) (exchangeResult, scheduler.Event) {
 	if _, err := c.w.Write(first); err != nil {
 		return c.endCallerLost()
 	}
 	if _, err := io.Copy(c.w, resp); err != nil {
+		// The caller has a part of this response, so it can get no other.
 		c.lastErr = err
-		return broken, scheduler.Broken
+		c.logOutcome("truncated", err)
+		c.mustAbort = true
+		return ended, scheduler.Broken
 	}
-	return ended, scheduler.Done
+	return ended, c.statusEvent(resp.Status)
 }
 
 // endCallerLost ends the request after a write to the caller failed.
@@ -113,7 +116,9 @@
 // complete events, so that a broken stream can be resumed after the last event that
 // the caller has received.
 func (c *call) relayStream(resp *backend.Response) (exchangeResult, scheduler.Event) {
-	var splitter sse.Splitter
+	splitter := sse.Splitter{
+		Limit: maxEventBytes,
+	}
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := resp.Read(buf)
@@ -125,6 +130,10 @@
 				c.lastEvent = splitter.LastID
 			}
 		}
+		if splitter.Overflowed() {
+			c.lastErr = fault.New(fault.WrongFrame, c.service, "the stream has an event without end")
+			return broken, scheduler.Broken
+		}
 		if errors.Is(err, io.EOF) {
 			break
 		}
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -45,6 +45,8 @@
 	// header is relayed.
 	maxBufferedBody = 1 << 20
 	copyBufferSize  = 16 << 10
+	// maxEventBytes is the largest event of a stream, in bytes.
+	maxEventBytes = 1 << 20
 )
 
 // exchangeResult is the outcome of one attempt at a backend server.
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -55,6 +55,8 @@
 	net.Conn
 	address string
 	r       *bufio.Reader
+	// limit is the source of r.
+	limit *limitedReader
 	// expiry is the time, by Pool.Now, after which an idle connection is not reused.
 	expiry time.Duration
 	// reused is set when the connection first returns to the pool.
@@ -95,10 +97,14 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Unreachable, address, err)
 	}
+	limit := &limitedReader{
+		source: nc,
+	}
 	return &conn{
 		Conn:    nc,
 		address: address,
-		r:       bufio.NewReaderSize(nc, readBufferSize),
+		r:       bufio.NewReaderSize(limit, readBufferSize),
+		limit:   limit,
 	}, nil
 }
 
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -164,6 +164,8 @@
 	httpReq := &http.Request{
 		Method: req.Method,
 	}
+	c.limit.beginHead()
+	defer c.limit.endHead()
 	for range maxStray + 1 {
 		if _, perr := c.r.Peek(1); perr != nil {
 			return nil, stray, fault.Wrap(fault.LinkBroken, c.address, perr)
@@ -176,17 +178,35 @@
 			continue
 		}
 		echo := req.EchoedID(resp.StatusCode, resp.Header)
+		if echo == "" && req.ID != "" && resp.StatusCode < http.StatusMultipleChoices {
+			return nil, stray, fault.New(fault.WrongFrame, c.address, "received a success that names no request")
+		}
 		if echo == "" || echo == req.ID {
 			return resp, stray, nil
 		}
 		stray = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBody)); err != nil {
-			return nil, stray, fault.Wrap(fault.WrongFrame, c.address, err)
+		if err := c.discardBody(resp); err != nil {
+			return nil, stray, err
 		}
 	}
 	return nil, stray, fault.New(fault.WrongFrame, c.address, "received only informational responses or responses to other requests")
 }
 
+// discardBody reads the body of a stray response to its end, which has to come within
+// maxStrayBody bytes.
+func (c *conn) discardBody(resp *http.Response) error {
+	c.limit.endHead()
+	defer c.limit.beginHead()
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBody))
+	if err != nil {
+		return fault.Wrap(fault.WrongFrame, c.address, err)
+	}
+	if n == maxStrayBody {
+		return fault.New(fault.WrongFrame, c.address, "the body of a response to another request does not end")
+	}
+	return nil
+}
+
 // Read reads from the body. At its end the connection returns to the pool.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
--- a/internal/routing/sse/sse.go
+++ b/internal/routing/sse/sse.go
@@ -12,7 +12,12 @@
 // to use.
 type Splitter struct {
 	// buf holds the bytes after the last complete event.
-	buf []byte
+	// Limit is the largest incomplete event that is buffered, in bytes; zero means
+	// no limit.
+	Limit int
+
+	buf        []byte
+	overflowed bool
 	// LastID is the id of the last returned event that has an id.
 	LastID string
 }
@@ -28,8 +33,16 @@
 // Add appends b to the buffer and returns the events that are complete now. The
 // result is valid until the next call.
 func (s *Splitter) Add(b []byte) []byte {
+	if s.overflowed {
+		return nil
+	}
+	searched := max(0, len(s.buf)-len(crlfBoundary)+1)
 	s.buf = append(s.buf, b...)
-	end := s.lastEnd()
+	end := s.lastEnd(searched)
+	if s.Limit > 0 && len(s.buf)-end > s.Limit {
+		s.overflowed = true
+		s.buf = s.buf[:end]
+	}
 	if end == 0 {
 		return nil
 	}
@@ -40,18 +53,22 @@
 }
 
 // lastEnd returns the offset at which the last complete event in the buffer
-// ends, zero if there is none.
-func (s *Splitter) lastEnd() int {
+// ends, zero if there is none. No event ends in the part before searched.
+func (s *Splitter) lastEnd(searched int) int {
 	end := 0
-	if i := bytes.LastIndex(s.buf, lfBoundary); i >= 0 {
-		end = i + len(lfBoundary)
+	if i := bytes.LastIndex(s.buf[searched:], lfBoundary); i >= 0 {
+		end = searched + i + len(lfBoundary)
 	}
-	if i := bytes.LastIndex(s.buf, crlfBoundary); i >= 0 {
-		end = max(end, i+len(crlfBoundary))
+	if i := bytes.LastIndex(s.buf[searched:], crlfBoundary); i >= 0 {
+		end = max(end, searched+i+len(crlfBoundary))
 	}
 	return end
 }
 
+// Overflowed reports whether an event exceeded Limit. Nothing is buffered or returned
+// after that.
+func (s *Splitter) Overflowed() bool { return s.overflowed }
+
 // recordLastID sets LastID to the id of the last event that has one.
 func (s *Splitter) recordLastID(events []byte) {
 	for line := range bytes.SplitSeq(events, []byte("\n")) {
--- a/internal/routing/sse/sse_test.go
+++ b/internal/routing/sse/sse_test.go
@@ -47,3 +47,17 @@
 	s.Drop()
 	require.Empty(t, s.Rest())
 }
+
+// TestEndlessEvent checks that an event without end is not buffered without end.
+func TestEndlessEvent(t *testing.T) {
+	s := sse.Splitter{
+		Limit: 1 << 10,
+	}
+	require.Equal(t, "id: 1\n\n", string(s.Add([]byte("id: 1\n\nid: 2\ndata: "))))
+	for range 100 {
+		s.Add([]byte(strings.Repeat("x", 100)))
+	}
+	require.True(t, s.Overflowed())
+	require.LessOrEqual(t, len(s.Rest()), 1<<10)
+	require.Empty(t, s.Add([]byte("\n\n")), "nothing is returned after an overflow")
+}
