Tell why a prompt's cached prefix is read again

The decision, the log line of the request and a counter now tell what happens to the part of a prompt that an engine has cached and the chosen one has not: fetched, being read, too small to fetch, or not fetchable (fields reuse, reread, prompt; metric camphorspoke.reread.tokens by reason). A prefix is fetched only from an engine that has read it to its end: one that still reads it has nothing to send, and the engine that asks reads it again (TestFetchOnlyWhatWasRead).

--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -89,6 +89,7 @@
 			return
 		}
 		c.grant = g
+		c.h.Meters.Prompt(c.ctx, c.service, g.Reuse, g.RereadTokens)
 		result := c.exchange(g)
 		if result == ended {
 			return
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -385,6 +385,9 @@
 		if g.FetchFrom != "" {
 			fields["fetchFrom"] = g.FetchFrom
 		}
+		if g.Reuse != "" {
+			fields["prompt"], fields["reuse"], fields["reread"] = c.req.Prompt.Tokens, g.Reuse, g.RereadTokens
+		}
 	}
 	if err != nil {
 		fields["cause"] = err.Error()
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -27,6 +27,7 @@
 	timeToFirstToken metric.Float64Histogram
 	promptTokens     metric.Int64Counter
 	reusedTokens     metric.Int64Counter
+	rereadTokens     metric.Int64Counter
 	retries          metric.Int64Counter
 }
 
@@ -60,6 +61,7 @@
 	m.timeToFirstToken = b.histogram("camphorspoke.first.token", "Time from dispatch to the first token, by priority class.")
 	m.promptTokens = b.counter("camphorspoke.prompt.tokens", "Prompt tokens of finished answers.")
 	m.reusedTokens = b.counter("camphorspoke.reused.tokens", "Prompt tokens found in the prefix cache.")
+	m.rereadTokens = b.counter("camphorspoke.reread.tokens", "Prompt tokens that a server reads although another one has them cached, by reason.")
 	m.retries = b.counter("camphorspoke.retries", "Retries by service.")
 	b.observableCounter("camphorspoke.control.bytes", "Bytes of control traffic by kind.", "kind", func() map[string]int64 { return toInt64(callbacks.ControlBytes()) })
 	b.observableCounter("camphorspoke.invariant.violations", "Violated invariants by name.", "name", func() map[string]int64 { return toInt64(callbacks.Violations()) })
@@ -155,6 +157,15 @@
 	m.reusedTokens.Add(ctx, int64(reused), metric.WithAttributes(serviceAttribute(svc)))
 }
 
+// Prompt counts the tokens of a prompt that its server reads although another one has
+// them cached, by the reason; reason is empty for a request without a prompt.
+func (m *Meters) Prompt(ctx context.Context, svc, reason string, reread int) {
+	if m == nil || reason == "" {
+		return
+	}
+	m.rereadTokens.Add(ctx, int64(reread), metric.WithAttributes(serviceAttribute(svc), attribute.String("reason", reason)))
+}
+
 // Retry counts a retry at a service.
 func (m *Meters) Retry(ctx context.Context, svc string) {
 	if m == nil {
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -202,6 +202,8 @@
 				Load:             int(m.GetLoad()),
 				BestCachedTokens: int(m.GetBestCached()),
 				FetchFrom:        m.GetFetchFrom(),
+				RereadTokens:     int(m.GetReread()),
+				Reuse:            m.GetReuse(),
 			}, true
 		case <-timer.C:
 			withdraw()
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -107,6 +107,8 @@
 		Load:          uint32(d.Load),
 		BestCached:    uint32(d.BestCachedTokens),
 		FetchFrom:     d.FetchFrom,
+		Reread:        uint32(d.RereadTokens),
+		Reuse:         d.Reuse,
 	})
 }
 
--- a/internal/routing/prefixcache/prefixcache.go
+++ b/internal/routing/prefixcache/prefixcache.go
@@ -37,6 +37,9 @@
 	lru list.List
 }
 
+// Has reports whether a part is cached.
+func (c *Cache) Has(id uint64) bool { return c.byID[id] != nil }
+
 // CachedTokens returns the length in tokens of the longest cached prefix of parts.
 func (c *Cache) CachedTokens(parts []Part) int {
 	tokens := 0
--- a/internal/routing/scheduler/fetch_test.go
+++ b/internal/routing/scheduler/fetch_test.go
@@ -83,3 +83,35 @@
 	require.NotEmpty(t, d.Server)
 	require.Empty(t, d.FetchFrom)
 }
+
+// TestFetchOnlyWhatWasRead: a prefix is fetched only from a server that has read it to
+// its end; until then the decision says that it is being read.
+func TestFetchOnlyWhatWasRead(t *testing.T) {
+	s := scheduler.New(scheduler.Service{
+		Name:            "llm",
+		Engine:          true,
+		Slots:           1,
+		CacheTokens:     100_000,
+		FetchesPrefixes: true,
+		LoadBound:       2,
+		RetryWindow:     10 * time.Second,
+	})
+	listServers(s, 3, 0)
+	schedule := func(id uint64) scheduler.Decision {
+		d, ok := s.Schedule(0, scheduler.Request{ID: id, Parts: prompt(100, 1000+id), MaxWait: time.Second})
+		require.True(t, ok)
+		return d
+	}
+	first := schedule(1)
+	require.Equal(t, scheduler.ReuseCached, first.Reuse)
+	second := schedule(2)
+	require.NotEqual(t, first.Server, second.Server)
+	require.Empty(t, second.FetchFrom)
+	require.Equal(t, scheduler.ReuseBeingRead, second.Reuse)
+	require.Equal(t, 8500, second.RereadTokens)
+	reportStarted(s, 0, 1)
+	third := schedule(3)
+	require.Equal(t, first.Server, third.FetchFrom)
+	require.Equal(t, scheduler.ReuseFetched, third.Reuse)
+	require.Zero(t, third.RereadTokens)
+}
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -67,7 +67,7 @@
 func (s *Scheduler) grant(now time.Duration, req Request, sv *server) Decision {
 	cached := sv.cache.CachedTokens(req.Parts)
 	best := s.bestCached(req)
-	from := s.fetchSource(now, req, sv, cached)
+	from, fetched := s.fetchSource(now, req, sv, cached)
 	g := &grant{
 		server:     sv,
 		request:    req,
@@ -77,27 +77,33 @@
 	s.granted[req.ID] = g
 	sv.running++
 	sv.pendingTokens += g.missTokens
-	if len(req.Parts) > 0 {
-		sv.cache.Use(req.Parts)
-	}
-	return Decision{
+	d := Decision{
 		ID:               req.ID,
 		Server:           sv.name,
 		CachedTokens:     cached,
 		Load:             sv.running,
 		BestCachedTokens: best,
 		FetchFrom:        from,
+		FetchedTokens:    fetched,
+		PromptTokens:     promptTokens(req),
+	}
+	if len(req.Parts) > 0 {
+		g.beginRead()
+		sv.cache.Use(req.Parts)
+		s.setReuse(&d)
 	}
+	return d
 }
 
 // fetchSource returns the server from which sv should fetch the cached prefix that
-// it misses, or "" when no server has at least minFetchTokens more than sv. It is
-// the server with the longest cached prefix, whether or not it takes new work, so
-// that the cache of a draining server is not lost. Among equals, a server in the
-// failure domain of sv is preferred. Ejected servers are skipped.
-func (s *Scheduler) fetchSource(now time.Duration, req Request, sv *server, cached int) string {
+// it misses, and the length of that prefix in tokens; "" when no server has read at
+// least minFetchTokens more than sv has. It is the server with the longest prefix,
+// whether or not it takes new work, so that the cache of a draining server is not
+// lost. Among equals, a server in the failure domain of sv is preferred. Ejected
+// servers are skipped.
+func (s *Scheduler) fetchSource(now time.Duration, req Request, sv *server, cached int) (name string, tokens int) {
 	if !s.svc.FetchesPrefixes {
-		return ""
+		return "", 0
 	}
 	var best *server
 	most := cached + minFetchTokens - 1
@@ -105,15 +111,15 @@
 		if o == sv || o.ejected(now) {
 			continue
 		}
-		tokens := o.cache.CachedTokens(req.Parts)
+		tokens := o.readTokens(req.Parts)
 		if tokens > most || best != nil && tokens == most && best.domain != sv.domain && o.domain == sv.domain {
 			best, most = o, tokens
 		}
 	}
 	if best == nil {
-		return ""
+		return "", 0
 	}
-	return best.name
+	return best.name, most
 }
 
 // bestCached returns the length of the longest prefix of the prompt, in tokens, that
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -112,8 +112,16 @@
 	// BestCachedTokens is the largest such length on any accepting server.
 	BestCachedTokens int
 	// FetchFrom is the server from which the granted one should fetch the cached
-	// prefix; empty when no server has enough more of it cached.
-	FetchFrom string
+	// prefix; empty when no server has enough more of it cached. FetchedTokens is the
+	// length of that prefix.
+	FetchFrom     string
+	FetchedTokens int
+	// PromptTokens is the length of the prompt. Reuse tells what happens to its cached
+	// prefix, and RereadTokens how many tokens of it the server reads although
+	// another one has them.
+	PromptTokens int
+	Reuse        string
+	RereadTokens int
 }
 
 // Event is the kind of event that a Report gives for a granted request.
@@ -291,6 +299,7 @@
 	if !g.started {
 		g.started = true
 		g.server.pendingTokens -= g.missTokens
+		g.endRead()
 	}
 	if r.Event == Started {
 		return nil
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -53,8 +53,11 @@
 	// pendingTokens are the tokens that await prefill, of requests granted here whose
 	// start was not reported yet.
 	pendingTokens int
-	// cache models the prefixes that the server has cached.
-	cache prefixcache.Cache
+	// cache models the prefixes that the server has cached, those included that it
+	// is still reading. reading holds the parts of the latter, each with the request
+	// whose prompt is being read.
+	cache   prefixcache.Cache
+	reading map[uint64]uint64
 
 	// reportedLoad is the load that the server reported last, at loadReportedAt.
 	loadReportedAt time.Duration
