Deciders: the strongest instances, each for one service, with an informed standby

The first choice decided for both services, on a machine of 0.192 cores; half of the answers were late for 60 ms, and each such miss made the asker skip it for a second (150 to 2,000 skips in two seconds, up to 299 instances deciding in one such span). A new decider got the cache model of every instance at once, some 4 MB over 10 Mbit/s, while requests waited for it. Change: instances with the largest processor share decide first, none for two services while others are as good; whoever decides tells the other one of the first two in the order what it places, every 20 ms, and its whole model bit by bit on a new stream, instead of every instance telling after the fact; a miss skips the decider for 0.2 s, doubled up to 1.6 s; the start of a request without a prompt and load is not reported. Tests: TestDeciderOrder, TestDeciderOrderIsStable, TestNextDeciderReceivesCachedPrefixes and TestInformedDeciderSkipsEngineQueries; the last two now give the decider 300 ms to tell its standby, as nobody announces afterwards any more.

--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -46,8 +46,7 @@
 	return s
 }
 
-// runStream sends the cached prefixes and then the queued messages, and receives
-// responses, until the stream ends.
+// runStream sends the queued messages and receives responses until the stream ends.
 func (p *Placer) runStream(s *clientStream, address string) {
 	defer s.cancel()
 	stream, err := p.cfg.Peers.Place(s.ctx, address)
@@ -65,11 +64,6 @@
 			s.handleResponse(m)
 		}
 	})
-	for _, m := range p.adoptMessages() {
-		if stream.Send(m) != nil {
-			return
-		}
-	}
 	for {
 		select {
 		case <-s.ctx.Done():
@@ -82,26 +76,6 @@
 	}
 }
 
-// adoptMessages returns the messages that announce the cached prefixes of this
-// instance's schedulers to a decider.
-func (p *Placer) adoptMessages() []*pb.PlaceRequest {
-	var out []*pb.PlaceRequest
-	for _, service := range p.schedulers.serviceNames() {
-		for _, k := range p.schedulers.cachedPrefixes(service) {
-			ids, tokens := fromParts(k.Parts)
-			out = append(out, &pb.PlaceRequest{
-				Adopt: &pb.PlaceAdopt{
-					Service:       service,
-					BackendServer: k.Server,
-					Parts:         ids,
-					PartTokens:    tokens,
-				},
-			})
-		}
-	}
-	return out
-}
-
 // handleResponse passes a response to the request that waits for it. If the response
 // only announces that the request is queued, the request stays pending.
 func (s *clientStream) handleResponse(m *pb.PlaceResponse) {
--- /dev/null
+++ b/internal/daemon/placer/order_test.go
@@ -0,0 +1,77 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/view"
+	"camphorspoke/internal/rules/parse"
+)
+
+// viewOf returns a view of n instances and four services. Every tenth instance has a
+// larger processor share than the others.
+func viewOf(t *testing.T, n int) *view.View {
+	t.Helper()
+	f, err := parse.Rules("r", []byte("service a type=engine # t: t\nservice b type=plain # t: t\nservice c type=plain # t: t\nservice d type=engine # t: t\n"))
+	require.NoError(t, err)
+	var rows []*pb.Instance
+	for i := range n {
+		row := &pb.Instance{
+			Name:     fmt.Sprintf("i%d", i),
+			CpuMilli: 192,
+		}
+		if i%10 == 0 {
+			row.CpuMilli = 512
+		}
+		rows = append(rows, row)
+	}
+	return (&view.View{}).WithTables(1, true, nil, rows).WithRules(1, nil, f)
+}
+
+// TestDeciderOrder checks that the instances with the largest processor share decide
+// first, and that no instance is the first choice of two services while another one
+// with the same share is free.
+func TestDeciderOrder(t *testing.T) {
+	for _, n := range []int{10, 40, 300} {
+		order := deciderOrder(viewOf(t, n))
+		require.Len(t, order, 4)
+		first := make(map[string]int)
+		for _, list := range order {
+			require.Len(t, list, n)
+			for i, instance := range list {
+				large := i < n/10
+				require.Equal(t, large, instance.GetCpuMilli() == 512)
+			}
+			first[list[0].GetName()]++
+		}
+		require.Len(t, first, min(n/10, 4))
+	}
+}
+
+// TestDeciderOrderIsStable checks that the loss of an instance changes the first
+// choice of the services for which it was the first, and at most of one more, whose
+// first choice takes its place.
+func TestDeciderOrderIsStable(t *testing.T) {
+	v := viewOf(t, 40)
+	before := deciderOrder(v)
+	for _, lost := range v.Routers() {
+		after := deciderOrder(v.WithTables(2, false, nil, []*pb.Instance{{
+			Name: lost.GetName(),
+			Gone: true,
+		}}))
+		wasFirst, changed := 0, 0
+		for service, list := range before {
+			if list[0].GetName() == lost.GetName() {
+				wasFirst++
+			}
+			if after[service][0].GetName() != list[0].GetName() {
+				changed++
+			}
+		}
+		require.GreaterOrEqual(t, changed, wasFirst)
+		require.LessOrEqual(t, changed, 2*wasFirst, lost.GetName())
+	}
+}
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -2,18 +2,18 @@
 //
 // For each service one instance, the decider, makes the choice for all instances, so
 // that it accounts for every request running at the service and every prompt prefix
-// cached there. The decider is the first reachable instance in the rendezvous order
-// of the service. Every other instance queries it over one bidirectional stream per
+// cached there. The decider is the first reachable instance in the order of the
+// service; see deciderOrder. Every other instance queries it over one bidirectional stream per
 // decider, and then sends the request to the chosen backend server itself, so a
 // request in flight does not depend on the decider staying up. The role needs no
 // lease: while two instances both act as decider, placement is less accurate, but
 // still correct.
 //
-// A decider that does not answer within answerTimeout is skipped for skipPeriod. The
-// next instance in the order is queried instead, and finally the instance falls back
-// to its own schedulers. On a new stream, an instance first sends the cached prefixes
-// that its own schedulers hold, so that a new decider does not start with an empty
-// model of the caches.
+// A decider that does not answer within answerTimeout is skipped for a while. The
+// next instance in the order, its standby, is queried instead, and finally the instance
+// falls back to its own schedulers. Whoever decides tells the other one of the first
+// two in the order what it has placed, so that the next decider does not start with an
+// empty model of the caches.
 package placer
 
 // This file defines Placer and the selection of the decider.
@@ -28,9 +28,7 @@
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/edge"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
-	"camphorspoke/internal/routing"
 	"camphorspoke/internal/routing/prefixcache"
-	"camphorspoke/internal/routing/rendezvous"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/routing/view"
 )
@@ -40,8 +38,11 @@
 	tickInterval = 20 * time.Millisecond
 	// answerTimeout is how long to wait for the decider's first response.
 	answerTimeout = 60 * time.Millisecond
-	// skipPeriod is how long a decider that did not answer is skipped.
-	skipPeriod = time.Second
+	// minSkipPeriod and maxSkipPeriod bound how long a decider that did not answer is
+	// skipped. A decider that is only slow for a moment is soon asked again, since
+	// two instances that decide at a time place less well than one.
+	minSkipPeriod = 200 * time.Millisecond
+	maxSkipPeriod = 1600 * time.Millisecond
 	// maxDeciders is how many instances of the rendezvous order are considered before
 	// the instance falls back to its own schedulers.
 	maxDeciders = 2
@@ -89,9 +90,16 @@
 	order map[string][]*pb.Instance
 	// streams holds the stream to each decider, by peer address.
 	streams map[string]*clientStream
-	// skippedUntil holds the time until which a decider that did not answer is
-	// skipped, by instance name.
-	skippedUntil map[string]time.Duration
+	// skipped holds the deciders that did not answer, by instance name.
+	skipped map[string]skip
+}
+
+// skip is how a decider that did not answer is skipped.
+type skip struct {
+	until time.Duration
+	// period is how long it is skipped; it doubles with each request in a row that it
+	// did not answer.
+	period time.Duration
 }
 
 // Grant is the permission to send one request to a backend server.
@@ -108,6 +116,9 @@
 
 	p       *Placer
 	service string
+	// hasPrompt is true if the request has a prompt, whose reading the schedulers
+	// account for.
+	hasPrompt bool
 	// localID identifies the request at the instance's own schedulers, remoteID at
 	// the decider at the other end of stream. A zero localID or a nil stream means
 	// that the request is not registered there.
@@ -119,11 +130,11 @@
 // New returns a running placer and a function that stops it.
 func New(cfg Config) (*Placer, func()) {
 	p := &Placer{
-		cfg:          cfg,
-		schedulers:   newSchedulers(cfg),
-		view:         &view.View{},
-		streams:      make(map[string]*clientStream),
-		skippedUntil: make(map[string]time.Duration),
+		cfg:        cfg,
+		schedulers: newSchedulers(cfg),
+		view:       &view.View{},
+		streams:    make(map[string]*clientStream),
+		skipped:    make(map[string]skip),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wg.Go(p.runTicker)
@@ -142,6 +153,7 @@
 			return
 		case <-t.C:
 			p.schedulers.tick()
+			p.flushStandbys()
 		}
 	}
 }
@@ -173,8 +185,9 @@
 func (p *Placer) Place(ctx context.Context, service string, req scheduler.Request) (*Grant, error) {
 	start := p.cfg.Now()
 	g := &Grant{
-		p:       p,
-		service: service,
+		p:         p,
+		service:   service,
+		hasPrompt: len(req.Parts) > 0,
 	}
 	err := p.decide(ctx, g, req)
 	if err != nil {
@@ -199,6 +212,7 @@
 			p.skipDecider(i.GetName())
 			continue
 		}
+		p.answeredDecider(i.GetName())
 		if d.Server == "" {
 			return refusalFault(g.service, d)
 		}
@@ -265,29 +279,6 @@
 	}
 }
 
-// deciderOrder returns, for each service, the instances that may decide for it, in
-// rendezvous order.
-func deciderOrder(v *view.View) map[string][]*pb.Instance {
-	byName := make(map[string]*pb.Instance)
-	var names []routing.Server
-	for _, i := range v.Routers() {
-		if i.GetLeaving() {
-			continue
-		}
-		byName[i.GetName()] = i
-		names = append(names, routing.Server{
-			Name: i.GetName(),
-		})
-	}
-	order := make(map[string][]*pb.Instance)
-	for service := range v.Rules.Services {
-		for _, name := range (rendezvous.Picker{}).Order(service, names) {
-			order[service] = append(order[service], byName[name])
-		}
-	}
-	return order
-}
-
 // deciders returns the reachable instances that may decide for a service, in
 // rendezvous order, at most maxDeciders of them.
 func (p *Placer) deciders(service string) []*pb.Instance {
@@ -310,7 +301,7 @@
 // reachable reports whether an instance is expected to answer as a decider. The
 // caller holds mu.
 func (p *Placer) reachable(now time.Duration, name string) bool {
-	if now < p.skippedUntil[name] {
+	if now < p.skipped[name].until {
 		return false
 	}
 	return name == p.cfg.Instance || p.cfg.Unresponsive == nil || !p.cfg.Unresponsive(name)
@@ -319,10 +310,23 @@
 func (p *Placer) skipDecider(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cfg.Now() >= p.skippedUntil[name] {
-		p.cfg.Logger.WithField("decider", name).Warn("placer: decider did not answer, skipping it for a while")
+	now := p.cfg.Now()
+	s := p.skipped[name]
+	if now < s.until {
+		return
 	}
-	p.skippedUntil[name] = p.cfg.Now() + skipPeriod
+	s.period = min(max(2*s.period, minSkipPeriod), maxSkipPeriod)
+	s.until = now + s.period
+	p.skipped[name] = s
+	p.cfg.Logger.WithField("decider", name).WithField("skipMs", s.period.Milliseconds()).
+		Warn("placer: decider did not answer, skipping it for a while")
+}
+
+// answeredDecider records that a decider has answered.
+func (p *Placer) answeredDecider(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.skipped, name)
 }
 
 func refusalFault(service string, d scheduler.Decision) error {
@@ -343,6 +347,10 @@
 // Report passes the progress or the outcome of the request to the schedulers that
 // account for it.
 func (g *Grant) Report(r scheduler.Report) {
+	if r.Event == scheduler.Started && !r.HasLoad && !g.hasPrompt {
+		// The start of such a request changes nothing that the schedulers know.
+		return
+	}
 	if g.localID != 0 {
 		g.p.schedulers.report(g.service, g.localID, r)
 	}
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -210,8 +210,8 @@
 }
 
 // TestNextDeciderReceivesCachedPrefixes: after the decider has stopped, the next one
-// sends each prefix to the engine that has it cached, because the requesting
-// instances announce their cached prefixes to it.
+// sends each prefix to the engine that has it cached, because the former decider has
+// kept it informed.
 func TestNextDeciderReceivesCachedPrefixes(t *testing.T) {
 	fleet, order := newFleet(t, 4, nil)
 	requester := fleet[order[3]].placer
@@ -224,6 +224,7 @@
 			Event: scheduler.Done,
 		})
 	}
+	waitForStandby()
 	fleet[order[0]].stop()
 	moved := 0
 	for prefix, server := range placedAt {
@@ -239,6 +240,10 @@
 	require.Zero(t, moved)
 }
 
+// waitForStandby waits until the decider has told its standby of all placements, which
+// it does every few milliseconds.
+func waitForStandby() { time.Sleep(300 * time.Millisecond) }
+
 // TestStoppedInstanceReleasesSlots: after an instance has stopped with 24 requests in
 // flight, the decider no longer counts them in the load of the engines.
 func TestStoppedInstanceReleasesSlots(t *testing.T) {
@@ -278,8 +283,7 @@
 }
 
 // TestInformedDeciderSkipsEngineQueries: the decider stops, and the next one does not
-// query the engines, because the requesting instances announce their cached prefixes
-// to it.
+// query the engines, because the former decider has kept it informed.
 func TestInformedDeciderSkipsEngineQueries(t *testing.T) {
 	c := &caches{}
 	fleet, order := newFleet(t, 4, c)
@@ -288,6 +292,7 @@
 	require.NoError(t, err)
 	require.Equal(t, order[0], g.Decider)
 	require.Eventually(t, func() bool { return c.queries.Load() == 3 }, 5*time.Second, 10*time.Millisecond)
+	waitForStandby()
 	fleet[order[0]].stop()
 	require.Eventually(t, func() bool {
 		next, err := requester.Place(t.Context(), service, newRequest(100, 2))
--- a/internal/daemon/placer/prime.go
+++ b/internal/daemon/placer/prime.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"camphorspoke/internal/routing/prefixcache"
@@ -19,32 +20,42 @@
 	maxEngineQueries = 16
 )
 
-// queryEnginesOnce queries the engines of a service for their cached prefixes the
-// first time that this instance decides for the service. It sends no queries if the
-// scheduler already has cached prefixes on record, from this instance's own requests
-// or from another instance, because every instance announces its own when it opens a
-// stream to the decider, and each query delays the work of an engine. The caller
-// holds mu.
-func (d *Schedulers) queryEnginesOnce(service string) {
-	if d.queried[service] || d.cfg.CacheReader == nil {
+// queryUnlessInformed queries the engines of a service for their cached prefixes when
+// this instance begins to decide for the service without knowing them. An instance that
+// the decider before it has kept informed sends no queries, as each query delays the
+// work of an engine. The caller holds mu.
+func (d *Schedulers) queryUnlessInformed(service string) {
+	now := d.cfg.Now()
+	decidedAt, decided := d.decidedAt[service]
+	d.decidedAt[service] = now
+	if decided && now-decidedAt < decidedFor {
 		return
 	}
-	d.queried[service] = true
-	if s := d.services[service]; s != nil && len(s.CachedPrefixes()) > 0 {
+	fedAt, fed := d.fedAt[service]
+	if fed && now-fedAt < fedFor || d.cfg.CacheReader == nil {
+		d.complete[service] = true
 		return
 	}
+	d.complete[service] = false
 	pending := make(chan engine, len(d.engines[service]))
 	for _, e := range d.engines[service] {
 		pending <- e
 	}
 	close(pending)
+	var queries sync.WaitGroup
 	for range min(maxEngineQueries, len(pending)) {
-		go func() {
+		queries.Go(func() {
 			for e := range pending {
 				d.queryEngine(service, e)
 			}
-		}()
+		})
 	}
+	go func() {
+		queries.Wait()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.complete[service] = true
+	}()
 }
 
 // engine holds the name and the address of a model engine.
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/scheduler"
@@ -26,17 +27,27 @@
 	waiting map[uint64]func(scheduler.Decision)
 	// engines holds the model engines of each service.
 	engines map[string][]engine
-	// queried holds the services for which queryEnginesOnce has run.
-	queried map[string]bool
+	// standbys holds what is sent to the standby of each service.
+	standbys map[string]*standby
+	// decidedAt holds when this instance last decided for a service on behalf of all
+	// instances, fedAt when another instance last told it of its decisions.
+	decidedAt map[string]time.Duration
+	fedAt     map[string]time.Duration
+	// complete holds the services for which this instance, as their decider, knows
+	// what the engines have cached.
+	complete map[string]bool
 }
 
 func newSchedulers(cfg Config) *Schedulers {
 	return &Schedulers{
-		cfg:      cfg,
-		services: make(map[string]*scheduler.Scheduler),
-		waiting:  make(map[uint64]func(scheduler.Decision)),
-		engines:  make(map[string][]engine),
-		queried:  make(map[string]bool),
+		cfg:       cfg,
+		services:  make(map[string]*scheduler.Scheduler),
+		waiting:   make(map[uint64]func(scheduler.Decision)),
+		engines:   make(map[string][]engine),
+		standbys:  make(map[string]*standby),
+		decidedAt: make(map[string]time.Duration),
+		fedAt:     make(map[string]time.Duration),
+		complete:  make(map[string]bool),
 	}
 }
 
@@ -131,14 +142,21 @@
 		return req.ID, false
 	}
 	if isDecider {
-		d.queryEnginesOnce(service)
+		d.queryUnlessInformed(service)
+	}
+	recorded := answer
+	if isDecider {
+		recorded = func(decision scheduler.Decision) {
+			d.placed(service, decision.Server, req.Parts)
+			answer(decision)
+		}
 	}
 	decision, ok := s.Schedule(d.cfg.Now(), req)
 	if ok {
-		answer(decision)
+		recorded(decision)
 		return req.ID, false
 	}
-	d.waiting[req.ID] = answer
+	d.waiting[req.ID] = recorded
 	return req.ID, true
 }
 
@@ -173,25 +191,3 @@
 	s.Adopt(d.cfg.Now(), id, server, parts)
 	return id
 }
-
-// cachedPrefixes returns the prefixes that the scheduler of a service expects its
-// servers to have cached.
-func (d *Schedulers) cachedPrefixes(service string) []scheduler.CachedPrefixes {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if s := d.services[service]; s != nil {
-		return s.CachedPrefixes()
-	}
-	return nil
-}
-
-// serviceNames returns the services that have a scheduler.
-func (d *Schedulers) serviceNames() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	out := make([]string, 0, len(d.services))
-	for name := range d.services {
-		out = append(out, name)
-	}
-	return out
-}
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -66,9 +66,13 @@
 		s.submit(m.GetId(), m.GetAsk())
 	case m.GetReport() != nil:
 		s.report(m.GetId(), m.GetReport())
-	case m.GetAdopt() != nil:
-		ad := m.GetAdopt()
-		s.schedulers.adopt(ad.GetService(), ad.GetBackendServer(), toParts(ad.GetParts(), ad.GetPartTokens()), false)
+	default:
+		for _, ad := range m.GetAdopts() {
+			if m.GetInformed() {
+				s.schedulers.fed(ad.GetService())
+			}
+			s.schedulers.adopt(ad.GetService(), ad.GetBackendServer(), toParts(ad.GetParts(), ad.GetPartTokens()), false)
+		}
 	}
 }
 
