Service returns sooner after a restart of all instances

What grows with machines: every instance queries each seed ten times a second and tries a replica every 80 ms, a new leader dials all 300 instances, and each heartbeat waits until its instance's new incarnation is in the log, after which 300 rows go to 300 instances.

--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -74,6 +74,9 @@
 // leader.
 type Manager struct {
 	cfg Config
+	// ctx ends and background is waited for when the manager stops.
+	ctx        context.Context
+	background sync.WaitGroup
 
 	// planSem lets one plan run at a time; it is acquired before mu. It is a
 	// channel and not a mutex because a plan waits for the log, and a caller
@@ -104,6 +107,8 @@
 	missingSince map[string]time.Duration
 	// seenIndex holds the log index up to which each router has the tables.
 	seenIndex map[lease.Holder]uint64
+	// registering holds the instances whose registration is being committed.
+	registering map[string]bool
 	// unresponsive holds the names of the listed instances without a recent
 	// heartbeat, as of the last plan.
 	unresponsive []string
@@ -117,17 +122,18 @@
 // goroutines.
 func Start(cfg Config) (*Manager, func()) {
 	m := &Manager{
-		cfg:     cfg,
-		planSem: make(chan struct{}, 1),
+		cfg:         cfg,
+		planSem:     make(chan struct{}, 1),
+		registering: make(map[string]bool),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
+	m.ctx = ctx
 	for _, loop := range []func(context.Context){m.planLoop, m.platformLoop, m.orderLoop} {
-		wg.Go(func() { loop(ctx) })
+		m.background.Go(func() { loop(ctx) })
 	}
 	return m, func() {
 		cancel()
-		wg.Wait()
+		m.background.Wait()
 	}
 }
 
@@ -162,7 +168,9 @@
 	if !m.cfg.Replica.Leads() {
 		return nil, m.notLeader()
 	}
-	if err := m.register(ctx, req); err != nil {
+	if m.cfg.WithoutOwnership {
+		m.registerLater(req)
+	} else if err := m.register(ctx, req); err != nil {
 		return nil, err
 	}
 	if len(req.GetReleasing()) > 0 && !m.cfg.WithoutOwnership {
@@ -242,13 +250,11 @@
 // received no heartbeat recently, or none since it became leader. The caller holds
 // mu.
 func (m *Manager) unresponsiveInstances(now time.Duration) []*pb.Instance {
+	live := make(map[string]bool)
+	m.leases.EachRecent(now, maxHeartbeatAge, func(h lease.Holder, _ *lease.Row) { live[h.Instance] = true })
 	var out []*pb.Instance
 	for _, i := range m.cfg.Replica.Ledger.Routers() {
-		row := m.leases.Row(lease.Holder{
-			Instance:    i.GetName(),
-			Incarnation: i.GetIncarnation(),
-		})
-		if row == nil || now-row.LastHeartbeat > maxHeartbeatAge {
+		if !live[i.GetName()] {
 			out = append(out, i)
 		}
 	}
@@ -290,6 +296,56 @@
 	return out
 }
 
+// registerLater commits the instance's registration in the background if it differs
+// from the stored one. Without ownership no lease depends on it, so a heartbeat need
+// not wait. A mere restart of the process changes nothing that other instances use;
+// after a restart of all instances, their rows need not be sent to everyone again.
+func (m *Manager) registerLater(req *pb.HeartbeatRequest) {
+	old := m.cfg.Replica.Ledger.Instance(req.GetInstance())
+	if old != nil && !old.GetGone() && sameListing(old, req) || old.GetIncarnation() > req.GetIncarnation() {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.registering[req.GetInstance()] {
+		return
+	}
+	m.registering[req.GetInstance()] = true
+	m.background.Go(func() {
+		m.proposeAndLog(m.ctx, registration(req))
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.registering, req.GetInstance())
+	})
+}
+
+// sameListing reports whether a stored row tells other instances the same as a
+// registration would.
+func sameListing(old *pb.Instance, req *pb.HeartbeatRequest) bool {
+	return old.GetLeaving() == req.GetLeaving() && old.GetCallerAddress() == req.GetCallerAddress() &&
+		old.GetPeerAddress() == req.GetPeerAddress() && old.GetFailureDomain() == req.GetFailureDomain() &&
+		old.GetCpuMilli() == req.GetCpuMilli()
+}
+
+// registration returns the command that registers an instance.
+func registration(req *pb.HeartbeatRequest) *pb.Command {
+	return &pb.Command{
+		Kind: &pb.Command_RegisterInstance{
+			RegisterInstance: &pb.RegisterInstance{
+				Instance: &pb.Instance{
+					Name:          req.GetInstance(),
+					Incarnation:   req.GetIncarnation(),
+					CallerAddress: req.GetCallerAddress(),
+					PeerAddress:   req.GetPeerAddress(),
+					FailureDomain: req.GetFailureDomain(),
+					Leaving:       req.GetLeaving(),
+					CpuMilli:      req.GetCpuMilli(),
+				},
+			},
+		},
+	}
+}
+
 // register commits the instance's registration if it differs from the stored
 // one. Once there are rules, the list of routers changes one step at a time: a
 // new name is rejected until a majority of the listed routers has received the
@@ -298,32 +354,18 @@
 func (m *Manager) register(ctx context.Context, req *pb.HeartbeatRequest) error {
 	l := m.cfg.Replica.Ledger
 	old := l.Instance(req.GetInstance())
-	if old != nil && old.GetIncarnation() == req.GetIncarnation() && old.GetLeaving() == req.GetLeaving() &&
-		old.GetCallerAddress() == req.GetCallerAddress() && old.GetPeerAddress() == req.GetPeerAddress() && !old.GetGone() {
+	if old != nil && old.GetIncarnation() == req.GetIncarnation() && sameListing(old, req) && !old.GetGone() {
 		return nil
 	}
 	if old != nil && old.GetIncarnation() > req.GetIncarnation() {
 		return fault.New(fault.BadSetting, req.GetInstance(), "a newer process is registered under this instance name")
 	}
 	if old == nil || old.GetGone() {
-		if version, _ := l.Rules(); version > 0 && !m.cfg.WithoutOwnership && !m.routerListConfirmed() {
+		if version, _ := l.Rules(); version > 0 && !m.routerListConfirmed() {
 			return fault.New(fault.NoQuorum, req.GetInstance(), "retry later: a majority of the listed routers has not yet received the last change of the router list")
 		}
 	}
-	_, err := m.cfg.Replica.Propose(ctx, &pb.Command{
-		Kind: &pb.Command_RegisterInstance{
-			RegisterInstance: &pb.RegisterInstance{
-				Instance: &pb.Instance{
-					Name:          req.GetInstance(),
-					Incarnation:   req.GetIncarnation(),
-					CallerAddress: req.GetCallerAddress(),
-					PeerAddress:   req.GetPeerAddress(),
-					FailureDomain: req.GetFailureDomain(),
-					Leaving:       req.GetLeaving(),
-				},
-			},
-		},
-	})
+	_, err := m.cfg.Replica.Propose(ctx, registration(req))
 	return err
 }
 
--- a/internal/control/manager/plan.go
+++ b/internal/control/manager/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -162,9 +163,15 @@
 	m.unresponsive = m.unresponsiveNames(now)
 }
 
-// UnresponsivePeerAddresses returns the peer addresses of the listed instances
-// from which this replica received no heartbeat recently, or none since it became
-// leader. It returns nil on a replica that is not the leader.
+// maxUnresponsivePeers limits the addresses that UnresponsivePeerAddresses returns. A
+// new leader of a large fleet has heard from nobody yet, and opening a connection to
+// every instance would delay its replies to those that find it by themselves.
+const maxUnresponsivePeers = 32
+
+// UnresponsivePeerAddresses returns the peer addresses of listed instances from
+// which this replica received no heartbeat recently, or none since it became leader:
+// maxUnresponsivePeers of them, chosen at random, if there are more. It returns nil on
+// a replica that is not the leader.
 func (m *Manager) UnresponsivePeerAddresses() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -178,7 +185,8 @@
 			out = append(out, a)
 		}
 	}
-	return out
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), maxUnresponsivePeers)]
 }
 
 // reassignable reports whether s has no owner, or its owner's lease has expired,
--- a/internal/control/manager/startup_test.go
+++ b/internal/control/manager/startup_test.go
@@ -35,6 +35,8 @@
 	attemptTimeout = 300 * time.Millisecond
 	// startTime is how long a fleet may take to have every table everywhere.
 	startTime = 3 * time.Second
+	// restartTime is how long a fleet may take after a restart of all its routers.
+	restartTime = 1500 * time.Millisecond
 )
 
 // bandwidthLink delays messages by the time that they and those before them take.
@@ -120,61 +122,109 @@
 	return resp, nil
 }
 
+// linkedFleet is a control group and the links and table sources of its replicas.
+type linkedFleet struct {
+	sim      *simulation
+	replicas map[string]*bandwidthLink
+	sources  map[string]*tables.Source
+	agents   []*membership.Agent
+	stops    []func()
+}
+
+func newLinkedFleet(sim *simulation) *linkedFleet {
+	f := &linkedFleet{
+		sim:      sim,
+		replicas: make(map[string]*bandwidthLink),
+		sources:  make(map[string]*tables.Source),
+	}
+	for name, n := range sim.nodes {
+		f.replicas[name] = &bandwidthLink{
+			mbps: replicaMbps,
+		}
+		f.sources[name] = &tables.Source{
+			Ledger:   n.replica.Ledger,
+			Now:      func() time.Duration { return time.Since(sim.start) },
+			LinkMbps: replicaMbps,
+		}
+	}
+	return f
+}
+
+// start starts manyRouters routers at once, in the place of those that run.
+func (f *linkedFleet) start(incarnation uint64) {
+	f.stop()
+	for i := range manyRouters {
+		agent, stop := startLinkedRouter(f.sim, i, incarnation, &linkedClient{
+			sim:      f.sim,
+			replicas: f.replicas,
+			sources:  f.sources,
+			own: &bandwidthLink{
+				mbps: routerMbps,
+			},
+		})
+		f.agents = append(f.agents, agent)
+		f.stops = append(f.stops, stop)
+	}
+}
+
+func (f *linkedFleet) stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
+	f.agents, f.stops = nil, nil
+}
+
+// complete returns how many routers have confirmed rules and every row.
+func (f *linkedFleet) complete() int {
+	n := 0
+	for _, a := range f.agents {
+		v := a.View()
+		if a.Fresh() && len(v.Servers) == manyServers && len(v.Instances) == manyRouters {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitComplete waits until every router is complete, for limit at most, and returns
+// how long that took.
+func (f *linkedFleet) awaitComplete(limit time.Duration) time.Duration {
+	began := time.Now()
+	for f.complete() < manyRouters && time.Since(began) < limit {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
 // TestManyRoutersStart: 300 routers start at once in a fleet with 3000 backend
 // servers. Whole tables in the heartbeat replies would take the leader's link longer
 // than the routers wait, who would ask again and again and never get an answer. All
 // of them must have confirmed rules and every row within startTime, and lose no
-// heartbeat afterwards.
+// heartbeat afterwards. When all of them restart, no row changes and nothing is written
+// to the log, so that service resumes sooner.
 func TestManyRoutersStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sim, stop := newLargeSimulation(t)
 		defer stop()
-		replicaLinks := make(map[string]*bandwidthLink)
-		sources := make(map[string]*tables.Source)
-		for name, n := range sim.nodes {
-			replicaLinks[name] = &bandwidthLink{
-				mbps: replicaMbps,
-			}
-			sources[name] = &tables.Source{
-				Ledger:   n.replica.Ledger,
-				Now:      func() time.Duration { return time.Since(sim.start) },
-				LinkMbps: replicaMbps,
-			}
-		}
-		var agents []*membership.Agent
-		for i := range manyRouters {
-			agent, stopAgent := startLinkedRouter(sim, i, &linkedClient{
-				sim:      sim,
-				replicas: replicaLinks,
-				sources:  sources,
-				own: &bandwidthLink{
-					mbps: routerMbps,
-				},
-			})
-			defer stopAgent()
-			agents = append(agents, agent)
-		}
-		complete := func() int {
-			n := 0
-			for _, a := range agents {
-				v := a.View()
-				if a.Fresh() && len(v.Servers) == manyServers && len(v.Instances) == manyRouters {
-					n++
-				}
-			}
-			return n
-		}
-		began := time.Now()
-		for complete() < manyRouters && time.Since(began) < 10*startTime {
-			time.Sleep(20 * time.Millisecond)
-		}
-		t.Logf("%d routers complete after %s", complete(), time.Since(began))
-		require.Equal(t, manyRouters, complete())
-		require.Less(t, time.Since(began), startTime)
+		fleet := newLinkedFleet(sim)
+		defer fleet.stop()
+		fleet.start(1)
+		took := fleet.awaitComplete(10 * startTime)
+		t.Logf("%d routers complete after %s", fleet.complete(), took)
+		require.Equal(t, manyRouters, fleet.complete())
+		require.Less(t, took, startTime)
 		time.Sleep(3 * time.Second)
-		for _, a := range agents {
+		for _, a := range fleet.agents {
 			require.Empty(t, a.State().LastError)
 		}
+
+		applied := sim.node("r0").replica.Ledger.Changes(0).Index
+		fleet.start(2)
+		took = fleet.awaitComplete(10 * startTime)
+		t.Logf("after a restart, %d routers complete after %s", fleet.complete(), took)
+		require.Equal(t, manyRouters, fleet.complete())
+		require.Less(t, took, restartTime)
+		require.Equal(t, applied, sim.node("r0").replica.Ledger.Changes(0).Index, "a restart writes nothing to the log")
 	})
 }
 
@@ -233,11 +283,11 @@
 	}
 }
 
-func startLinkedRouter(sim *simulation, i int, c control.Client) (*membership.Agent, func()) {
+func startLinkedRouter(sim *simulation, i int, incarnation uint64, c control.Client) (*membership.Agent, func()) {
 	name := fmt.Sprintf("front-terrace-%d", i)
 	agent, stop := membership.New(membership.Config{
 		Instance:      name,
-		Incarnation:   1,
+		Incarnation:   incarnation,
 		PeerAddress:   fmt.Sprintf("10.1.%d.%d:7341", i/250, i%250+1),
 		CallerAddress: fmt.Sprintf("10.1.%d.%d:8227", i/250, i%250+1),
 		FailureDomain: "terrace",
--- a/internal/daemon/discovery/discovery.go
+++ b/internal/daemon/discovery/discovery.go
@@ -27,11 +27,13 @@
 	// replica.
 	pollInterval        = 100 * time.Millisecond
 	replicaPollInterval = 50 * time.Millisecond
-	// queryInterval is the time between queries to the seeds while the control
-	// group does not answer. seedAnnounceInterval is the time between a replica's
+	// queryInterval is the time until the second query to the seeds while the control
+	// group does not answer; it doubles with each query up to maxQueryInterval, as
+	// all instances of a large fleet may lose contact at once. seedAnnounceInterval is the time between a replica's
 	// announcements to the seeds, and leaderAnnounceInterval that between the
 	// leader's announcements to instances whose heartbeats have stopped.
 	queryInterval          = 100 * time.Millisecond
+	maxQueryInterval       = 800 * time.Millisecond
 	seedAnnounceInterval   = time.Second
 	leaderAnnounceInterval = 150 * time.Millisecond
 	// exchangeTimeout limits one call to another instance.
@@ -116,6 +118,7 @@
 func (f *Finder) run(ctx context.Context) {
 	var queryTimer, seedTimer, leaderTimer timer
 	now := time.Duration(0)
+	untilQuery := queryInterval
 	for {
 		interval := pollInterval
 		members := f.cfg.ReplicaMembers()
@@ -131,8 +134,11 @@
 				f.startExchanges(ctx, unresponsive, leader)
 			}
 		}
-		if !f.cfg.ControlReachable() && queryTimer.expired(now, queryInterval) {
+		if f.cfg.ControlReachable() {
+			queryTimer, untilQuery = timer{}, queryInterval
+		} else if queryTimer.expired(now, untilQuery) {
 			f.startExchanges(ctx, f.cfg.Seeds(), "")
+			untilQuery = min(2*untilQuery, maxQueryInterval)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/daemon/discovery/discovery_test.go
+++ b/internal/daemon/discovery/discovery_test.go
@@ -199,3 +199,25 @@
 		stop()
 	})
 }
+
+// TestQueriesBackOff: while the control group does not answer, the queries of an
+// instance become rarer. Hundreds of instances that start at once would otherwise keep
+// the seeds busy, among which the leader is elected.
+func TestQueriesBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{
+			finders: make(map[string]*discovery.Finder),
+		}
+		_, stop := n.start("i", []string{"s1"}, nil, nil)
+		count := func() int {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.exchanges
+		}
+		time.Sleep(500 * time.Millisecond)
+		require.GreaterOrEqual(t, count(), 3, "the first queries follow one another quickly")
+		time.Sleep(9500 * time.Millisecond)
+		require.LessOrEqual(t, count(), 16)
+		stop()
+	})
+}
--- a/internal/daemon/membership/await_test.go
+++ b/internal/daemon/membership/await_test.go
@@ -24,13 +24,36 @@
 type leader struct {
 	control.Client
 	availableFrom time.Time
+	// tablesFrom is when the replicas begin to serve the tables.
+	tablesFrom time.Time
 }
 
 func (l leader) Heartbeat(context.Context, *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
 	if time.Now().Before(l.availableFrom) {
 		return nil, fault.New(fault.NoQuorum, "control", "no leader elected")
 	}
-	return &pb.HeartbeatResponse{}, nil
+	return &pb.HeartbeatResponse{
+		Index:        l.index(),
+		TablesBehind: !l.tablesFrom.IsZero(),
+	}, nil
+}
+
+// index returns the index of a heartbeat answer, which is zero if the rows have to be
+// read with Tables.
+func (l leader) index() uint64 {
+	if l.tablesFrom.IsZero() {
+		return 1
+	}
+	return 0
+}
+
+func (l leader) Tables(context.Context, *pb.TablesRequest) (*pb.TablesResponse, error) {
+	if !l.tablesFrom.IsZero() && !time.Now().Before(l.tablesFrom) {
+		return &pb.TablesResponse{
+			Index: 1,
+		}, nil
+	}
+	return nil, fault.New(fault.NoQuorum, "control", "no replica has rows")
 }
 
 // startAgent starts an agent whose clock reads zero at start.
@@ -78,3 +101,21 @@
 		require.Zero(t, time.Since(before))
 	})
 }
+
+// TestAwaitTables: an instance whose rules are confirmed before it has the tables waits
+// for them too, and is ready as soon as they arrive.
+func TestAwaitTables(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		a, stop := startAgent(start, leader{
+			availableFrom: start,
+			tablesFrom:    start.Add(250 * time.Millisecond),
+		})
+		defer stop()
+		time.Sleep(100 * time.Millisecond)
+		require.True(t, a.EverConfirmed())
+		require.False(t, a.Fresh())
+		require.True(t, a.AwaitFresh(t.Context(), time.Second, 500*time.Millisecond))
+		require.Less(t, time.Since(start), 450*time.Millisecond)
+	})
+}
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -62,10 +62,13 @@
 	CallerAddress string
 	PeerAddress   string
 	FailureDomain string
-	Control       control.Client
-	Peers         daemon.Peers
-	Logger        logrus.FieldLogger
-	Checker       *invariant.Checker
+	// CPUMilli is the processor share of this instance, in thousandths of a core;
+	// zero if unknown.
+	CPUMilli uint32
+	Control  control.Client
+	Peers    daemon.Peers
+	Logger   logrus.FieldLogger
+	Checker  *invariant.Checker
 	// Now returns the time of the monotonic clock of the process.
 	Now func() time.Duration
 	// Loads returns load reports on the servers that this router owns.
@@ -113,7 +116,8 @@
 	ownership ownership.Tracker
 	// freshUntil is when the last confirmation of the rules expires.
 	freshUntil time.Duration
-	// confirmed is closed and replaced each time the rules are confirmed.
+	// confirmed is closed and replaced each time the rules are confirmed or tables
+	// are read.
 	confirmed chan struct{}
 	// everConfirmed is set once the leader has confirmed a rule version.
 	everConfirmed bool
@@ -181,11 +185,13 @@
 }
 
 // Fresh reports whether the rules that this router holds are confirmed to be
-// current.
+// current. With LeaderOnly it also has to hold the tables, which may arrive after the
+// confirmation.
 func (a *Agent) Fresh() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.everConfirmed && a.cfg.Now() < a.freshUntil
+	hasTables := !a.cfg.LeaderOnly || a.view.Load().Index > 0
+	return hasTables && a.everConfirmed && a.cfg.Now() < a.freshUntil
 }
 
 // AwaitFresh waits until the rules are fresh, for timeout at most, and reports
@@ -222,6 +228,11 @@
 // heartbeat or query that confirmed them was sent. The caller holds mu.
 func (a *Agent) confirm(sent time.Duration) {
 	a.freshUntil = max(a.freshUntil, sent+a.cfg.FreshFor)
+	a.wakeWaiters()
+}
+
+// wakeWaiters makes AwaitFresh look again. The caller holds mu.
+func (a *Agent) wakeWaiters() {
 	close(a.confirmed)
 	a.confirmed = make(chan struct{})
 }
@@ -377,6 +388,7 @@
 		SeenIndex:     v.Index,
 		Loads:         loads,
 		Leaving:       a.leaving,
+		CpuMilli:      a.cfg.CPUMilli,
 	}
 	if a.needFullRules {
 		r.RuleVersion = 0
--- a/internal/daemon/membership/tables.go
+++ b/internal/daemon/membership/tables.go
@@ -20,6 +20,10 @@
 	maxTableBytes = 64 << 20
 	// tablesTimeout limits one read of the tables, over all replicas that are tried.
 	tablesTimeout = 10 * time.Second
+	// startRetryInterval is the time until the second attempt to read the tables at a
+	// start; it doubles with each attempt, up to maxStartRetryInterval.
+	startRetryInterval    = 100 * time.Millisecond
+	maxStartRetryInterval = 400 * time.Millisecond
 )
 
 // requestTables makes the table loop read the tables, unless it is already due to.
@@ -32,8 +36,20 @@
 
 // tableLoop reads the tables when a heartbeat answer was without rows. It is apart
 // from the heartbeats, so that a slow transfer delays no confirmation of the rules
-// and is not cut off by their timeout.
+// and is not cut off by their timeout. An entry instance also reads the tables once it
+// starts, while it still looks for the leader: after a loss of all instances the
+// replicas have rows before they have a leader.
 func (a *Agent) tableLoop(ctx context.Context) {
+	for pause := startRetryInterval; a.cfg.LeaderOnly && a.View().Index == 0; pause = min(2*pause, maxStartRetryInterval) {
+		if a.fetchTables(ctx) == nil {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -77,6 +93,7 @@
 	old = a.view.Load()
 	next = withRows(old, index, rows.GetWhole(), rows.GetServers(), rows.GetInstances())
 	a.view.Store(next)
+	a.wakeWaiters()
 	return old, next
 }
 
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -74,6 +74,8 @@
 	// can be short because the round trip between members is a few milliseconds.
 	entryElectionTimeout   = 400 * time.Millisecond
 	entryHeartbeatInterval = 80 * time.Millisecond
+	// milliPerCore converts a processor share to thousandths of a core.
+	milliPerCore = 1000
 	// maxContactAge is how old the last contact with the leader may be before the
 	// instance searches for the control group again.
 	maxContactAge = time.Second
@@ -177,6 +179,7 @@
 		CallerAddress:      in.cfg.Entry.Front,
 		PeerAddress:        in.cfg.PeerListen,
 		FailureDomain:      in.cfg.FailureDomain,
+		CPUMilli:           uint32(milliPerCore * in.cfg.Entry.CPUShare),
 		Control:            in.control,
 		Peers:              peers,
 		Logger:             in.log,
--- a/internal/daemon/settings/entry.go
+++ b/internal/daemon/settings/entry.go
@@ -24,6 +24,8 @@
 const (
 	defaultGraceS       = 8.0
 	defaultRetryWindowS = 10.0
+	// maxCPUShare is the largest processor share that is accepted, in cores.
+	maxCPUShare = 1024
 )
 
 // registerFlags defines the flags of an entry instance. Values that need conversion
@@ -40,6 +42,7 @@
 	fs.BoolVar(&e.FirstStart, "first-start", false, "the whole system starts for the first time: allow the seeds to form a new control group")
 	fs.StringVar(&e.List, "list", "", "address of the platform's list of backend servers")
 	fs.Float64Var(&e.ListRate, "list-rate", 0, "calls per second that the platform accepts for its list, from all instances together; 0 means no limit")
+	fs.Float64Var(&e.CPUShare, "cpu-share", 0, "processor share of this instance, in cores; 0 means unknown")
 	fs.Float64Var(&e.LinkMbps, "link-mbps", 0, "bandwidth of the link of this instance, in Mbit/s; 0 means unknown")
 	fs.IntVar(&e.MemoryMB, "memory-mb", 0, "memory limit of the process, in MB")
 	fs.IntVar(&e.Cores, "cores", 0, "number of processor cores that the process may use")
@@ -119,6 +122,8 @@
 		return invalid("retry-slack", fmt.Sprint(e.RetrySlack), "0 or more")
 	case e.ListRate < 0:
 		return invalid("list-rate", fmt.Sprint(e.ListRate), "0 or more")
+	case e.CPUShare < 0 || e.CPUShare > maxCPUShare:
+		return invalid("cpu-share", fmt.Sprint(e.CPUShare), "0 to 1024")
 	case e.LinkMbps < 0:
 		return invalid("link-mbps", fmt.Sprint(e.LinkMbps), "0 or more")
 	case e.LoadBound < 1:
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -80,6 +80,8 @@
 	// LinkMbps is the bandwidth of this instance's link in Mbit/s; zero means that
 	// it is unknown.
 	LinkMbps float64
+	// CPUShare is the share of a core that the process gets; zero means unknown.
+	CPUShare float64
 	// MemoryMB is the memory limit in MB, above which the process is killed; zero
 	// means no limit.
 	MemoryMB int
--- a/internal/edge/controlclient/controlclient.go
+++ b/internal/edge/controlclient/controlclient.go
@@ -139,6 +139,13 @@
 	return pb.NewControlServiceClient(conn), nil
 }
 
+// hasLeader reports whether the address of a leader is known.
+func (c *Client) hasLeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader != ""
+}
+
 // SetLeader records the address of a replica that announced itself as leader.
 func (c *Client) SetLeader(address string) { c.setLeader(address) }
 
@@ -153,6 +160,7 @@
 // by timeout.
 func (c *Client) call(ctx context.Context, timeout time.Duration, retryable func(kind fault.Kind) bool, f func(context.Context, pb.ControlServiceClient) error) error {
 	delay := minRetryDelay
+	redirected := false
 	for {
 		err := c.attempt(ctx, timeout, f)
 		if err == nil {
@@ -161,6 +169,12 @@
 		if !retryable(fault.KindOf(err)) {
 			return err
 		}
+		// The first redirect is followed at once; replicas that redirect to one another
+		// are not queried without a pause.
+		redirected = !redirected && c.hasLeader() && fault.KindOf(err) == fault.NotLeader
+		if redirected && ctx.Err() == nil {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return err
--- a/internal/edge/controlserver/controlserver.go
+++ b/internal/edge/controlserver/controlserver.go
@@ -37,12 +37,46 @@
 
 var _ pb.ControlServiceServer = (*Server)(nil)
 
-// Heartbeat renews a router's lease.
+const (
+	// maxLeaderWait is how long a heartbeat waits at a replica that knows no leader.
+	maxLeaderWait = 250 * time.Millisecond
+	// leaderPollInterval is the time between two looks for a leader.
+	leaderPollInterval = 10 * time.Millisecond
+)
+
+// Heartbeat renews a router's lease. While no leader is known it waits for one: when
+// all routers of a large fleet look for the leader at once, they would otherwise ask
+// again and again and keep the replicas from electing it.
 func (s *Server) Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	s.awaitLeader(ctx)
 	resp, err := s.Manager.Heartbeat(ctx, r)
 	return resp, status.FromFault(err)
 }
 
+// awaitLeader waits until this replica leads or knows who does, for maxLeaderWait at
+// most.
+func (s *Server) awaitLeader(ctx context.Context) {
+	if s.knowsLeader() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxLeaderWait)
+	defer cancel()
+	t := time.NewTicker(leaderPollInterval)
+	defer t.Stop()
+	for !s.knowsLeader() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (s *Server) knowsLeader() bool {
+	leader := s.Replica.Status().Leader
+	return s.Replica.Leads() || leader != "" && leader != s.Name
+}
+
 // Propose commits a command.
 func (s *Server) Propose(ctx context.Context, r *pb.ProposeRequest) (*pb.ProposeResponse, error) {
 	result, err := s.Manager.Propose(ctx, r.GetCommand())
