The directory names a working set sized by the load

Change: instances report the rate of their requests with their heartbeats; the leader sums them by failure domain and names the size of the working set: 25 requests/s an instance and a quarter more, 8 at least, growing at once and shrinking 20 s after the load has fallen. The set is the same for all who ask; instances with a larger processor share, which decide for services, come last. Tests: TestWorkingSet, TestSizerSurge (five times the load).

--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -45,6 +45,10 @@
 	RuleVersion uint64
 	// Leaving is set while the router is shutting down.
 	Leaving bool
+	// FailureDomain and RequestRate are the failure domain of the holder and the rate
+	// of its callers' requests, in requests per second.
+	FailureDomain string
+	RequestRate   float64
 	// Loads holds the load reports of the holder by service.
 	Loads map[string][]*pb.LoadReport
 }
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -29,6 +29,7 @@
 	"camphorspoke/internal/control/replica"
 	"camphorspoke/internal/edge"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/directory"
 )
 
 const (
@@ -109,6 +110,10 @@
 	seenIndex map[lease.Holder]uint64
 	// registering holds the instances whose registration is being committed.
 	registering map[string]bool
+	// workingSets holds the sizes that heartbeat replies name, sizers how they are
+	// chosen, by failure domain.
+	workingSets []*pb.WorkingSet
+	sizers      map[string]*directory.Sizer
 	// unresponsive holds the names of the listed instances without a recent
 	// heartbeat, as of the last plan.
 	unresponsive []string
@@ -153,6 +158,7 @@
 		m.moves = make(map[string]*pb.Assignment)
 		m.missingSince = make(map[string]time.Duration)
 		m.seenIndex = make(map[lease.Holder]uint64)
+		m.sizers, m.workingSets = make(map[string]*directory.Sizer), nil
 		m.cfg.Logger.Infof("control: leading term %d", st.Term)
 	}
 	return true
@@ -196,6 +202,7 @@
 	row.RuleVersion = req.GetRuleVersion()
 	row.Leaving = req.GetLeaving()
 	row.Loads = m.byService(req.GetLoads())
+	row.FailureDomain, row.RequestRate = req.GetFailureDomain(), float64(req.GetRequestMilliRate())/1000
 	m.seenIndex[h] = req.GetSeenIndex()
 
 	l := m.cfg.Replica.Ledger
@@ -221,6 +228,7 @@
 		resp.RuleChange = m.ruleChange(req.GetRuleVersion(), version, content)
 	}
 	resp.Silent = m.unresponsive
+	resp.WorkingSets = m.workingSets
 	for _, member := range m.cfg.Replica.Status().Members {
 		resp.ControlAddresses = append(resp.ControlAddresses, member.GetAddress())
 	}
--- a/internal/control/manager/plan.go
+++ b/internal/control/manager/plan.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -13,6 +15,7 @@
 	"camphorspoke/internal/control/assignment"
 	"camphorspoke/internal/control/lease"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/directory"
 )
 
 // withoutOwner returns a copy of s that has no owner.
@@ -161,6 +164,31 @@
 	}
 	m.leases.Prune(now)
 	m.unresponsive = m.unresponsiveNames(now)
+	m.workingSets = m.currentWorkingSets(now)
+}
+
+// currentWorkingSets returns the size of the working set of each failure domain, from
+// the rates that its instances reported. It returns none until the instances have had
+// the time to report to this leader. The caller holds mu.
+func (m *Manager) currentWorkingSets(now time.Duration) []*pb.WorkingSet {
+	if !m.leases.EarlierLeasesExpired(now) {
+		return nil
+	}
+	rates := make(map[string]float64)
+	m.leases.EachRecent(now, maxHeartbeatAge, func(_ lease.Holder, row *lease.Row) {
+		rates[row.FailureDomain] += row.RequestRate
+	})
+	var out []*pb.WorkingSet
+	for _, domain := range slices.Sorted(maps.Keys(rates)) {
+		if m.sizers[domain] == nil {
+			m.sizers[domain] = &directory.Sizer{}
+		}
+		out = append(out, &pb.WorkingSet{
+			FailureDomain: domain,
+			Size:          uint32(m.sizers[domain].Size(now, rates[domain])),
+		})
+	}
+	return out
 }
 
 // maxUnresponsivePeers limits the addresses that UnresponsivePeerAddresses returns. A
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -65,6 +65,9 @@
 	// CPUMilli is the processor share of this instance, in thousandths of a core;
 	// zero if unknown.
 	CPUMilli uint32
+	// Requests returns how many requests of callers this instance has received; nil if
+	// it does not count them.
+	Requests func() uint64
 	Control  control.Client
 	Peers    daemon.Peers
 	Logger   logrus.FieldLogger
@@ -134,6 +137,11 @@
 	// unresponsive holds the instances that have not answered recently, according
 	// to the leader's last answer or this router's last query, whichever is later.
 	unresponsive map[string]bool
+	// workingSets holds the size of the working set of each failure domain, as last
+	// received from a leader that knew them.
+	workingSets map[string]int
+	// rate measures the requests between heartbeats.
+	rate requestRate
 }
 
 // New returns an agent that sends nothing until Start is called. The clean-up
@@ -390,6 +398,9 @@
 		Leaving:       a.leaving,
 		CpuMilli:      a.cfg.CPUMilli,
 	}
+	if a.cfg.Requests != nil {
+		r.RequestMilliRate = uint32(1000 * a.rate.measure(a.cfg.Now(), a.cfg.Requests()))
+	}
 	if a.needFullRules {
 		r.RuleVersion = 0
 	}
@@ -483,6 +494,7 @@
 	}
 	a.ownership.SetFrozen(resp.GetFrozen())
 	a.setUnresponsive(resp.GetSilent())
+	a.setWorkingSets(resp.GetWorkingSets())
 	if ok {
 		a.everConfirmed = true
 		a.confirm(sent)
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -106,8 +106,9 @@
 	leaving         atomic.Bool
 	// exitTime is when a leaving instance will exit, on the instance's clock.
 	exitTime atomic.Int64
-	// inFlight counts the callers' requests in flight.
+	// inFlight counts the callers' requests in flight, requests all of them.
 	inFlight atomic.Int64
+	requests atomic.Uint64
 }
 
 var (
@@ -180,6 +181,7 @@
 		PeerAddress:        in.cfg.PeerListen,
 		FailureDomain:      in.cfg.FailureDomain,
 		CPUMilli:           uint32(milliPerCore * in.cfg.Entry.CPUShare),
+		Requests:           e.requests.Load,
 		Control:            in.control,
 		Peers:              peers,
 		Logger:             in.log,
@@ -302,6 +304,7 @@
 // countInFlight wraps h to count the requests in flight.
 func (e *entry) countInFlight(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.requests.Add(1)
 		e.inFlight.Add(1)
 		defer e.inFlight.Add(-1)
 		h.ServeHTTP(w, r)
--- a/internal/daemon/server/entryendpoints.go
+++ b/internal/daemon/server/entryendpoints.go
@@ -38,11 +38,13 @@
 			Name:          i.GetName(),
 			FailureDomain: i.GetFailureDomain(),
 			Address:       i.GetCallerAddress(),
+			CPUMilli:      i.GetCpuMilli(),
 		})
 	}
 	picker := directory.Picker{
 		Instance: e.instance.cfg.Instance,
 		Limit:    limit,
+		Wanted:   e.instance.agent.WorkingSet(failureDomain),
 	}
 	return picker.Addresses(usable, failureDomain)
 }
--- a/internal/routing/directory/directory_test.go
+++ b/internal/routing/directory/directory_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -77,3 +79,57 @@
 	p.Limit = 0
 	require.Len(t, p.Addresses(all, "a"), 6)
 }
+
+// TestWorkingSet: with little load all answering instances name the same few instances
+// of a failure domain, none of them one that decides for services, and the loss of an
+// instance replaces just that one.
+func TestWorkingSet(t *testing.T) {
+	all := instances("a", 60)
+	all[7].CPUMilli = 512
+	var first []string
+	for _, i := range all {
+		p := directory.Picker{
+			Instance: i.Name,
+			Limit:    64,
+			Wanted:   12,
+		}
+		got := p.Addresses(all, "a")
+		require.Len(t, got, 12)
+		require.NotContains(t, got, all[7].Address)
+		if first == nil {
+			first = got
+		}
+		require.ElementsMatch(t, first, got)
+	}
+	p := directory.Picker{
+		Limit:  64,
+		Wanted: 12,
+	}
+	rest := slices.DeleteFunc(slices.Clone(all), func(i directory.Instance) bool { return i.Address == first[0] })
+	kept := 0
+	for _, address := range p.Addresses(rest, "a") {
+		if slices.Contains(first, address) {
+			kept++
+		}
+	}
+	require.Equal(t, 11, kept)
+	p.Wanted = 1
+	require.Len(t, p.Addresses(all, "a"), 8, "a set of one would leave callers no choice")
+	require.Len(t, p.Addresses(all[:5], "a"), 5)
+}
+
+// TestSizerSurge replays a surge of five times the load: the working set grows with the
+// first report, so that no instance stays above what it is planned for, and shrinks
+// only long after the surge, so that waves of load do not move callers to and fro.
+func TestSizerSurge(t *testing.T) {
+	var s directory.Sizer
+	second := func(n int) time.Duration { return time.Duration(n) * time.Second }
+	calm := s.Size(0, 400)
+	require.Equal(t, 20, calm)
+	surge := s.Size(second(1), 2000)
+	require.Equal(t, 100, surge)
+	require.Equal(t, surge, s.Size(second(3), 400))
+	require.Equal(t, surge, s.Size(second(20), 400))
+	require.Equal(t, calm, s.Size(second(21), 400))
+	require.Equal(t, 8, (&directory.Sizer{}).Size(0, 0))
+}
