--- a/internal/daemon/membership/rules.go
+++ b/internal/daemon/membership/rules.go
@@ -58,17 +58,23 @@
 
 // decodeRuleChange decompresses and decodes a rule change.
 func decodeRuleChange(compressed []byte) (*pb.RuleChange, error) {
+	change := &pb.RuleChange{}
+	return change, decodeCompressed(compressed, maxRuleChangeBytes, "rule change", change)
+}
+
+// decodeCompressed decompresses a message of at most limit bytes and decodes it into m.
+// what names the message in errors.
+func decodeCompressed(compressed []byte, limit int, what string, m proto.Message) error {
 	decompressed, err := compress.Codec{
-		Limit: maxRuleChangeBytes,
+		Limit: limit,
 	}.Decompress(compressed)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	change := &pb.RuleChange{}
-	if err := proto.Unmarshal(decompressed, change); err != nil {
-		return nil, fault.Wrap(fault.DamagedText, "rule change", err)
+	if err := proto.Unmarshal(decompressed, m); err != nil {
+		return fault.Wrap(fault.DamagedText, what, err)
 	}
-	return change, nil
+	return nil
 }
 
 // applyRules returns a view with a newer rule file; an older one is ignored. It
--- a/internal/daemon/membership/tables.go
+++ b/internal/daemon/membership/tables.go
@@ -7,10 +7,6 @@
 	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	"camphorspoke/internal/base/compress"
-	"camphorspoke/internal/base/fault"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing/view"
 )
@@ -73,8 +69,8 @@
 	if err != nil {
 		return err
 	}
-	rows, err := decodeRows(resp.GetRows())
-	if err != nil {
+	rows := &pb.TableRows{}
+	if err := decodeCompressed(resp.GetRows(), maxTableBytes, "table rows", rows); err != nil {
 		return err
 	}
 	before := a.View()
@@ -97,21 +93,6 @@
 	return old, next
 }
 
-// decodeRows decompresses and decodes table rows.
-func decodeRows(compressed []byte) (*pb.TableRows, error) {
-	decompressed, err := compress.Codec{
-		Limit: maxTableBytes,
-	}.Decompress(compressed)
-	if err != nil {
-		return nil, err
-	}
-	rows := &pb.TableRows{}
-	if err := proto.Unmarshal(decompressed, rows); err != nil {
-		return nil, fault.Wrap(fault.DamagedText, "table rows", err)
-	}
-	return rows, nil
-}
-
 // withRows returns v with the given rows, which are complete up to index; v itself if
 // it is as recent. Rows that arrive late must not replace newer ones.
 func withRows(v *view.View, index uint64, whole bool, servers []*pb.BackendServer, instances []*pb.Instance) *view.View {
