The leader decides last; engines are queried at a pace

Change: the leader names itself in heartbeat replies and is passed over as decider while another instance is reachable; eight engines are queried at a time with 20 ms between queries, and one line tells of all. Test: TestLeaderDecidesLast.

--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -229,6 +229,7 @@
 	}
 	resp.Silent = m.unresponsive
 	resp.WorkingSets = m.workingSets
+	resp.Leader = m.cfg.Replica.Status().Leader
 	for _, member := range m.cfg.Replica.Status().Members {
 		resp.ControlAddresses = append(resp.ControlAddresses, member.GetAddress())
 	}
--- a/internal/daemon/membership/heartbeat.go
+++ b/internal/daemon/membership/heartbeat.go
@@ -155,6 +155,7 @@
 	a.ownership.SetFrozen(resp.GetFrozen())
 	a.setUnresponsive(resp.GetSilent())
 	a.setWorkingSets(resp.GetWorkingSets())
+	a.leader = resp.GetLeader()
 	if ok {
 		a.everConfirmed = true
 		a.confirm(sent)
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -136,6 +136,8 @@
 	// unresponsive holds the instances that have not answered recently, according
 	// to the leader's last answer or this router's last query, whichever is later.
 	unresponsive map[string]bool
+	// leader is the instance that leads the control group, as last received.
+	leader string
 	// workingSets holds the size of the working set of each failure domain, as last
 	// received from a leader that knew them.
 	workingSets map[string]int
@@ -283,6 +285,14 @@
 	return a.unresponsive[instance]
 }
 
+// Leader returns the instance that leads the control group, according to the last
+// heartbeat answer; empty if there was none.
+func (a *Agent) Leader() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leader
+}
+
 // Assigned reports whether the named server is assigned to this router and not
 // released, whether or not the lease is valid.
 func (a *Agent) Assigned(name string) bool {
--- a/internal/daemon/placer/enginequeries.go
+++ b/internal/daemon/placer/enginequeries.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"camphorspoke/internal/routing/prefixcache"
@@ -14,10 +15,12 @@
 const (
 	// engineQueryTimeout bounds the query to one engine.
 	engineQueryTimeout = 400 * time.Millisecond
-	// maxEngineQueries is how many engines are queried at a time. The answers of all
-	// engines of a large service together would keep the decider's link busy for
-	// longer than requests wait for a decision.
-	maxEngineQueries = 16
+	// maxEngineQueries is how many engines are queried at a time, and enginePause the
+	// pause after each query. The answers of all engines of a large service at once
+	// would keep the decider's link and processor busy for longer than requests wait
+	// for a decision.
+	maxEngineQueries = 8
+	enginePause      = 20 * time.Millisecond
 )
 
 // queryUnlessInformed queries the engines of a service for their cached prefixes when
@@ -42,16 +45,21 @@
 		pending <- e
 	}
 	close(pending)
+	engines := len(pending)
+	var parts atomic.Int64
 	var queries sync.WaitGroup
-	for range min(maxEngineQueries, len(pending)) {
+	for range min(maxEngineQueries, engines) {
 		queries.Go(func() {
 			for e := range pending {
-				d.queryEngine(service, e)
+				parts.Add(int64(d.queryEngine(service, e)))
+				time.Sleep(enginePause)
 			}
 		})
 	}
 	go func() {
 		queries.Wait()
+		d.cfg.Logger.WithField("service", service).WithField("engines", engines).WithField("parts", parts.Load()).
+			Info("placer: read the cached prefixes of the engines of a service")
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.complete[service] = true
@@ -63,20 +71,20 @@
 	name, address string
 }
 
-// queryEngine queries one engine and records its cached prefixes in the scheduler of
-// the service.
-func (d *Schedulers) queryEngine(service string, e engine) {
+// queryEngine queries one engine, records its cached prefixes in the scheduler of the
+// service and returns the number of parts.
+func (d *Schedulers) queryEngine(service string, e engine) int {
 	ctx, cancel := context.WithTimeout(context.Background(), engineQueryTimeout)
 	defer cancel()
 	cached, err := d.cfg.CacheReader.CachedParts(ctx, e.address)
 	if err != nil {
 		d.cfg.Logger.WithError(err).WithField("server", e.name).Warn("placer: cannot read the cached prefixes of an engine")
-		return
+		return 0
 	}
 	parts := make([]prefixcache.Part, len(cached))
 	for i, p := range cached {
 		parts[i] = prefixcache.Part(p)
 	}
 	d.adopt(service, e.name, parts, false)
-	d.cfg.Logger.WithField("server", e.name).WithField("parts", len(parts)).Info("placer: read the cached prefixes of an engine")
+	return len(parts)
 }
--- a/internal/daemon/placer/order_test.go
+++ b/internal/daemon/placer/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -75,3 +76,32 @@
 		require.LessOrEqual(t, changed, 2*wasFirst, lost.GetName())
 	}
 }
+
+// TestLeaderDecidesLast checks that the leader of the control group decides only while
+// no other instance is reachable.
+func TestLeaderDecidesLast(t *testing.T) {
+	order := deciderOrder(viewOf(t, 40))
+	leader := order["a"][0].GetName()
+	reachable := order["a"][1].GetName()
+	p := &Placer{
+		cfg: Config{
+			Now:      func() time.Duration { return 0 },
+			Instance: leader,
+			Leader:   func() string { return leader },
+		},
+		order:   order,
+		skipped: make(map[string]skip),
+	}
+	names := func() []string {
+		var out []string
+		for _, i := range p.deciders("a") {
+			out = append(out, i.GetName())
+		}
+		return out
+	}
+	require.Equal(t, []string{order["a"][1].GetName(), order["a"][2].GetName()}, names())
+	p.cfg.Unresponsive = func(name string) bool { return name != reachable }
+	require.Equal(t, []string{reachable, leader}, names())
+	reachable = ""
+	require.Equal(t, []string{leader}, names())
+}
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -69,6 +69,8 @@
 	Peers    StreamOpener
 	// Unresponsive reports whether an instance has not answered recently.
 	Unresponsive func(instance string) bool
+	// Leader returns the instance that leads the control group; it may be nil.
+	Leader func() string
 	// CacheReader queries engines for the prefixes that they have cached; nil if the
 	// engines do not support it.
 	CacheReader edge.CacheReader
@@ -279,22 +281,36 @@
 	}
 }
 
-// deciders returns the reachable instances that may decide for a service, in
-// rendezvous order, at most maxDeciders of them.
+// deciders returns the reachable instances that may decide for a service, in their
+// order, at most maxDeciders of them. The leader of the control group is passed over
+// while there are others, as neither its answers to heartbeats nor decisions should
+// wait for the other.
 func (p *Placer) deciders(service string) []*pb.Instance {
+	leader := ""
+	if p.cfg.Leader != nil {
+		leader = p.cfg.Leader()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.cfg.Now()
 	var out []*pb.Instance
+	var leading *pb.Instance
 	for _, i := range p.order[service] {
 		if !p.reachable(now, i.GetName()) {
 			continue
 		}
+		if i.GetName() == leader {
+			leading = i
+			continue
+		}
 		out = append(out, i)
 		if len(out) == maxDeciders {
-			break
+			return out
 		}
 	}
+	if leading != nil {
+		out = append(out, leading)
+	}
 	return out
 }
 
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -218,6 +218,7 @@
 		Instance:     in.cfg.Instance,
 		Peers:        peers,
 		Unresponsive: in.agent.Unresponsive,
+		Leader:       in.agent.Leader,
 		CacheReader:  in.adapters.CacheReader,
 		Logger:       in.log,
 	})
