Fewer and smaller connections while all instances start

Every instance opens connections to the seeds' replicas, to the seeds as peers and to the leader at once: some 600 gRPC connections on each machine of the core, each with 64 KB of buffers. Change: the seeds are asked as peers only after 250 ms without contact, when their replicas have not led to a leader; gRPC buffers take 4 KB, the write buffer is shared. Test: TestQueriesBackOff, now with the delay of the first query and the same bound on their number.

--- a/internal/daemon/discovery/discovery.go
+++ b/internal/daemon/discovery/discovery.go
@@ -27,6 +27,10 @@
 	// replica.
 	pollInterval        = 100 * time.Millisecond
 	replicaPollInterval = 50 * time.Millisecond
+	// firstQueryDelay is the time from the loss of contact, or the start, to the first
+	// query to the seeds. By then an instance whose seeds have replicas has found the
+	// leader through them.
+	firstQueryDelay = 250 * time.Millisecond
 	// queryInterval is the time until the second query to the seeds while the control
 	// group does not answer; it doubles with each query up to maxQueryInterval, as
 	// all instances of a large fleet may lose contact at once. seedAnnounceInterval is the time between a replica's
@@ -118,6 +122,7 @@
 func (f *Finder) run(ctx context.Context) {
 	var queryTimer, seedTimer, leaderTimer timer
 	now := time.Duration(0)
+	queryTimer.next = firstQueryDelay
 	untilQuery := queryInterval
 	for {
 		interval := pollInterval
@@ -135,7 +140,7 @@
 			}
 		}
 		if f.cfg.ControlReachable() {
-			queryTimer, untilQuery = timer{}, queryInterval
+			queryTimer.next, untilQuery = now+firstQueryDelay, queryInterval
 		} else if queryTimer.expired(now, untilQuery) {
 			f.startExchanges(ctx, f.cfg.Seeds(), "")
 			untilQuery = min(2*untilQuery, maxQueryInterval)
--- a/internal/daemon/discovery/discovery_test.go
+++ b/internal/daemon/discovery/discovery_test.go
@@ -214,9 +214,11 @@
 			defer n.mu.Unlock()
 			return n.exchanges
 		}
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		require.Zero(t, count(), "the seeds' replicas are tried first")
+		time.Sleep(800 * time.Millisecond)
 		require.GreaterOrEqual(t, count(), 3, "the first queries follow one another quickly")
-		time.Sleep(9500 * time.Millisecond)
+		time.Sleep(9 * time.Second)
 		require.LessOrEqual(t, count(), 16)
 		stop()
 	})
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -227,7 +227,7 @@
 	if err != nil {
 		return err
 	}
-	s := grpc.NewServer(grpc.MaxRecvMsgSize(16 << 20))
+	s := link.GRPCServer(grpc.MaxRecvMsgSize(16 << 20))
 	pb.RegisterPeerServiceServer(s, &peerserver.Server{
 		Agent:      in.agent,
 		Schedulers: e.placer.Schedulers(),
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -246,7 +246,7 @@
 	if err != nil {
 		return err
 	}
-	s := grpc.NewServer(grpc.MaxRecvMsgSize(maxControlMessage), grpc.KeepaliveParams(keepalive.ServerParameters{
+	s := link.GRPCServer(grpc.MaxRecvMsgSize(maxControlMessage), grpc.KeepaliveParams(keepalive.ServerParameters{
 		MaxConnectionIdle: time.Minute,
 	}))
 	pb.RegisterControlServiceServer(s, &controlserver.Server{
@@ -359,7 +359,7 @@
 	if err != nil {
 		return err
 	}
-	s := grpc.NewServer(grpc.MaxRecvMsgSize(16 << 20))
+	s := link.GRPCServer(grpc.MaxRecvMsgSize(16 << 20))
 	pb.RegisterPeerServiceServer(s, &peerserver.Server{
 		Router: in.router,
 		Agent:  in.agent,
--- a/internal/edge/link/link.go
+++ b/internal/edge/link/link.go
@@ -8,7 +8,7 @@
 // peer.
 package link
 
-// This file defines Dialer, Listen and the options of gRPC connections.
+// This file defines Dialer, Listen and the options of gRPC connections and servers.
 
 import (
 	"context"
@@ -39,6 +39,10 @@
 	connectTimeout = 700 * time.Millisecond
 )
 
+// grpcBufferBytes is the size of the read and the write buffer of a gRPC connection.
+// Messages are small, and an instance may have a connection from every other one.
+const grpcBufferBytes = 4 << 10
+
 var keepAlive = net.KeepAliveConfig{
 	Enable:   true,
 	Idle:     probeIdle,
@@ -82,6 +86,9 @@
 func GRPCDialOptions(opts ...grpc.DialOption) []grpc.DialOption {
 	return append([]grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithReadBufferSize(grpcBufferBytes),
+		grpc.WithWriteBufferSize(grpcBufferBytes),
+		grpc.WithSharedWriteBuffer(true),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			return Dialer().DialContext(ctx, "tcp", address)
 		}),
@@ -96,3 +103,13 @@
 		}),
 	}, opts...)
 }
+
+// GRPCServer returns a gRPC server with the options that all servers share, followed by
+// opts.
+func GRPCServer(opts ...grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append([]grpc.ServerOption{
+		grpc.ReadBufferSize(grpcBufferBytes),
+		grpc.WriteBufferSize(grpcBufferBytes),
+		grpc.SharedWriteBuffer(true),
+	}, opts...)...)
+}
