After a restart, serve only with tables as of a leader's answer

An instance that was more than 128 rows behind was fresh with these until its next read: a server that had left was in use again after a restart. Change: an entry instance counts as fresh only after a heartbeat answer that was not without rows.

--- a/internal/daemon/membership/heartbeat.go
+++ b/internal/daemon/membership/heartbeat.go
@@ -156,6 +156,7 @@
 	a.setUnresponsive(resp.GetSilent())
 	a.setWorkingSets(resp.GetWorkingSets())
 	a.leader = resp.GetLeader()
+	a.everCurrent = a.everCurrent || !resp.GetTablesBehind()
 	if ok {
 		a.everConfirmed = true
 		a.confirm(sent)
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -118,11 +118,12 @@
 	ownership ownership.Tracker
 	// freshUntil is when the last confirmation of the rules expires.
 	freshUntil time.Duration
-	// confirmed is closed and replaced each time the rules are confirmed or tables
-	// are read.
+	// confirmed is closed and replaced each time the rules are confirmed.
 	confirmed chan struct{}
-	// everConfirmed is set once the leader has confirmed a rule version.
+	// everConfirmed is set once the leader has confirmed a rule version, everCurrent
+	// once the tables included every row up to the leader's index.
 	everConfirmed bool
+	everCurrent   bool
 	leaving       bool
 	// releasing holds, for each released server, the ownership epoch that was
 	// released. The entry is removed once the server has another epoch.
@@ -194,12 +195,12 @@
 }
 
 // Fresh reports whether the rules that this router holds are confirmed to be
-// current. With LeaderOnly it also has to hold the tables, which may arrive after the
-// confirmation.
+// current. With LeaderOnly it must also have had the tables as of a leader's answer:
+// those that a replica served before may list servers that have left.
 func (a *Agent) Fresh() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	hasTables := !a.cfg.LeaderOnly || a.view.Load().Index > 0
+	hasTables := !a.cfg.LeaderOnly || a.everCurrent
 	return hasTables && a.everConfirmed && a.cfg.Now() < a.freshUntil
 }
 
@@ -237,11 +238,6 @@
 // heartbeat or query that confirmed them was sent. The caller holds mu.
 func (a *Agent) confirm(sent time.Duration) {
 	a.freshUntil = max(a.freshUntil, sent+a.cfg.FreshFor)
-	a.wakeWaiters()
-}
-
-// wakeWaiters makes AwaitFresh look again. The caller holds mu.
-func (a *Agent) wakeWaiters() {
 	close(a.confirmed)
 	a.confirmed = make(chan struct{})
 }
--- a/internal/daemon/membership/tables.go
+++ b/internal/daemon/membership/tables.go
@@ -89,7 +89,6 @@
 	old = a.view.Load()
 	next = withRows(old, index, rows.GetWhole(), rows.GetServers(), rows.GetInstances())
 	a.view.Store(next)
-	a.wakeWaiters()
 	return old, next
 }
 
