--- a/internal/edge/link/link.go
+++ b/internal/edge/link/link.go
@@ -88,7 +88,6 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithReadBufferSize(grpcBufferBytes),
 		grpc.WithWriteBufferSize(grpcBufferBytes),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			return Dialer().DialContext(ctx, "tcp", address)
 		}),
@@ -110,6 +109,5 @@
 	return grpc.NewServer(append([]grpc.ServerOption{
 		grpc.ReadBufferSize(grpcBufferBytes),
 		grpc.WriteBufferSize(grpcBufferBytes),
-		grpc.SharedWriteBuffer(true),
 	}, opts...)...)
 }
