--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -29,7 +29,7 @@
 	"camphorspoke/internal/control/replica"
 	"camphorspoke/internal/edge"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
-	"camphorspoke/internal/routing/directory"
+	"camphorspoke/internal/routing/workingset"
 )
 
 const (
@@ -113,7 +113,7 @@
 	// workingSets holds the sizes that heartbeat replies name, sizers how they are
 	// chosen, by failure domain.
 	workingSets []*pb.WorkingSet
-	sizers      map[string]*directory.Sizer
+	sizers      map[string]*workingset.Sizer
 	// unresponsive holds the names of the listed instances without a recent
 	// heartbeat, as of the last plan.
 	unresponsive []string
@@ -158,7 +158,7 @@
 		m.moves = make(map[string]*pb.Assignment)
 		m.missingSince = make(map[string]time.Duration)
 		m.seenIndex = make(map[lease.Holder]uint64)
-		m.sizers, m.workingSets = make(map[string]*directory.Sizer), nil
+		m.sizers, m.workingSets = make(map[string]*workingset.Sizer), nil
 		m.cfg.Logger.Infof("control: leading term %d", st.Term)
 	}
 	return true
--- a/internal/control/manager/plan.go
+++ b/internal/control/manager/plan.go
@@ -15,7 +15,7 @@
 	"camphorspoke/internal/control/assignment"
 	"camphorspoke/internal/control/lease"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
-	"camphorspoke/internal/routing/directory"
+	"camphorspoke/internal/routing/workingset"
 )
 
 // withoutOwner returns a copy of s that has no owner.
@@ -181,7 +181,7 @@
 	var out []*pb.WorkingSet
 	for _, domain := range slices.Sorted(maps.Keys(rates)) {
 		if m.sizers[domain] == nil {
-			m.sizers[domain] = &directory.Sizer{}
+			m.sizers[domain] = &workingset.Sizer{}
 		}
 		out = append(out, &pb.WorkingSet{
 			FailureDomain: domain,
--- a/internal/routing/directory/directory.go
+++ b/internal/routing/directory/directory.go
@@ -5,8 +5,8 @@
 //   - Little load for the instances of a failure domain: with requests spread over all
 //     of them, an instance seldom meets a backend server twice while a connection to it
 //     is kept, so most requests open a new one. An answer therefore names a working set
-//     that is sized by the load, and the same for all callers of the domain.
-//   - A sudden surge: the working set has a reserve and grows with the next answers.
+//     that is sized by the load (package workingset), and the same for all callers of
+//     the domain.
 //   - A working set with more instances than fit into one answer: its instances form a
 //     ring in the order of their names, and an answer names those that follow the
 //     answering instance on it, so that each is in the answers of equally many others.
@@ -19,17 +19,14 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-)
 
-const (
-	// minInDomain is the smallest number of usable instances of a failure domain for
-	// which its callers get no others: a single one that fails would leave them none.
-	minInDomain = 2
-	// minWorkingSet is the smallest working set, so that the loss of some instances
-	// leaves callers a choice.
-	minWorkingSet = 8
+	"camphorspoke/internal/routing/workingset"
 )
 
+// minInDomain is the smallest number of usable instances of a failure domain for which
+// its callers get no others: a single one that fails would leave them none.
+const minInDomain = 2
+
 // Instance is an instance that accepts callers.
 type Instance struct {
 	Name          string
@@ -82,11 +79,11 @@
 	if len(set) < minInDomain {
 		return slices.Clone(instances)
 	}
-	if p.Wanted == 0 || len(set) <= minWorkingSet {
+	if p.Wanted == 0 || len(set) <= workingset.MinSize {
 		return set
 	}
 	slices.SortFunc(set, func(a, b Instance) int {
 		return cmp.Or(cmp.Compare(a.CPUMilli, b.CPUMilli), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
 	})
-	return set[:min(len(set), max(p.Wanted, minWorkingSet))]
+	return set[:min(len(set), max(p.Wanted, workingset.MinSize))]
 }
--- a/internal/routing/directory/sizer.go
+++ b/internal/routing/workingset/workingset.go
@@ -1,4 +1,11 @@
-package directory
+// Package workingset chooses how many instances of a failure domain serve its callers.
+//
+// Load pattern: waves of load and sudden surges. With requests spread over all
+// instances, an instance seldom meets a backend server twice while a connection to it is
+// kept; with too few, a surge exceeds what they can take until callers have asked for
+// new addresses. The set is sized by the rate of requests with a reserve, grows at once
+// and shrinks late.
+package workingset
 
 // This file defines Sizer.
 
@@ -15,6 +22,9 @@
 	// reserveShare is the share by which the working set is larger than the present
 	// rate needs.
 	reserveShare = 0.25
+	// MinSize is the smallest working set, so that the loss of some instances leaves
+	// callers a choice.
+	MinSize = 8
 	// shrinkAfter is how long a working set keeps its size after the load has fallen.
 	shrinkAfter = 20 * time.Second
 )
@@ -30,7 +40,7 @@
 // Size returns the number of instances for the given rate, in requests per second. It
 // grows at once, and shrinks only after the load has been lower for a while.
 func (s *Sizer) Size(now time.Duration, rate float64) int {
-	needed := max(int(math.Ceil((1+reserveShare)*rate/requestsPerInstance)), minWorkingSet)
+	needed := max(int(math.Ceil((1+reserveShare)*rate/requestsPerInstance)), MinSize)
 	if needed >= s.size || now-s.neededAt >= shrinkAfter {
 		s.size, s.neededAt = needed, now
 	}
