--- a/internal/daemon/discovery/discovery.go
+++ b/internal/daemon/discovery/discovery.go
@@ -33,9 +33,10 @@
 	firstQueryDelay = 250 * time.Millisecond
 	// queryInterval is the time until the second query to the seeds while the control
 	// group does not answer; it doubles with each query up to maxQueryInterval, as
-	// all instances of a large fleet may lose contact at once. seedAnnounceInterval is the time between a replica's
-	// announcements to the seeds, and leaderAnnounceInterval that between the
-	// leader's announcements to instances whose heartbeats have stopped.
+	// all instances of a large fleet may lose contact at once. seedAnnounceInterval is
+	// the time between a replica's announcements to the seeds, and
+	// leaderAnnounceInterval that between the leader's announcements to instances
+	// whose heartbeats have stopped.
 	queryInterval          = 100 * time.Millisecond
 	maxQueryInterval       = 800 * time.Millisecond
 	seedAnnounceInterval   = time.Second
