Log and count placements above the load limit, and who decided alone

Callers of an engine above the bound wait longer than others; the log line had the load there, but neither the limit nor the servers behind its mean, so that none of the four hypotheses of docs/incidents/load-bound.md could be told from the others. The decision, the placement stream, the line of a request and a counter now have them, and the decider logs how many requests it drops with an ended stream.

--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -90,6 +90,7 @@
 		}
 		c.grant = g
 		c.h.Meters.Prompt(c.ctx, c.service, g.Reuse, g.RereadTokens)
+		c.h.Meters.Placement(c.ctx, c.service, g.OverLimit, g.Alone)
 		result := c.exchange(g)
 		if result == ended {
 			return
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -382,6 +382,10 @@
 		fields["server"], fields["decider"] = g.Server, g.Decider
 		fields["waitedMs"] = g.Waited.Milliseconds()
 		fields["cached"], fields["bestCached"], fields["load"] = g.CachedTokens, g.BestCachedTokens, g.Load
+		if g.OverLimit {
+			fields["overLimit"] = true
+		}
+		fields["loadLimit"], fields["meanServers"], fields["alone"] = g.LoadLimit, g.MeanServers, g.Alone
 		if g.FetchFrom != "" {
 			fields["fetchFrom"] = g.FetchFrom
 		}
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -28,6 +28,7 @@
 	promptTokens     metric.Int64Counter
 	reusedTokens     metric.Int64Counter
 	rereadTokens     metric.Int64Counter
+	placements       metric.Int64Counter
 	retries          metric.Int64Counter
 }
 
@@ -62,6 +63,7 @@
 	m.promptTokens = b.counter("camphorspoke.prompt.tokens", "Prompt tokens of finished answers.")
 	m.reusedTokens = b.counter("camphorspoke.reused.tokens", "Prompt tokens found in the prefix cache.")
 	m.rereadTokens = b.counter("camphorspoke.reread.tokens", "Prompt tokens that a server reads although another one has them cached, by reason.")
+	m.placements = b.counter("camphorspoke.placements", "Requests granted a server, by whether the server was over its load limit and by who decided.")
 	m.retries = b.counter("camphorspoke.retries", "Retries by service.")
 	b.observableCounter("camphorspoke.control.bytes", "Bytes of control traffic by kind.", "kind", func() map[string]int64 { return toInt64(callbacks.ControlBytes()) })
 	b.observableCounter("camphorspoke.invariant.violations", "Violated invariants by name.", "name", func() map[string]int64 { return toInt64(callbacks.Violations()) })
@@ -166,6 +168,15 @@
 	m.rereadTokens.Add(ctx, int64(reread), metric.WithAttributes(serviceAttribute(svc), attribute.String("reason", reason)))
 }
 
+// Placement counts a request that was granted a server. overLimit is true if the server
+// was over its load limit, alone if this instance decided for itself only.
+func (m *Meters) Placement(ctx context.Context, svc string, overLimit, alone bool) {
+	if m == nil {
+		return
+	}
+	m.placements.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc), attribute.Bool("overLimit", overLimit), attribute.Bool("alone", alone)))
+}
+
 // Retry counts a retry at a service.
 func (m *Meters) Retry(ctx context.Context, svc string) {
 	if m == nil {
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -11,8 +11,12 @@
 	"camphorspoke/internal/routing/scheduler"
 )
 
-// sendQueueLength is how many messages may be queued for one instance.
-const sendQueueLength = 512
+const (
+	// sendQueueLength is how many messages may be queued for one instance.
+	sendQueueLength = 512
+	// hundredths converts a load limit to the unit of the protocol.
+	hundredths = 100
+)
 
 // clientStream is the requesting side of a placement stream to one decider. The
 // stream is closed when its queue is full; the decider cancels the requests of a
@@ -174,6 +178,9 @@
 				RetryAfter:       time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
 				CachedTokens:     int(m.GetCached()),
 				Load:             int(m.GetLoad()),
+				LoadLimit:        float64(m.GetLoadLimitHundredths()) / hundredths,
+				MeanServers:      int(m.GetMeanServers()),
+				OverLimit:        m.GetOverLimit(),
 				BestCachedTokens: int(m.GetBestCached()),
 				FetchFrom:        m.GetFetchFrom(),
 				RereadTokens:     int(m.GetReread()),
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -111,8 +111,10 @@
 	// FetchAddress is the engine from which the chosen server should fetch the cached
 	// prefix that it lacks; empty if no engine has more of the prompt cached.
 	FetchAddress string
-	// Decider is the instance that made the choice.
+	// Decider is the instance that made the choice. Alone is true if it is this instance
+	// and it decided for its own requests only.
 	Decider string
+	Alone   bool
 	// Waited is how long the request waited for the decision.
 	Waited time.Duration
 
@@ -235,6 +237,7 @@
 	if d.Server == "" {
 		return refusalFault(g.service, d)
 	}
+	g.Alone = !isDecider
 	if !p.completeGrant(g, d, p.cfg.Instance) {
 		g.Report(scheduler.Report{
 			Event: scheduler.Cancelled,
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -103,16 +103,19 @@
 
 func (s *serverStream) sendDecision(id uint64, d scheduler.Decision) {
 	s.send(&pb.PlaceResponse{
-		Id:            id,
-		BackendServer: d.Server,
-		Refusal:       d.Refusal,
-		RetryAfterMs:  uint32(d.RetryAfter.Milliseconds()),
-		Cached:        uint32(d.CachedTokens),
-		Load:          uint32(d.Load),
-		BestCached:    uint32(d.BestCachedTokens),
-		FetchFrom:     d.FetchFrom,
-		Reread:        uint32(d.RereadTokens),
-		Reuse:         d.Reuse,
+		Id:                  id,
+		BackendServer:       d.Server,
+		Refusal:             d.Refusal,
+		RetryAfterMs:        uint32(d.RetryAfter.Milliseconds()),
+		Cached:              uint32(d.CachedTokens),
+		Load:                uint32(d.Load),
+		LoadLimitHundredths: uint32(d.LoadLimit * hundredths),
+		MeanServers:         uint32(d.MeanServers),
+		OverLimit:           d.OverLimit,
+		BestCached:          uint32(d.BestCachedTokens),
+		FetchFrom:           d.FetchFrom,
+		Reread:              uint32(d.RereadTokens),
+		Reuse:               d.Reuse,
 	})
 }
 
@@ -149,6 +152,10 @@
 	requests := s.requests
 	s.requests = make(map[uint64]requestRef)
 	s.mu.Unlock()
+	if len(requests) > 0 {
+		s.schedulers.cfg.Logger.WithField("requests", len(requests)).
+			Warn("placer: the placement stream of an instance ended, its running requests no longer count as load")
+	}
 	for _, ref := range requests {
 		s.schedulers.report(ref.service, ref.id, scheduler.Report{
 			Event: scheduler.Cancelled,
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -68,6 +68,7 @@
 	cached := sv.cache.CachedTokens(req.Parts)
 	best := s.bestCached(req)
 	from, fetched := s.fetchSource(now, req, sv, cached)
+	limit := s.currentLimit(now)
 	g := &grant{
 		server:     sv,
 		request:    req,
@@ -82,6 +83,9 @@
 		Server:           sv.name,
 		CachedTokens:     cached,
 		Load:             sv.running,
+		LoadLimit:        limit.requests,
+		MeanServers:      limit.servers,
+		OverLimit:        float64(sv.load(now)) > limit.requests,
 		BestCachedTokens: best,
 		FetchFrom:        from,
 		FetchedTokens:    fetched,
@@ -152,12 +156,12 @@
 	}
 	limit := s.currentLimit(now)
 	if s.index != nil {
-		if sv := s.chooseFrom(now, req, s.candidates(req), limit); sv != nil {
+		if sv := s.chooseFrom(now, req, s.candidates(req), limit.requests); sv != nil {
 			return sv
 		}
 	}
-	for _, limit := range []float64{limit, math.Inf(1)} {
-		if sv := s.chooseFrom(now, req, s.listedServers, limit); sv != nil {
+	for _, requests := range []float64{limit.requests, math.Inf(1)} {
+		if sv := s.chooseFrom(now, req, s.listedServers, requests); sv != nil {
 			return sv
 		}
 	}
@@ -204,21 +208,27 @@
 	})
 }
 
+// loadLimit is the number of requests that one server may run, and the number of servers
+// over which the mean load behind it was taken.
+type loadLimit struct {
+	requests float64
+	servers  int
+}
+
 // currentLimit returns the load limit. In a large service it may be maxLimitAge old.
-func (s *Scheduler) currentLimit(now time.Duration) float64 {
+func (s *Scheduler) currentLimit(now time.Duration) loadLimit {
 	if s.index == nil {
-		return s.loadLimit(now)
+		return s.newLimit(now)
 	}
 	if now-s.limitAt >= maxLimitAge {
-		s.limit, s.limitAt = s.loadLimit(now), now
+		s.limit, s.limitAt = s.newLimit(now), now
 	}
 	return s.limit
 }
 
-// loadLimit returns the number of requests that one server may run, derived from the
-// mean load of the accepting servers that are not ejected, with the new request
-// included.
-func (s *Scheduler) loadLimit(now time.Duration) float64 {
+// newLimit returns the load limit, derived from the mean load of the accepting servers
+// that are not ejected, with the new request included.
+func (s *Scheduler) newLimit(now time.Duration) loadLimit {
 	sum, n := 1, 0
 	for _, sv := range s.listedServers {
 		if sv.accepting && !sv.ejected(now) {
@@ -227,9 +237,12 @@
 		}
 	}
 	if n == 0 {
-		return 0
+		return loadLimit{}
+	}
+	return loadLimit{
+		requests: math.Max(1, s.svc.LoadBound*boundFraction)*float64(sum)/float64(n) + boundSlack,
+		servers:  n,
 	}
-	return math.Max(1, s.svc.LoadBound*boundFraction)*float64(sum)/float64(n) + boundSlack
 }
 
 // cost returns the cost of running req on sv, for comparison between servers. For an
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -109,6 +109,12 @@
 	// expected to have cached. Load is its number of requests, this one included.
 	CachedTokens int
 	Load         int
+	// LoadLimit is the limit on Load that applied to the choice, and MeanServers the
+	// number of servers over which its mean was taken. OverLimit is true if the request
+	// was granted although no server within the limit had room.
+	LoadLimit   float64
+	MeanServers int
+	OverLimit   bool
 	// BestCachedTokens is the largest such length on any accepting server.
 	BestCachedTokens int
 	// FetchFrom is the server from which the granted one should fetch the cached
@@ -176,7 +182,7 @@
 	candidateRound uint64
 	// limit is the load limit as of limitAt, and full is set if no server had room
 	// at fullAt and no request has ended since; both only in a large service.
-	limit   float64
+	limit   loadLimit
 	limitAt time.Duration
 	full    bool
 	fullAt  time.Duration
