Failing tests: engines above the load bound while servers lose answers, return or reject

They model nine servers, judge by what the servers hold, and use the operators' own bound: 20 or more requests and over 3 in 100 of five seconds.

--- /dev/null
+++ b/internal/routing/scheduler/loadbound_test.go
@@ -0,0 +1,296 @@
+package scheduler_test
+
+// This file tests that no server holds more than a multiple of the mean load of its
+// service while servers fail in ways that leave them up. The load is judged by what the
+// servers hold, not by what the scheduler counts.
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"camphorspoke/internal/routing/scheduler"
+)
+
+const (
+	// boundMultiple and boundExtra are the operators' bound: a server should not hold
+	// more than boundMultiple times the mean load and boundExtra requests.
+	boundMultiple = 2
+	boundExtra    = 3
+	// boundWindow is the span over which the requests above the bound are counted; up to
+	// boundAllowed of them, or boundShare of all requests of the span, are allowed.
+	boundWindow  = 5 * time.Second
+	boundAllowed = 20
+	boundShare   = 0.03
+)
+
+// faultyService is a service whose servers run requests for a time that depends on the
+// kind of request, and whose answers may be lost. Its clock advances in milliseconds.
+type faultyService struct {
+	rng      *rand.Rand
+	s        *scheduler.Scheduler
+	now      time.Duration
+	nextID   uint64
+	requests map[uint64]scheduler.Request
+	holds    map[string]int
+	names    []string
+	events   []serviceEvent
+	// lost is the probability that the answer to a request is lost after it has run.
+	lost float64
+	// down holds the servers that refuse connections.
+	down map[string]bool
+	// full holds the servers that reject requests.
+	full map[string]bool
+	// sends holds the requests that reached a server.
+	sends []send
+}
+
+// serviceEvent is something that happens to a request at a time.
+type serviceEvent struct {
+	at    time.Duration
+	id    uint64
+	run   func()
+	order int
+}
+
+// send is a request that reached a server.
+type send struct {
+	at   time.Duration
+	over bool
+}
+
+func newFaultyService(seed uint64, servers int) *faultyService {
+	f := &faultyService{
+		rng: rand.New(rand.NewPCG(seed, 7)),
+		s: scheduler.New(scheduler.Service{
+			Name:        "llm",
+			Engine:      true,
+			Slots:       48,
+			CacheTokens: 530_000,
+			LoadBound:   boundMultiple,
+			RetryWindow: 10 * time.Second,
+			RetryRatio:  0.2,
+			RetrySlack:  58,
+		}),
+		requests: make(map[uint64]scheduler.Request),
+		holds:    make(map[string]int),
+		down:     make(map[string]bool),
+		full:     make(map[string]bool),
+	}
+	for _, sv := range listServers(f.s, servers, 0) {
+		f.names = append(f.names, sv.Name)
+	}
+	return f
+}
+
+// after schedules run at a later time.
+func (f *faultyService) after(d time.Duration, run func()) {
+	f.events = append(f.events, serviceEvent{
+		at:    f.now + d,
+		run:   run,
+		order: len(f.events),
+	})
+}
+
+// run offers perSecond requests a second for a span.
+func (f *faultyService) run(perSecond int, span time.Duration) {
+	for end := f.now + span; f.now < end; f.now += time.Millisecond {
+		f.runEvents()
+		if f.rng.Float64() < float64(perSecond)/1000 {
+			f.request()
+		}
+		f.grant(f.s.Tick(f.now))
+	}
+}
+
+func (f *faultyService) runEvents() {
+	var due []serviceEvent
+	f.events = slices.DeleteFunc(f.events, func(e serviceEvent) bool {
+		if e.at > f.now {
+			return false
+		}
+		due = append(due, e)
+		return true
+	})
+	for _, e := range due {
+		e.run()
+	}
+}
+
+// request offers a request about one of 58 subjects, some of which are asked for more
+// often than others.
+func (f *faultyService) request() {
+	f.nextID++
+	subject := uint64(100 + int(58*f.rng.Float64()*f.rng.Float64()))
+	req := scheduler.Request{
+		ID:      f.nextID,
+		Parts:   prompt(subject, 10_000+f.nextID),
+		MaxWait: 200 * time.Millisecond,
+	}
+	f.schedule(req)
+}
+
+func (f *faultyService) schedule(req scheduler.Request) {
+	f.requests[req.ID] = req
+	if d, ok := f.s.Schedule(f.now, req); ok {
+		f.grant([]scheduler.Decision{d})
+	}
+}
+
+// grant sends the granted requests to their servers.
+func (f *faultyService) grant(decisions []scheduler.Decision) {
+	for _, d := range decisions {
+		if d.Server != "" {
+			f.after(time.Millisecond, func() { f.arrive(d) })
+		}
+	}
+}
+
+// arrive is the arrival of a request at its server.
+func (f *faultyService) arrive(d scheduler.Decision) {
+	if f.down[d.Server] {
+		f.report(d, scheduler.Unreachable)
+		f.retry(d)
+		return
+	}
+	f.judge(d.Server)
+	if f.full[d.Server] {
+		f.report(d, scheduler.Rejected)
+		f.retry(d)
+		return
+	}
+	f.holds[d.Server]++
+	// A seventh of the requests generate for two seconds, the others for a quarter.
+	span := 250 * time.Millisecond
+	if f.rng.Float64() < 1.0/7 {
+		span = 2 * time.Second
+	}
+	outcome := scheduler.Done
+	if f.rng.Float64() < f.lost {
+		outcome = scheduler.Broken
+	} else {
+		f.after(50*time.Millisecond, func() { f.report(d, scheduler.Started) })
+	}
+	f.after(span, func() {
+		f.holds[d.Server]--
+		f.report(d, outcome)
+	})
+}
+
+func (f *faultyService) report(d scheduler.Decision, e scheduler.Event) {
+	f.grant(f.s.Report(f.now, d.ID, scheduler.Report{
+		Event: e,
+	}))
+}
+
+// retry schedules a request that did not run once more.
+func (f *faultyService) retry(d scheduler.Decision) {
+	req := f.requests[d.ID]
+	f.nextID++
+	req.ID = f.nextID
+	req.Tried = append(slices.Clone(req.Tried), d.Server)
+	if len(req.Tried) < 4 {
+		f.schedule(req)
+	}
+}
+
+// judge records a request that reached a server.
+func (f *faultyService) judge(server string) {
+	sum, up := 1, 0
+	for _, name := range f.names {
+		sum += f.holds[name]
+		if !f.down[name] {
+			up++
+		}
+	}
+	bound := boundMultiple*float64(sum)/float64(up) + boundExtra
+	f.sends = append(f.sends, send{
+		at:   f.now,
+		over: float64(f.holds[server]+1) > bound,
+	})
+}
+
+// requireBound checks each window since a time.
+func (f *faultyService) requireBound(t *testing.T, since time.Duration) {
+	t.Helper()
+	for from := since; from+boundWindow <= f.now; from += time.Second {
+		over, all := 0, 0
+		for _, s := range f.sends {
+			if s.at < from || s.at >= from+boundWindow {
+				continue
+			}
+			all++
+			if s.over {
+				over++
+			}
+		}
+		if over >= boundAllowed {
+			require.LessOrEqual(t, float64(over), boundShare*float64(all), "from %v: %d of %d requests reached a server above the bound", from, over, all)
+		}
+	}
+}
+
+// TestLostAnswersKeepTheBound: all servers are up, but the answers to a part of the
+// requests are lost. Each server seems to fail now and then, and as many as do at a
+// time must not leave their load to the few others.
+func TestLostAnswersKeepTheBound(t *testing.T) {
+	for _, lost := range []float64{0.1, 0.2, 0.4, 0.6} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("lost=%v,seed=%d", lost, seed), func(t *testing.T) {
+				f := newFaultyService(seed, 9)
+				f.run(130, 4*time.Second)
+				f.lost = lost
+				f.run(130, 10*time.Second)
+				f.lost = 0
+				f.run(130, 6*time.Second)
+				f.requireBound(t, 0)
+			})
+		}
+	}
+}
+
+// TestReturnedServersKeepTheBound: five of nine servers are down for four seconds and
+// come back under their names. As soon as they are up, the load is judged by the mean
+// over all nine, so they must be in use again quickly.
+func TestReturnedServersKeepTheBound(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			f := newFaultyService(seed, 9)
+			f.run(130, 4*time.Second)
+			for _, name := range f.names[:5] {
+				f.down[name] = true
+				f.holds[name] = 0
+			}
+			f.run(130, 4*time.Second)
+			clear(f.down)
+			returned := f.now
+			f.run(130, 8*time.Second)
+			f.requireBound(t, returned)
+		})
+	}
+}
+
+// TestRejectingServersKeepTheBound: some of nine servers reject all requests for some
+// seconds. The others must share the load, rather than the one that has the prompts
+// cached taking all that it has slots for.
+func TestRejectingServersKeepTheBound(t *testing.T) {
+	for _, rejecting := range []int{3, 4, 5} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("rejecting=%d,seed=%d", rejecting, seed), func(t *testing.T) {
+				f := newFaultyService(seed, 9)
+				f.run(130, 4*time.Second)
+				for _, name := range f.names[:rejecting] {
+					f.full[name] = true
+				}
+				f.run(130, 6*time.Second)
+				clear(f.full)
+				f.run(130, 6*time.Second)
+				f.requireBound(t, 0)
+			})
+		}
+	}
+}
