Scheduler: ejected servers count in the mean, and reachable ones are used before the bound is exceeded

Callers saw engines that were slower than the others while no engine was down. Two answers lost in a row eject an engine for up to 6 s, and the bound followed the mean of the engines that were left: with two fifths of all answers lost, 1 to 9 of nine (log word meanServers), so the few took the load of all. No cap limited how many engines are ejected at a time.

The scheduler's test failed before (up to 52 of 661) and passes. With answers that stay away silently the bound is still exceeded: another cause, with a test of its own.

The mean now covers all accepting servers, so it can only be too low, never too high, when some of them are down; then the bound is exceeded as before rather than a request refused while others have room.

--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -146,40 +146,81 @@
 	return n
 }
 
-// choose returns the cheapest server that has room for req, or nil. A server over
-// the load limit is chosen only when no server within the limit has room. An ejected
-// server is chosen only when every accepting one that req may go to is ejected: a
-// server that is down has the lowest load of all and would otherwise attract requests.
+// choose returns the cheapest server that has room for req, or nil. These are tried
+// in turn:
+//
+//   - the servers that are not ejected, within the load limit
+//   - the ejected ones, within the load limit: they lost responses, but were reachable,
+//     so the limit need not be exceeded because of them
+//   - the servers that are not ejected, over the load limit
+//   - all servers, if every one that req may go to is ejected
+//
+// A server that could not be reached is in the last step only: it is down, has the
+// lowest load of all and would otherwise attract requests.
 func (s *Scheduler) choose(now time.Duration, req Request) *server {
 	if s.full && now-s.fullAt < maxLimitAge {
 		return nil
 	}
-	limit := s.currentLimit(now)
+	limit := s.currentLimit(now).requests
 	if s.index != nil {
-		if sv := s.chooseFrom(now, req, s.candidates(req), limit.requests); sv != nil {
+		if sv := s.chooseFrom(now, req, s.candidates(req), healthyServers, limit); sv != nil {
 			return sv
 		}
 	}
-	for _, requests := range []float64{limit.requests, math.Inf(1)} {
-		if sv := s.chooseFrom(now, req, s.listedServers, requests); sv != nil {
+	for _, step := range []struct {
+		servers serverSet
+		limit   float64
+	}{
+		{healthyServers, limit},
+		{reachableServers, limit},
+		{healthyServers, math.Inf(1)},
+	} {
+		if sv := s.chooseFrom(now, req, s.listedServers, step.servers, step.limit); sv != nil {
 			return sv
 		}
 	}
+	if !s.anyHealthy(now, req) {
+		return s.chooseFrom(now, req, s.listedServers, allServers, math.Inf(1))
+	}
 	if s.index != nil && len(req.Tried) == 0 {
 		s.full, s.fullAt = true, now
 	}
 	return nil
 }
 
-// chooseFrom returns the cheapest of the given servers that has room for req within
-// the load limit, or nil.
-func (s *Scheduler) chooseFrom(now time.Duration, req Request, servers []*server, limit float64) *server {
-	skipEjected := s.anyHealthy(now, req)
+// serverSet selects servers by whether they are ejected.
+type serverSet int
+
+const (
+	// healthyServers are not ejected.
+	healthyServers serverSet = iota
+	// reachableServers also include those that were ejected although they could be
+	// reached.
+	reachableServers
+	// allServers also include those that could not be reached.
+	allServers
+)
+
+// includes reports whether the set includes sv.
+func (set serverSet) includes(now time.Duration, sv *server) bool {
+	switch {
+	case !sv.ejected(now):
+		return true
+	case sv.unreachable:
+		return set == allServers
+	default:
+		return set >= reachableServers
+	}
+}
+
+// chooseFrom returns the cheapest of the given servers that is in the set and has room
+// for req within the load limit, or nil.
+func (s *Scheduler) chooseFrom(now time.Duration, req Request, servers []*server, set serverSet, limit float64) *server {
 	var best *server
 	bestCost := math.Inf(1)
 	for _, sv := range servers {
 		load := sv.load(now) + 1
-		if !sv.eligible(now, req) || skipEjected && sv.ejected(now) || load > s.maxGrants(sv) || float64(load) > limit {
+		if !sv.eligible(now, req) || !set.includes(now, sv) || load > s.maxGrants(sv) || float64(load) > limit {
 			continue
 		}
 		if c := s.cost(now, sv, req); c < bestCost {
@@ -227,11 +268,12 @@
 }
 
 // newLimit returns the load limit, derived from the mean load of the accepting servers
-// that are not ejected, with the new request included.
+// with the new request included. Ejected servers count: each may be up, and a mean over
+// the others would let them take the load of all.
 func (s *Scheduler) newLimit(now time.Duration) loadLimit {
 	sum, n := 1, 0
 	for _, sv := range s.listedServers {
-		if sv.accepting && !sv.ejected(now) {
+		if sv.accepting {
 			sum += sv.load(now)
 			n++
 		}
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -67,6 +67,8 @@
 	// ejections counts the ejections since the last request that succeeded.
 	ejections    int
 	ejectedUntil time.Duration
+	// unreachable is true if the server was ejected because it could not be reached.
+	unreachable bool
 	// fullUntil is the time until which a server that rejected a request gets no other.
 	fullUntil time.Duration
 	// lastFailureRate is the failure rate as of lastOutcomeAt.
@@ -157,6 +159,7 @@
 		sv.consecutiveBreaks++
 		if sv.consecutiveBreaks >= breaksToEject || r.Event == Unreachable {
 			sv.ejectedUntil = now + min(minEjection<<min(sv.ejections, 8), maxEjection)
+			sv.unreachable = r.Event == Unreachable
 			sv.ejections++
 			sv.consecutiveBreaks = 0
 		}
