Scheduler: requests whose answer never comes are no load of their server

Callers saw engines above the load bound while engines lost answers without closing the connection: the request had ended there, but its caller waited for 2 s, and as long it counted. The reported load was only used where it was higher than the count, and a stale one then raised the mean as well.

The load is now the count corrected by the last report, both ways. For the mean, a server that has not reported for 0.3 s counts only requests that have begun or are younger than that.

TestSilentServersKeepTheBound and the enlarged TestLostAnswersKeepTheBound failed before (up to 42 of 658). The log has the load that the server reported.

--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -191,6 +191,7 @@
 	defer resp.Close()
 	c.sends++
 	info := c.h.Dialect.ParseResponse(resp.Status, resp.Header)
+	c.info = info
 	report := scheduler.Report{
 		HasLoad: info.HasLoad,
 		Running: info.Running,
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -123,6 +123,8 @@
 	runs  int
 	// tried holds the backend servers at which an attempt failed.
 	tried []string
+	// info is what the server of the last response said of itself.
+	info edge.ResponseInfo
 	// lastEvent is the ID of the last event that the caller has received.
 	lastEvent string
 	// headerSent is true once the response header was written to the caller.
@@ -385,6 +387,9 @@
 		if g.OverLimit {
 			fields["overLimit"] = true
 		}
+		if c.info.HasLoad {
+			fields["reportedLoad"] = c.info.Running + c.info.Waiting
+		}
 		fields["loadLimit"], fields["meanServers"], fields["alone"] = g.LoadLimit, g.MeanServers, g.Alone
 		if g.FetchFrom != "" {
 			fields["fetchFrom"] = g.FetchFrom
--- a/internal/routing/scheduler/loadbound_test.go
+++ b/internal/routing/scheduler/loadbound_test.go
@@ -26,6 +26,8 @@
 	boundWindow  = 5 * time.Second
 	boundAllowed = 20
 	boundShare   = 0.03
+	// callerPatience is how long a caller waits for the next event of a stream.
+	callerPatience = 2 * time.Second
 )
 
 // faultyService is a service whose servers run requests for a time that depends on the
@@ -39,8 +41,12 @@
 	holds    map[string]int
 	names    []string
 	events   []serviceEvent
-	// lost is the probability that the answer to a request is lost after it has run.
-	lost float64
+	// lost is the probability that the answer to a request is lost after it has run,
+	// and silent that it is and the connection stays open, until the caller leaves.
+	lost   float64
+	silent float64
+	// spared is the number of servers that lose no answers.
+	spared int
 	// down holds the servers that refuse connections.
 	down map[string]bool
 	// full holds the servers that reject requests.
@@ -169,21 +175,28 @@
 	if f.rng.Float64() < 1.0/7 {
 		span = 2 * time.Second
 	}
-	outcome := scheduler.Done
-	if f.rng.Float64() < f.lost {
-		outcome = scheduler.Broken
-	} else {
+	release := func() { f.holds[d.Server]-- }
+	lossy := !slices.Contains(f.names[:f.spared], d.Server)
+	switch p := f.rng.Float64(); {
+	case lossy && p < f.silent:
+		f.after(50*time.Millisecond, release)
+		f.after(callerPatience, func() { f.report(d, scheduler.Cancelled) })
+	case lossy && p < f.silent+f.lost:
+		f.after(span, release)
+		f.after(span, func() { f.report(d, scheduler.Broken) })
+	default:
 		f.after(50*time.Millisecond, func() { f.report(d, scheduler.Started) })
+		f.after(span, release)
+		f.after(span, func() { f.report(d, scheduler.Done) })
 	}
-	f.after(span, func() {
-		f.holds[d.Server]--
-		f.report(d, outcome)
-	})
 }
 
+// report reports an event of a request. A response names the load of its server.
 func (f *faultyService) report(d scheduler.Decision, e scheduler.Event) {
 	f.grant(f.s.Report(f.now, d.ID, scheduler.Report{
-		Event: e,
+		Event:   e,
+		HasLoad: e == scheduler.Started,
+		Running: f.holds[d.Server],
 	}))
 }
 
@@ -239,9 +252,10 @@
 // time must not leave their load to the few others.
 func TestLostAnswersKeepTheBound(t *testing.T) {
 	for _, lost := range []float64{0.1, 0.2, 0.4, 0.6} {
-		for seed := range uint64(3) {
+		for seed := range uint64(6) {
 			t.Run(fmt.Sprintf("lost=%v,seed=%d", lost, seed), func(t *testing.T) {
 				f := newFaultyService(seed, 9)
+				f.spared = int(seed % 2)
 				f.run(130, 4*time.Second)
 				f.lost = lost
 				f.run(130, 10*time.Second)
@@ -253,6 +267,26 @@
 	}
 }
 
+// TestSilentServersKeepTheBound: all servers are up, but at all of them, or all but one, a
+// part of the requests ends without an answer, and the connection stays open. Such a
+// request is no load of its server, although its caller waits on.
+func TestSilentServersKeepTheBound(t *testing.T) {
+	for _, silent := range []float64{0.1, 0.2, 0.4} {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprintf("silent=%v,seed=%d", silent, seed), func(t *testing.T) {
+				f := newFaultyService(seed, 9)
+				f.run(130, 4*time.Second)
+				f.silent, f.lost = silent/2, silent/2
+				f.spared = int(seed % 2)
+				f.run(130, 10*time.Second)
+				f.silent, f.lost = 0, 0
+				f.run(130, 6*time.Second)
+				f.requireBound(t, 0)
+			})
+		}
+	}
+}
+
 // TestReturnedServersKeepTheBound: five of nine servers are down for four seconds and
 // come back under their names. As soon as they are up, the load is judged by the mean
 // over all nine, so they must be in use again quickly.
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -76,7 +76,7 @@
 		missTokens: promptTokens(req) - cached,
 	}
 	s.granted[req.ID] = g
-	sv.running++
+	sv.recordGrant(g)
 	sv.pendingTokens += g.missTokens
 	d := Decision{
 		ID:               req.ID,
@@ -269,12 +269,13 @@
 
 // newLimit returns the load limit, derived from the mean load of the accepting servers
 // with the new request included. Ejected servers count: each may be up, and a mean over
-// the others would let them take the load of all.
+// the others would let them take the load of all. Only requests that are known to be on
+// a server count.
 func (s *Scheduler) newLimit(now time.Duration) loadLimit {
 	sum, n := 1, 0
 	for _, sv := range s.listedServers {
 		if sv.accepting {
-			sum += sv.load(now)
+			sum += sv.knownLoad(now)
 			n++
 		}
 	}
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -299,20 +299,20 @@
 		s.dequeue(id)
 		return nil
 	}
-	if r.HasLoad {
-		g.server.recordLoad(now, r)
-	}
 	if !g.started {
 		g.started = true
+		g.server.recordStart(g)
 		g.server.pendingTokens -= g.missTokens
 		g.endRead()
 	}
 	if r.Event == Started {
+		g.server.recordReportedLoad(now, r)
 		return nil
 	}
 	delete(s.granted, id)
 	s.full = false
 	g.server.running--
+	g.server.recordReportedLoad(now, r)
 	g.server.applyReport(now, r)
 	if r.Event == Done {
 		s.completions.record(now)
@@ -424,11 +424,12 @@
 	if id == 0 || s.granted[id] != nil {
 		return
 	}
-	s.granted[id] = &grant{
+	g := &grant{
 		server:    sv,
 		grantedAt: now,
 	}
-	sv.running++
+	s.granted[id] = g
+	sv.recordGrant(g)
 }
 
 // CachedPrefixes is the content of one server's cache, as modelled by the scheduler.
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -3,6 +3,7 @@
 // This file defines the state of one server and the completion rate of a service.
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -27,8 +28,14 @@
 	// failurePenalty scales the failure rate in costFactor: a server that fails every
 	// request costs 1+failurePenalty times as much as one that fails none.
 	failurePenalty = 8
-	// reportedLoadTTL is how long a load that a server reported is used.
+	// reportedLoadTTL is how long the requests count that a server reported beyond those
+	// granted here, and endedLoadTTL how long those are left out that it did not report.
+	// The latter stay counted as granted until their callers leave, so they are left out
+	// until the server has not reported for long.
 	reportedLoadTTL = 300 * time.Millisecond
+	endedLoadTTL    = time.Second
+	// transitTime is how long after its grant a request may not have reached its server.
+	transitTime = 50 * time.Millisecond
 	// rejectionBackoff is how long a server counts as full after it rejected a request.
 	rejectionBackoff = 60 * time.Millisecond
 	// unlimitedSlots applies when neither the server nor the service has a slot count.
@@ -59,9 +66,17 @@
 	cache   prefixcache.Cache
 	reading map[uint64]uint64
 
-	// reportedLoad is the load that the server reported last, at loadReportedAt.
+	// loadCorrection is by how much the load that the server reported last, at
+	// loadReportedAt, differed from the granted requests: it is above zero if the
+	// server also held requests that were not granted here, and below zero if some
+	// requests had ended there of which no end was reported.
 	loadReportedAt time.Duration
-	reportedLoad   int
+	loadCorrection int
+	// reportsLoad is true once the server has reported its load.
+	reportsLoad bool
+	// unstarted holds the granted requests whose response has not begun, the earliest
+	// grant first.
+	unstarted []*grant
 
 	consecutiveBreaks int
 	// ejections counts the ejections since the last request that succeeded.
@@ -78,8 +93,7 @@
 
 func newServer(name string) *server {
 	return &server{
-		name:           name,
-		loadReportedAt: -reportedLoadTTL,
+		name: name,
 	}
 }
 
@@ -99,17 +113,63 @@
 	sv.cache.Capacity = int(prefixCacheFraction * float64(svc.CacheTokens))
 }
 
-// load returns the number of requests on the server: the granted ones, or the number
-// that the server reported recently if that is higher.
+// load returns the number of requests on the server: the granted ones, corrected by the
+// load that the server reported recently.
 func (sv *server) load(now time.Duration) int {
-	if now-sv.loadReportedAt < reportedLoadTTL {
-		return max(sv.running, sv.reportedLoad)
+	ttl := reportedLoadTTL
+	if sv.loadCorrection < 0 {
+		ttl = endedLoadTTL
 	}
-	return sv.running
+	if !sv.reportsLoad || now-sv.loadReportedAt >= ttl {
+		return sv.running
+	}
+	return max(sv.running+sv.loadCorrection, 0)
+}
+
+// knownLoad returns the number of requests that are known to be on the server. While it
+// has not reported its load for long, those are left out whose response should have
+// begun: their responses may be lost.
+func (sv *server) knownLoad(now time.Duration) int {
+	load := sv.load(now)
+	if !sv.reportsLoad || now-sv.loadReportedAt < reportedLoadTTL {
+		return load
+	}
+	return min(load, sv.running-sv.unstartedBefore(now-reportedLoadTTL))
+}
+
+// unstartedBefore returns the number of unstarted requests that were granted before a
+// time.
+func (sv *server) unstartedBefore(t time.Duration) int {
+	n, _ := slices.BinarySearchFunc(sv.unstarted, t, func(g *grant, t time.Duration) int { return cmp.Compare(g.grantedAt, t) })
+	return n
 }
 
-func (sv *server) recordLoad(now time.Duration, r Report) {
-	sv.loadReportedAt, sv.reportedLoad = now, r.Running+r.Waiting
+// recordGrant counts a granted request.
+func (sv *server) recordGrant(g *grant) {
+	sv.running++
+	sv.unstarted = append(sv.unstarted, g)
+}
+
+// recordStart removes a request from the unstarted ones, because its response has begun
+// or it has ended.
+func (sv *server) recordStart(g *grant) {
+	if i := slices.Index(sv.unstarted, g); i >= 0 {
+		sv.unstarted = slices.Delete(sv.unstarted, i, i+1)
+	}
+}
+
+// recordReportedLoad compares the load that the server reported, if it did, with the
+// granted requests. Those granted within transitTime may or may not have reached the
+// server.
+func (sv *server) recordReportedLoad(now time.Duration, r Report) {
+	if !r.HasLoad {
+		return
+	}
+	reported := r.Running + r.Waiting
+	recent := len(sv.unstarted) - sv.unstartedBefore(now-transitTime)
+	arrived := sv.running - recent
+	sv.reportsLoad, sv.loadReportedAt = true, now
+	sv.loadCorrection = max(reported-sv.running, 0) + min(reported-arrived, 0)
 }
 
 func (sv *server) eligible(now time.Duration, req Request) bool {
