Scheduler: a server that could not be reached is probed before others exceed the bound

Engines that are up again, under their names, stayed ejected for up to 6 s, and the others carried their load above the bound. Now, when no other server has room within the limit, one request at a time, none that has failed before, goes to such a server, at most each 100 ms; the first response ends the ejection, and a completed one ends any.

Evidence: TestReturnedServersKeepTheBound, five of nine servers down for 4 s: up to 44 of 655 requests above the bound in the five seconds after their return on the code before, within the rule now.

--- a/internal/routing/scheduler/loadbound_test.go
+++ b/internal/routing/scheduler/loadbound_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -47,8 +48,10 @@
 	silent float64
 	// spared is the number of servers that lose no answers.
 	spared int
-	// down holds the servers that refuse connections.
-	down map[string]bool
+	// down holds the servers that refuse connections, and inFlight the requests that
+	// each server runs, with what happens to them if it crashes.
+	down     map[string]bool
+	inFlight map[string]map[uint64]scheduler.Decision
 	// full holds the servers that reject requests.
 	full map[string]bool
 	// sends holds the requests that reached a server.
@@ -85,10 +88,12 @@
 		requests: make(map[uint64]scheduler.Request),
 		holds:    make(map[string]int),
 		down:     make(map[string]bool),
+		inFlight: make(map[string]map[uint64]scheduler.Decision),
 		full:     make(map[string]bool),
 	}
 	for _, sv := range listServers(f.s, servers, 0) {
 		f.names = append(f.names, sv.Name)
+		f.inFlight[sv.Name] = make(map[uint64]scheduler.Decision)
 	}
 	return f
 }
@@ -170,12 +175,13 @@
 		return
 	}
 	f.holds[d.Server]++
+	f.inFlight[d.Server][d.ID] = d
 	// A seventh of the requests generate for two seconds, the others for a quarter.
 	span := 250 * time.Millisecond
 	if f.rng.Float64() < 1.0/7 {
 		span = 2 * time.Second
 	}
-	release := func() { f.holds[d.Server]-- }
+	release := func() { f.release(d) }
 	lossy := !slices.Contains(f.names[:f.spared], d.Server)
 	switch p := f.rng.Float64(); {
 	case lossy && p < f.silent:
@@ -191,6 +197,24 @@
 	}
 }
 
+// release ends a request at its server.
+func (f *faultyService) release(d scheduler.Decision) {
+	if _, running := f.inFlight[d.Server][d.ID]; running {
+		delete(f.inFlight[d.Server], d.ID)
+		f.holds[d.Server]--
+	}
+}
+
+// crash stops a server, which breaks the connections of the requests that it runs.
+func (f *faultyService) crash(server string) {
+	f.down[server] = true
+	for _, id := range slices.Sorted(maps.Keys(f.inFlight[server])) {
+		d := f.inFlight[server][id]
+		f.release(d)
+		f.report(d, scheduler.Broken)
+	}
+}
+
 // report reports an event of a request. A response names the load of its server.
 func (f *faultyService) report(d scheduler.Decision, e scheduler.Event) {
 	f.grant(f.s.Report(f.now, d.ID, scheduler.Report{
@@ -296,8 +320,7 @@
 			f := newFaultyService(seed, 9)
 			f.run(130, 4*time.Second)
 			for _, name := range f.names[:5] {
-				f.down[name] = true
-				f.holds[name] = 0
+				f.crash(name)
 			}
 			f.run(130, 4*time.Second)
 			clear(f.down)
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -152,11 +152,12 @@
 //   - the servers that are not ejected, within the load limit
 //   - the ejected ones, within the load limit: they lost responses, but were reachable,
 //     so the limit need not be exceeded because of them
+//   - one that could not be reached, with one request at a time: it may be up again
 //   - the servers that are not ejected, over the load limit
 //   - all servers, if every one that req may go to is ejected
 //
-// A server that could not be reached is in the last step only: it is down, has the
-// lowest load of all and would otherwise attract requests.
+// A server that could not be reached gets no more than that: if it is down, it has the
+// lowest load of all and would attract requests.
 func (s *Scheduler) choose(now time.Duration, req Request) *server {
 	if s.full && now-s.fullAt < maxLimitAge {
 		return nil
@@ -173,6 +174,7 @@
 	}{
 		{healthyServers, limit},
 		{reachableServers, limit},
+		{probedServers, limit},
 		{healthyServers, math.Inf(1)},
 	} {
 		if sv := s.chooseFrom(now, req, s.listedServers, step.servers, step.limit); sv != nil {
@@ -197,19 +199,23 @@
 	// reachableServers also include those that were ejected although they could be
 	// reached.
 	reachableServers
+	// probedServers also include those that could not be reached and may be tried again.
+	probedServers
 	// allServers also include those that could not be reached.
 	allServers
 )
 
-// includes reports whether the set includes sv.
-func (set serverSet) includes(now time.Duration, sv *server) bool {
+// includes reports whether the set includes sv for req.
+func (set serverSet) includes(now time.Duration, sv *server, req Request) bool {
 	switch {
 	case !sv.ejected(now):
 		return true
-	case sv.unreachable:
-		return set == allServers
-	default:
+	case !sv.unreachable:
 		return set >= reachableServers
+	case set == probedServers:
+		return sv.mayProbe(now, req)
+	default:
+		return set == allServers
 	}
 }
 
@@ -220,7 +226,7 @@
 	bestCost := math.Inf(1)
 	for _, sv := range servers {
 		load := sv.load(now) + 1
-		if !sv.eligible(now, req) || !set.includes(now, sv) || load > s.maxGrants(sv) || float64(load) > limit {
+		if !sv.eligible(now, req) || !set.includes(now, sv, req) || load > s.maxGrants(sv) || float64(load) > limit {
 			continue
 		}
 		if c := s.cost(now, sv, req); c < bestCost {
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -307,6 +307,7 @@
 	}
 	if r.Event == Started {
 		g.server.recordReportedLoad(now, r)
+		g.server.recordResponse()
 		return nil
 	}
 	delete(s.granted, id)
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -17,6 +17,9 @@
 	// each ejection until a request succeeds.
 	minEjection = 400 * time.Millisecond
 	maxEjection = 6 * time.Second
+	// probeInterval is the least time between two requests to a server that could not be
+	// reached, while no other server has room within the load limit.
+	probeInterval = 100 * time.Millisecond
 	// breaksToEject is the number of consecutive Broken requests that ejects a server;
 	// a single Unreachable one does so at once.
 	breaksToEject = 2
@@ -176,6 +179,13 @@
 	return sv.accepting && now >= sv.fullUntil && !slices.Contains(req.Tried, sv.name)
 }
 
+// mayProbe reports whether req may be sent to a server that could not be reached, to find
+// out whether it can be by now. A request that has failed at a server is not used for
+// this, as its caller has waited for one failure already.
+func (sv *server) mayProbe(now time.Duration, req Request) bool {
+	return sv.running == 0 && len(req.Tried) == 0 && now-sv.lastOutcomeAt >= probeInterval
+}
+
 func (sv *server) ejected(now time.Duration) bool { return now < sv.ejectedUntil }
 
 // failureRate returns the moving average of the fraction of requests that failed,
@@ -202,11 +212,21 @@
 	return 1 + failurePenalty*sv.failureRate(now)
 }
 
+// recordResponse ends the ejection of a server that could not be reached and has begun a
+// response since.
+func (sv *server) recordResponse() {
+	if sv.unreachable {
+		sv.unreachable = false
+		sv.ejectedUntil = 0
+	}
+}
+
 // applyReport updates the failure and ejection state from the end of a request.
 func (sv *server) applyReport(now time.Duration, r Report) {
 	switch r.Event {
 	case Done:
 		sv.consecutiveBreaks, sv.ejections = 0, 0
+		sv.ejectedUntil = 0
 		sv.recordOutcome(now, false)
 	case Rejected:
 		sv.fullUntil = now + rejectionBackoff
