Scheduler: above the load limit, the servers that have room share the load evenly

While several engines rejected requests, each counted as full for 60 ms, so that no engine within the limit had room, and the one with the cheapest prompt was filled without any bound. The limit is now taken over the engines that are not ejected, and, if that is not enough, over those that have room, one of which is always below it.

TestRejectingServersKeepTheBound failed before (five of nine rejecting, up to 40 of 771 requests above the bound).

--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -153,7 +153,8 @@
 //   - the ejected ones, within the load limit: they lost responses, but were reachable,
 //     so the limit need not be exceeded because of them
 //   - one that could not be reached, with one request at a time: it may be up again
-//   - the servers that are not ejected, over the load limit
+//   - the servers that are not ejected, within the load limit that follows from their mean
+//   - the same within the limit that follows from the servers that have room
 //   - all servers, if every one that req may go to is ejected
 //
 // A server that could not be reached gets no more than that: if it is down, it has the
@@ -175,7 +176,8 @@
 		{healthyServers, limit},
 		{reachableServers, limit},
 		{probedServers, limit},
-		{healthyServers, math.Inf(1)},
+		{healthyServers, s.limitOver(now, func(sv *server) bool { return !sv.ejected(now) }).requests},
+		{healthyServers, s.limitAmongAvailable(now, req)},
 	} {
 		if sv := s.chooseFrom(now, req, s.listedServers, step.servers, step.limit); sv != nil {
 			return sv
@@ -273,14 +275,34 @@
 	return s.limit
 }
 
+// limitAmongAvailable returns a load limit derived from the mean load of the servers that
+// are not ejected and may take req. It keeps their loads even while the others reject
+// requests.
+func (s *Scheduler) limitAmongAvailable(now time.Duration, req Request) float64 {
+	sum, n := 1, 0
+	for _, sv := range s.listedServers {
+		if sv.eligible(now, req) && !sv.ejected(now) && sv.load(now) < s.maxGrants(sv) {
+			sum += sv.load(now)
+			n++
+		}
+	}
+	return float64(sum)/float64(max(n, 1)) + 1
+}
+
 // newLimit returns the load limit, derived from the mean load of the accepting servers
 // with the new request included. Ejected servers count: each may be up, and a mean over
 // the others would let them take the load of all. Only requests that are known to be on
 // a server count.
 func (s *Scheduler) newLimit(now time.Duration) loadLimit {
+	return s.limitOver(now, func(*server) bool { return true })
+}
+
+// limitOver returns the load limit derived from the mean load of the accepting servers
+// that are included.
+func (s *Scheduler) limitOver(now time.Duration, included func(*server) bool) loadLimit {
 	sum, n := 1, 0
 	for _, sv := range s.listedServers {
-		if sv.accepting {
+		if sv.accepting && included(sv) {
 			sum += sv.knownLoad(now)
 			n++
 		}
