Scheduler: an ejected server gets one request at a time until it responds

Callers waited 450 ms for connections that time out, several at once each time the ejection of a dark engine had passed: it looked idle.

Now an ejected engine is silent until it responds: it gets one request at a time, when its time has passed or before another engine would exceed the bound; after a time-out it is left alone for ten times as long.

TestEjectedServerGetsOneRequestAtATime failed before (4 and 5 requests at a time).

--- a/internal/routing/scheduler/loadbound_test.go
+++ b/internal/routing/scheduler/loadbound_test.go
@@ -29,6 +29,8 @@
 	boundShare   = 0.03
 	// callerPatience is how long a caller waits for the next event of a stream.
 	callerPatience = 2 * time.Second
+	// connectTimeout is how long a connection to a dark server is attempted.
+	connectTimeout = 450 * time.Millisecond
 )
 
 // faultyService is a service whose servers run requests for a time that depends on the
@@ -52,6 +54,11 @@
 	// each server runs, with what happens to them if it crashes.
 	down     map[string]bool
 	inFlight map[string]map[uint64]scheduler.Decision
+	// dark holds the servers at which connections time out, with the number of requests
+	// that wait for one.
+	dark map[string]int
+	// mostDark is the largest number that waited at one server.
+	mostDark int
 	// full holds the servers that reject requests.
 	full map[string]bool
 	// sends holds the requests that reached a server.
@@ -89,6 +96,7 @@
 		holds:    make(map[string]int),
 		down:     make(map[string]bool),
 		inFlight: make(map[string]map[uint64]scheduler.Decision),
+		dark:     make(map[string]int),
 		full:     make(map[string]bool),
 	}
 	for _, sv := range listServers(f.s, servers, 0) {
@@ -168,6 +176,16 @@
 		f.retry(d)
 		return
 	}
+	if _, dark := f.dark[d.Server]; dark {
+		f.dark[d.Server]++
+		f.mostDark = max(f.mostDark, f.dark[d.Server])
+		f.after(connectTimeout, func() {
+			f.dark[d.Server]--
+			f.report(d, scheduler.Unreachable)
+			f.retry(d)
+		})
+		return
+	}
 	f.judge(d.Server)
 	if f.full[d.Server] {
 		f.report(d, scheduler.Rejected)
@@ -351,3 +369,24 @@
 		}
 	}
 }
+
+// TestEjectedServerGetsOneRequestAtATime: connections to three of nine servers time out
+// for many seconds. Whenever an ejection has passed, the server looks idle; it must not
+// attract a burst of requests, each of which waits for the time-out.
+func TestEjectedServerGetsOneRequestAtATime(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			f := newFaultyService(seed, 9)
+			f.run(130, 4*time.Second)
+			for _, name := range f.names[:3] {
+				f.crash(name)
+				delete(f.down, name)
+				f.dark[name] = 0
+			}
+			f.run(130, 2*time.Second)
+			f.mostDark = 0
+			f.run(130, 10*time.Second)
+			require.LessOrEqual(t, f.mostDark, 1)
+		})
+	}
+}
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -150,15 +150,14 @@
 // in turn:
 //
 //   - the servers that are not ejected, within the load limit
-//   - the ejected ones, within the load limit: they lost responses, but were reachable,
-//     so the limit need not be exceeded because of them
-//   - one that could not be reached, with one request at a time: it may be up again
+//   - an ejected one, within the load limit and with one request at a time, to find out
+//     whether it responds again: the limit need not be exceeded if it does
 //   - the servers that are not ejected, within the load limit that follows from their mean
 //   - the same within the limit that follows from the servers that have room
 //   - all servers, if every one that req may go to is ejected
 //
-// A server that could not be reached gets no more than that: if it is down, it has the
-// lowest load of all and would attract requests.
+// An ejected server gets no more than that: if it is down, it has the lowest load of all
+// and would attract requests.
 func (s *Scheduler) choose(now time.Duration, req Request) *server {
 	if s.full && now-s.fullAt < maxLimitAge {
 		return nil
@@ -174,7 +173,6 @@
 		limit   float64
 	}{
 		{healthyServers, limit},
-		{reachableServers, limit},
 		{probedServers, limit},
 		{healthyServers, s.limitOver(now, func(sv *server) bool { return !sv.ejected(now) }).requests},
 		{healthyServers, s.limitAmongAvailable(now, req)},
@@ -198,12 +196,9 @@
 const (
 	// healthyServers are not ejected.
 	healthyServers serverSet = iota
-	// reachableServers also include those that were ejected although they could be
-	// reached.
-	reachableServers
-	// probedServers also include those that could not be reached and may be tried again.
+	// probedServers also include the ejected ones that may be probed.
 	probedServers
-	// allServers also include those that could not be reached.
+	// allServers also include the other ejected ones.
 	allServers
 )
 
@@ -212,8 +207,6 @@
 	switch {
 	case !sv.ejected(now):
 		return true
-	case !sv.unreachable:
-		return set >= reachableServers
 	case set == probedServers:
 		return sv.mayProbe(now, req)
 	default:
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -307,13 +307,14 @@
 	}
 	if r.Event == Started {
 		g.server.recordReportedLoad(now, r)
-		g.server.recordResponse()
+		g.server.recordResponse(g.grantedAt)
 		return nil
 	}
 	delete(s.granted, id)
 	s.full = false
 	g.server.running--
 	g.server.recordReportedLoad(now, r)
+	r.Elapsed = now - g.grantedAt
 	g.server.applyReport(now, r)
 	if r.Event == Done {
 		s.completions.record(now)
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -17,11 +17,14 @@
 	// each ejection until a request succeeds.
 	minEjection = 400 * time.Millisecond
 	maxEjection = 6 * time.Second
-	// probeInterval is the least time between two requests to a server that could not be
-	// reached, while no other server has room within the load limit.
-	probeInterval = 100 * time.Millisecond
-	// breaksToEject is the number of consecutive Broken requests that ejects a server;
-	// a single Unreachable one does so at once.
+	// minProbeInterval is the least time between two requests to a server that could not
+	// be reached, while no other server has room within the load limit. The time is at
+	// least probePause times as long as the last failure took, so that few requests wait
+	// for a connection that is not refused, but times out.
+	minProbeInterval = 100 * time.Millisecond
+	probePause       = 10
+	// breaksToEject is the number of consecutive Broken requests that ejects a server that
+	// has no response in progress; a single Unreachable one does so at once.
 	breaksToEject = 2
 	// failureWeight is the weight of the latest outcome in the moving average of the
 	// failure rate. Without new outcomes the rate halves every failureHalfLife, so
@@ -85,8 +88,10 @@
 	// ejections counts the ejections since the last request that succeeded.
 	ejections    int
 	ejectedUntil time.Duration
-	// unreachable is true if the server was ejected because it could not be reached.
-	unreachable bool
+	// silent is true from an ejection until the server responds.
+	silent bool
+	// probeAt is the earliest time at which the server is probed; see mayProbe.
+	probeAt time.Duration
 	// fullUntil is the time until which a server that rejected a request gets no other.
 	fullUntil time.Duration
 	// lastFailureRate is the failure rate as of lastOutcomeAt.
@@ -179,14 +184,26 @@
 	return sv.accepting && now >= sv.fullUntil && !slices.Contains(req.Tried, sv.name)
 }
 
-// mayProbe reports whether req may be sent to a server that could not be reached, to find
-// out whether it can be by now. A request that has failed at a server is not used for
-// this, as its caller has waited for one failure already.
+// responding reports whether the server has responses in progress. A server that is down
+// has none: their connections break at the same time.
+func (sv *server) responding() bool { return sv.running > len(sv.unstarted) }
+
+// mayProbe reports whether req may be sent to an ejected server, to find out whether it
+// responds by now. Requests granted before the last failure may still be running there.
+// A request that has failed at a server is not used, as its caller has waited for one
+// failure already.
 func (sv *server) mayProbe(now time.Duration, req Request) bool {
-	return sv.running == 0 && len(req.Tried) == 0 && now-sv.lastOutcomeAt >= probeInterval
+	return !sv.probed() && len(req.Tried) == 0 && now >= sv.probeAt
 }
 
-func (sv *server) ejected(now time.Duration) bool { return now < sv.ejectedUntil }
+// probed reports whether a request is in flight that was granted after the last failure.
+func (sv *server) probed() bool { return len(sv.unstarted) > sv.unstartedBefore(sv.lastOutcomeAt) }
+
+// ejected reports whether the server is excluded from placement while others are healthy.
+// After its time has passed it gets one request at a time, until it responds.
+func (sv *server) ejected(now time.Duration) bool {
+	return sv.silent && (now < sv.ejectedUntil || sv.probed())
+}
 
 // failureRate returns the moving average of the fraction of requests that failed,
 // decayed for the time since the last outcome.
@@ -212,12 +229,11 @@
 	return 1 + failurePenalty*sv.failureRate(now)
 }
 
-// recordResponse ends the ejection of a server that could not be reached and has begun a
-// response since.
-func (sv *server) recordResponse() {
-	if sv.unreachable {
-		sv.unreachable = false
-		sv.ejectedUntil = 0
+// recordResponse ends the ejection of a server that has begun a response to a request
+// which was granted after its last failure.
+func (sv *server) recordResponse(grantedAt time.Duration) {
+	if grantedAt >= sv.lastOutcomeAt {
+		sv.silent = false
 	}
 }
 
@@ -225,21 +241,27 @@
 func (sv *server) applyReport(now time.Duration, r Report) {
 	switch r.Event {
 	case Done:
+		sv.silent = false
 		sv.consecutiveBreaks, sv.ejections = 0, 0
-		sv.ejectedUntil = 0
 		sv.recordOutcome(now, false)
 	case Rejected:
+		sv.silent = false
 		sv.fullUntil = now + rejectionBackoff
 		sv.recordOutcome(now, true)
 	case Failed:
+		sv.silent = false
 		sv.consecutiveBreaks = 0
 		sv.recordOutcome(now, true)
 	case Broken, Unreachable:
 		sv.recordOutcome(now, true)
 		sv.consecutiveBreaks++
-		if sv.consecutiveBreaks >= breaksToEject || r.Event == Unreachable {
+		if sv.consecutiveBreaks >= breaksToEject && !sv.responding() || r.Event == Unreachable {
 			sv.ejectedUntil = now + min(minEjection<<min(sv.ejections, 8), maxEjection)
-			sv.unreachable = r.Event == Unreachable
+			sv.silent = true
+			sv.probeAt = now
+			if r.Event == Unreachable {
+				sv.probeAt = now + max(minProbeInterval, probePause*r.Elapsed)
+			}
 			sv.ejections++
 			sv.consecutiveBreaks = 0
 		}
