A response of another server than the expected one ejects the expected one

Callers waited for retries: an engine that restarted under a new name rejects with 421 what is sent to the old name, which stays listed for seconds. A 421 was taken as 'full for 60 ms', so requests came again and again, each costing a retry.

It now counts as unreachable: the name is ejected and probed at most each 100 ms.

--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -200,6 +200,12 @@
 	if info.NotRun {
 		_, _ = io.CopyN(io.Discard, resp, copyBufferSize)
 		report.Event = scheduler.Rejected
+		if info.OtherServer {
+			// The load is that of the other server.
+			report = scheduler.Report{
+				Event: scheduler.Unreachable,
+			}
+		}
 		g.Report(report)
 		c.lastErr = fault.New(fault.NotRun, g.Server, "the backend server reported that it did not run the request")
 		return rejected
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -65,9 +65,10 @@
 
 func (testDialect) ParseResponse(_ int, h http.Header) edge.ResponseInfo {
 	return edge.ResponseInfo{
-		ID:     h.Get("Id"),
-		NotRun: h.Get("Not-Run") != "",
-		Signed: h.Get("Signed") != "",
+		ID:          h.Get("Id"),
+		NotRun:      h.Get("Not-Run") != "",
+		OtherServer: h.Get("Other") != "",
+		Signed:      h.Get("Signed") != "",
 	}
 }
 
@@ -414,6 +415,40 @@
 	}
 }
 
+// TestAddressOfAnotherServer: another server has taken over the address of one that is
+// still listed, and rejects what is sent to that one. While the other servers have no
+// slot free, callers must not be sent there over and over until the list is read again.
+func TestAddressOfAnotherServer(t *testing.T) {
+	respondOther := func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nId: %s\r\nNot-Run: 1\r\nOther: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+	}
+	respondLate := func(c net.Conn, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		respondOK(c, r)
+	}
+	e := newTestEnv(t, respondOther, respondLate)
+	start := time.Now()
+	var callers sync.WaitGroup
+	for range 16 {
+		callers.Go(func() {
+			for range 20 {
+				_, _, _ = e.do("/read/x")
+			}
+		})
+	}
+	callers.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	misdirected := 0
+	for _, name := range e.received {
+		if name == "b0" {
+			misdirected++
+		}
+	}
+	// One each 100 ms, and those in flight when the first one is rejected.
+	require.LessOrEqual(t, misdirected, int(time.Since(start)/(100*time.Millisecond))+8)
+}
+
 // TestRouteTimeout: a request that exceeds the timeout of its route fails shortly
 // after it.
 func TestRouteTimeout(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -115,6 +115,9 @@
 	// NotRun is true if the backend server states that it did not execute the
 	// request.
 	NotRun bool
+	// OtherServer is true if another backend server than the expected one responded,
+	// which has not executed the request: the expected one has left the address.
+	OtherServer bool
 	// Signed is true if the response carries the backend server's signature.
 	Signed bool
 	// HasLoad is true if the server reported its load: the numbers of Running
