Log the requests that were in flight at a server that went down

Callers could not be told why engines end one after the other: a broken connection looks the same whether the engine ended or only lost an answer, and the parts of the prompt stood nowhere. After a break the instance now opens another connection, which serves the next request if it is accepted; if not, a line names the server, the parts and how much of the answer the caller had.

--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -73,6 +73,7 @@
 	if _, err := c.w.Write(first); err != nil {
 		return c.endCallerLost()
 	}
+	c.bytesRelayed += len(first)
 	if _, err := io.Copy(c.w, resp); err != nil {
 		// The caller has a part of this response, so it can get no other.
 		c.lastErr = err
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -7,8 +7,12 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/daemon/placer"
 	"camphorspoke/internal/edge"
@@ -183,6 +187,7 @@
 		}
 		c.sends++
 		c.runs++
+		c.checkDown(g, 0)
 		g.Report(scheduler.Report{
 			Event: c.attributedEvent(scheduler.Broken),
 		})
@@ -214,7 +219,11 @@
 	report.Event = scheduler.Started
 	report.Elapsed = c.h.Now() - sent
 	g.Report(report)
+	relayed := c.bytesRelayed
 	result, event := c.relay(resp, info)
+	if event == scheduler.Broken {
+		c.checkDown(g, c.bytesRelayed-relayed)
+	}
 	g.Report(scheduler.Report{
 		Event:   c.attributedEvent(event),
 		Elapsed: c.h.Now() - sent,
@@ -225,6 +234,33 @@
 	return result
 }
 
+// checkDown logs that a server broke the connection of a request because it went down,
+// which shows in that it accepts no other. relayed is the number of bytes of its response
+// that the caller has received.
+func (c *call) checkDown(g *placer.Grant, relayed int) {
+	if c.ctx.Err() != nil || c.h.Pool.Accepts(g.Address) {
+		return
+	}
+	c.h.Logger.WithFields(logrus.Fields{
+		"request": c.req.ID,
+		"server":  g.Server,
+		"service": c.service,
+		"account": c.account,
+		"relayed": relayed,
+		"parts":   formatParts(c.req.Prompt),
+	}).Warn("ingress: a server went down with the request in flight")
+}
+
+// formatParts returns the IDs of the parts of a prompt in hexadecimal, as callers send
+// them.
+func formatParts(p edge.Prompt) string {
+	ids := make([]string, len(p.Parts))
+	for i, part := range p.Parts {
+		ids[i] = strconv.FormatUint(part.ID, 16)
+	}
+	return strings.Join(ids, ",")
+}
+
 // attributedEvent returns the event to report to the scheduler. A failure counts as
 // the server's only if the caller is still connected and the deadline has not passed.
 func (c *call) attributedEvent(e scheduler.Event) scheduler.Event {
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -131,7 +131,8 @@
 	headerSent bool
 	// status is the status code that was relayed, zero if none was.
 	status int
-	// bytesRelayed counts the body bytes written to the caller of a stream.
+	// bytesRelayed counts the body bytes written to the caller of a stream, and those of
+	// another response that were written before it had ended.
 	bytesRelayed int
 	// lastErr is the failure of the last exchange with a backend server.
 	lastErr error
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -38,6 +38,8 @@
 	idleMargin = 800 * time.Millisecond
 	// connectTimeout bounds the dialing of a connection.
 	connectTimeout = 450 * time.Millisecond
+	// acceptTimeout bounds the check whether a server accepts connections.
+	acceptTimeout  = 100 * time.Millisecond
 	readBufferSize = 8 << 10
 )
 
@@ -78,6 +80,20 @@
 	}
 }
 
+// Accepts reports whether the server at address accepts a new connection, which it
+// keeps for the next request. It is meant for a server that has just broken a
+// connection: one that is down refuses the next.
+func (p *Pool) Accepts(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	p.put(c, -1)
+	return true
+}
+
 func (p *Pool) popIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/edge/backend/backend_test.go
+++ b/internal/edge/backend/backend_test.go
@@ -280,3 +280,45 @@
 	}
 	require.EqualValues(t, 2, conns.Load())
 }
+
+// TestAccepts: a server that accepts connections is told from one that has gone down, and
+// the connection of the check serves the next request.
+func TestAccepts(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	p := &backend.Pool{
+		Now: boottime.New().Now,
+	}
+	t.Cleanup(p.Close)
+	require.True(t, p.Accepts(l.Addr().String()))
+	first := <-accepted
+	go func() {
+		r, err := http.ReadRequest(bufio.NewReader(first))
+		if err == nil {
+			fmt.Fprintf(first, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		}
+	}()
+	resp, err := p.Send(t.Context(), l.Addr().String(), &backend.Request{
+		Method:   http.MethodGet,
+		Target:   "/",
+		Host:     "h",
+		Header:   http.Header{"Id": {"a"}},
+		ID:       "a",
+		EchoedID: func(_ int, h http.Header) string { return h.Get("Id") },
+	})
+	require.NoError(t, err)
+	resp.Close()
+	require.Empty(t, accepted)
+	l.Close()
+	require.False(t, p.Accepts(l.Addr().String()))
+}
