--- /dev/null
+++ b/internal/daemon/ingress/crash_test.go
@@ -0,0 +1,219 @@
+package ingress_test
+
+// This file tests prompts that end the server which answers them.
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// deadlyPart is the part of a prompt that ends the server which answers it.
+	deadlyPart = "dead"
+	// crashDelay is how long after its response head such a server ends, and downFor
+	// how long it is down.
+	crashDelay = 30 * time.Millisecond
+	downFor    = 400 * time.Millisecond
+	// stableWindow is the time after the fifth crash from which at most
+	// deadlyAllowed requests with the part may reach servers.
+	stableWindow  = 3 * time.Second
+	deadlyAllowed = 3
+)
+
+const engineRules = `service s type=engine slots=8 cache-tokens=100000 # t: t
+route chat host=h prefix=/chat/ kind=stream to=s timeout=2s attempts=2 resume=yes public=yes # t: t
+`
+
+// fragileServer is a server that ends when it answers a prompt with the deadly part,
+// and is back at its address after a while.
+type fragileServer struct {
+	t       *testing.T
+	address string
+	crashes *crashLog
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+}
+
+// crashLog records the crashes of all servers and the deadly requests that reached them.
+type crashLog struct {
+	mu      sync.Mutex
+	crashes []time.Time
+	reached []time.Time
+}
+
+func newFragileServer(t *testing.T, crashes *crashLog) *fragileServer {
+	t.Helper()
+	s := &fragileServer{
+		t:       t,
+		address: "127.0.0.1:0",
+		crashes: crashes,
+	}
+	s.listen()
+	t.Cleanup(func() { s.close() })
+	return s
+}
+
+// listen opens the address and serves it.
+func (s *fragileServer) listen() {
+	l, err := net.Listen("tcp", s.address)
+	require.NoError(s.t, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.address, s.listener, s.conns = l.Addr().String(), l, make(map[net.Conn]bool)
+	go s.accept(l)
+}
+
+func (s *fragileServer) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+func (s *fragileServer) serve(c net.Conn) {
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		if strings.Contains(r.Header.Get("Parts"), deadlyPart) {
+			s.crashes.mu.Lock()
+			s.crashes.reached = append(s.crashes.reached, time.Now())
+			s.crashes.mu.Unlock()
+			time.Sleep(crashDelay)
+			s.crash()
+			return
+		}
+		for i := 1; i <= 3; i++ {
+			time.Sleep(10 * time.Millisecond)
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+			fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		}
+		io.WriteString(c, "0\r\n\r\n")
+	}
+}
+
+// crash ends the server, unless it has ended, and starts it again later.
+func (s *fragileServer) crash() {
+	if !s.close() {
+		return
+	}
+	s.crashes.mu.Lock()
+	s.crashes.crashes = append(s.crashes.crashes, time.Now())
+	s.crashes.mu.Unlock()
+	time.AfterFunc(downFor, s.listen)
+}
+
+// close ends the server and reports whether it was up.
+func (s *fragileServer) close() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener == nil {
+		return false
+	}
+	s.listener.Close()
+	for c := range s.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+	s.listener = nil
+	return true
+}
+
+// fifthCrash returns the time of the fifth crash; false if there were fewer.
+func (l *crashLog) fifthCrash() (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.crashes) < 5 {
+		return time.Time{}, false
+	}
+	return l.crashes[4], true
+}
+
+// reachedSince returns the number of deadly requests that reached servers after a time.
+func (l *crashLog) reachedSince(t time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, at := range l.reached {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestPartThatEndsServers: prompts with one part, in different prompts and beside sound
+// ones that share the others, end each server that answers them. A few seconds after
+// the fifth such end hardly any must reach a server, and sound requests are served.
+func TestPartThatEndsServers(t *testing.T) {
+	crashes := &crashLog{}
+	var addresses []string
+	for range 6 {
+		addresses = append(addresses, newFragileServer(t, crashes).address)
+	}
+	e := (&testEnv{t: t}).start(engineRules, addresses)
+	var sound, served atomic.Int32
+	var since atomic.Pointer[time.Time]
+	request := func(id int, parts string) int {
+		resp, _, err := e.do("/chat/x", "Id", fmt.Sprintf("r%d", id), "Parts", parts)
+		if err != nil {
+			return 0
+		}
+		return resp.StatusCode
+	}
+	var requests sync.WaitGroup
+	end := time.Now().Add(20 * time.Second)
+	for i := 0; time.Now().Before(end); i++ {
+		requests.Go(func() {
+			if i%5 == 0 {
+				request(i, fmt.Sprintf("a1 %s b%x", deadlyPart, i))
+				return
+			}
+			counted := since.Load() != nil
+			status := request(i, fmt.Sprintf("a1 c%x d%x", i%7, i))
+			if counted {
+				sound.Add(1)
+				if status == http.StatusOK {
+					served.Add(1)
+				}
+			}
+		})
+		time.Sleep(10 * time.Millisecond)
+		if fifth, ok := crashes.fifthCrash(); ok && time.Since(fifth) > stableWindow && since.Load() == nil {
+			now := time.Now()
+			since.Store(&now)
+			end = now.Add(1500 * time.Millisecond)
+		}
+	}
+	requests.Wait()
+	fifth, ok := crashes.fifthCrash()
+	if !ok {
+		return
+	}
+	require.LessOrEqual(t, crashes.reachedSince(fifth.Add(stableWindow)), deadlyAllowed)
+	require.GreaterOrEqual(t, float64(served.Load()), 0.9*float64(sound.Load()))
+}
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,16 @@
 		}
 		out.Timeout = d
 	}
+	for id := range strings.FieldsSeq(r.Header.Get("Parts")) {
+		n, err := strconv.ParseUint(id, 16, 64)
+		if err != nil {
+			return out, fault.Wrap(fault.BadRequest, "Parts", err)
+		}
+		out.Prompt.Parts = append(out.Prompt.Parts, edge.Part{
+			ID:     n,
+			Tokens: 100,
+		})
+	}
 	return out, nil
 }
 
@@ -146,23 +157,32 @@
 func newTestEnv(t *testing.T, responders ...responder) *testEnv {
 	t.Helper()
 	e := &testEnv{
-		t:          t,
-		membership: &fakeMembership{},
-		client: &http.Client{
-			Transport: &http.Transport{},
-		},
+		t: t,
+	}
+	var addresses []string
+	for i, respond := range responders {
+		addresses = append(addresses, e.backend(fmt.Sprintf("b%d", i), respond))
+	}
+	return e.start(fmt.Sprintf(ruleText, ruleset.KeyDigest("secret")), addresses)
+}
+
+// start serves an instance whose service has servers at the given addresses, called b0,
+// b1 and so on.
+func (e *testEnv) start(rules string, addresses []string) *testEnv {
+	t := e.t
+	e.membership = &fakeMembership{}
+	e.client = &http.Client{
+		Transport: &http.Transport{},
 	}
-	rules := fmt.Sprintf(ruleText, ruleset.KeyDigest("secret"))
 	f, err := parse.Rules("rules", []byte(rules))
 	require.NoError(t, err)
 	var servers []*pb.BackendServer
-	for i, respond := range responders {
-		name := fmt.Sprintf("b%d", i)
+	for i, address := range addresses {
 		servers = append(servers, &pb.BackendServer{
-			Name:    name,
+			Name:    fmt.Sprintf("b%d", i),
 			Service: "s",
 			Slots:   4,
-			Address: e.backend(name, respond),
+			Address: address,
 		})
 	}
 	e.membership.view = (&view.View{}).WithTables(1, true, servers, nil).WithRules(1, []byte(rules), f)
