Quarantine parts of prompts that end the servers which answer them

Instances report a server that broke the connection and accepts no other as down, and whether the caller had a part of the answer. From that the scheduler of the decider singles out the parts (package quarantine): blamed by the requests whose answer had begun, cleared by any answer, three servers one after the other. Parts that cannot be told apart are refused only together and taken out as they prove innocent. The log of the control group records a quarantine, so that it outlives the decider and reaches all instances with the tables. The decider tries one request after 30 s.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -27,34 +27,37 @@
 // The kinds of failure. Those of the first two groups, except KeyExpired, prove
 // that the request did not run; after the others it may have run. See classOf.
 const (
-	UnknownService  Kind = "unknownService"
-	UnknownAccount  Kind = "unknownClientAccount"
-	UnknownKind     Kind = "unknownKindOfWork"
-	UnknownServer   Kind = "unknownBackendServer"
-	UnknownRoute    Kind = "unknownRoute"
-	UnknownKey      Kind = "unknownKey"
-	BadChat         Kind = "badChatId"
-	BadRequest      Kind = "badRequest"
-	BadKey          Kind = "badRequestKey"
-	KeyExpired      Kind = "requestKeyExpired"
-	BodyTooLarge    Kind = "bodyTooLarge"
-	BadRules        Kind = "badRuleFile"
-	RuleConflict    Kind = "ruleConflict"
-	RulesStale      Kind = "rulesNotFresh"
-	NoQuorum        Kind = "noQuorum"
-	NotLeader       Kind = "notLeader"
-	NoEngine        Kind = "noEngine"
-	Overloaded      Kind = "overloaded"
-	DeadlineTooNear Kind = "deadlineTooNear"
-	AccountLimit    Kind = "accountLimit"
-	RetryBudget     Kind = "retryBudget"
-	NotRun          Kind = "notRun"
+	UnknownService    Kind = "unknownService"
+	UnknownAccount    Kind = "unknownClientAccount"
+	UnknownKind       Kind = "unknownKindOfWork"
+	UnknownServer     Kind = "unknownBackendServer"
+	UnknownRoute      Kind = "unknownRoute"
+	UnknownKey        Kind = "unknownKey"
+	UnknownQuarantine Kind = "unknownQuarantine"
+	BadChat           Kind = "badChatId"
+	BadRequest        Kind = "badRequest"
+	BadKey            Kind = "badRequestKey"
+	KeyExpired        Kind = "requestKeyExpired"
+	BodyTooLarge      Kind = "bodyTooLarge"
+	BadRules          Kind = "badRuleFile"
+	RuleConflict      Kind = "ruleConflict"
+	RulesStale        Kind = "rulesNotFresh"
+	NoQuorum          Kind = "noQuorum"
+	NotLeader         Kind = "notLeader"
+	NoEngine          Kind = "noEngine"
+	Overloaded        Kind = "overloaded"
+	DeadlineTooNear   Kind = "deadlineTooNear"
+	AccountLimit      Kind = "accountLimit"
+	RetryBudget       Kind = "retryBudget"
+	NotRun            Kind = "notRun"
 	// KeyNotRun means that, according to the replicated log of the control group,
 	// the request with this key did not run and never will.
-	KeyNotRun    Kind = "keyNotRun"
-	Leaving      Kind = "leaving"
-	ClaimSettled Kind = "claimSettled"
-	BadSetting   Kind = "badSetting"
+	KeyNotRun Kind = "keyNotRun"
+	Leaving   Kind = "leaving"
+	// PromptQuarantined means that parts of the prompt end the servers that answer them.
+	PromptQuarantined Kind = "promptQuarantined"
+	ClaimSettled      Kind = "claimSettled"
+	BadSetting        Kind = "badSetting"
 
 	// OverBound, NotOwner, NotCached, CircuitOpen and Unreachable mean that the
 	// request should be tried elsewhere. CircuitOpen means that the target's
@@ -108,7 +111,7 @@
 	switch k {
 	case UnknownKey:
 		return class{code: connect.CodeUnauthenticated, outcome: notRun}
-	case UnknownService, UnknownAccount, UnknownServer, UnknownKind, UnknownRoute:
+	case UnknownService, UnknownAccount, UnknownServer, UnknownKind, UnknownRoute, UnknownQuarantine:
 		return class{code: connect.CodeNotFound, outcome: notRun}
 	case BadChat, BadRequest, BadKey, BadRules, BadSetting:
 		return class{code: connect.CodeInvalidArgument, outcome: notRun}
@@ -123,7 +126,7 @@
 		return class{code: connect.CodeAborted, outcome: notRun}
 	case DeadlineTooNear:
 		return class{code: connect.CodeDeadlineExceeded, outcome: notRun}
-	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
+	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
 		return class{code: connect.CodeUnavailable, outcome: notRun}
 	case InDoubt, LinkBroken, TimedOut:
 		return class{code: connect.CodeUnknown, outcome: pb.Outcome_OUTCOME_IN_DOUBT}
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -1,6 +1,6 @@
 // Package ledger implements the replicated state machine of the control group:
 // rules, instances, backend servers and their owners, claims on idempotency
-// keys, and engine orders.
+// keys, engine orders, and quarantined parts of prompts.
 //
 // Apply is deterministic: it reads no clock, makes no random choice and parses
 // no rule file, so every replica has the same state at the same log index. Each
@@ -46,6 +46,7 @@
 	instances         map[string]*pb.Instance
 	claims            map[claimKey]*pb.Claim
 	orders            map[uint64]*pb.EngineOrder
+	quarantines       map[quarantineKey]*pb.Quarantine
 	lastFencingNumber uint64
 	expiredBefore     int64
 	// routerListIndex is the log index at which an instance was last added to
@@ -76,6 +77,7 @@
 	l.instances = make(map[string]*pb.Instance)
 	l.claims = make(map[claimKey]*pb.Claim)
 	l.orders = make(map[uint64]*pb.EngineOrder)
+	l.quarantines = make(map[quarantineKey]*pb.Quarantine)
 }
 
 func (l *Ledger) apply(index uint64, c *pb.Command) *pb.Result {
@@ -100,6 +102,8 @@
 		return l.finishOrder(k.FinishOrder)
 	case *pb.Command_ExpireClaims:
 		return l.expireClaims(k.ExpireClaims.GetBefore())
+	case *pb.Command_Quarantine:
+		return l.quarantine(index, k.Quarantine)
 	default:
 		return &pb.Result{}
 	}
@@ -141,6 +145,10 @@
 	for _, id := range slices.Sorted(maps.Keys(l.orders)) {
 		s.Orders = append(s.Orders, l.orders[id])
 	}
+	for _, q := range l.quarantines {
+		s.Quarantines = append(s.Quarantines, q)
+	}
+	slices.SortFunc(s.Quarantines, compareQuarantines)
 	return s
 }
 
@@ -186,6 +194,9 @@
 	for _, o := range s.GetOrders() {
 		l.orders[o.GetId()] = o
 	}
+	for _, q := range s.GetQuarantines() {
+		l.quarantines[quarantineKeyOf(q)] = q
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/control/ledger/quarantines.go
@@ -0,0 +1,75 @@
+package ledger
+
+// This file defines the table of quarantined parts of prompts.
+
+import (
+	"cmp"
+
+	"google.golang.org/protobuf/proto"
+
+	"camphorspoke/internal/base/fault"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+)
+
+// maxQuarantines bounds the table. Beyond it the row that changed the longest ago is
+// dropped, a released one first.
+const maxQuarantines = 512
+
+// quarantineKey identifies a quarantine.
+type quarantineKey struct {
+	service string
+	id      uint64
+}
+
+func quarantineKeyOf(q *pb.Quarantine) quarantineKey {
+	return quarantineKey{
+		service: q.GetService(),
+		id:      q.GetId(),
+	}
+}
+
+func compareQuarantines(a, b *pb.Quarantine) int {
+	return cmp.Or(cmp.Compare(a.GetService(), b.GetService()), cmp.Compare(a.GetId(), b.GetId()))
+}
+
+// quarantine adds, changes or releases a quarantine. The row of a released one stays, so
+// that routers receive the release.
+func (l *Ledger) quarantine(index uint64, q *pb.Quarantine) *pb.Result {
+	key := quarantineKeyOf(q)
+	old := l.quarantines[key]
+	if q.GetReleased() && (old == nil || old.GetReleased()) {
+		return failure(fault.UnknownQuarantine, q.GetService())
+	}
+	row := proto.Clone(q).(*pb.Quarantine)
+	if q.GetReleased() {
+		row.Parts = old.GetParts()
+	}
+	if !old.GetReleased() {
+		row.FailedTrials = max(row.GetFailedTrials(), old.GetFailedTrials())
+	}
+	row.ChangedIndex = index
+	l.rowsIndex = index
+	l.quarantines[key] = row
+	l.trimQuarantines()
+	return &pb.Result{}
+}
+
+func (l *Ledger) trimQuarantines() {
+	for len(l.quarantines) > maxQuarantines {
+		var first *pb.Quarantine
+		for _, q := range l.quarantines {
+			if first == nil || trimmedBefore(q, first) {
+				first = q
+			}
+		}
+		delete(l.quarantines, quarantineKeyOf(first))
+	}
+}
+
+// trimmedBefore reports whether a is dropped before b.
+func trimmedBefore(a, b *pb.Quarantine) bool {
+	if a.GetReleased() != b.GetReleased() {
+		return a.GetReleased()
+	}
+	return a.GetChangedIndex() < b.GetChangedIndex()
+}
--- a/internal/control/ledger/tables.go
+++ b/internal/control/ledger/tables.go
@@ -16,11 +16,15 @@
 // ChangedRows holds the rows that changed after some log index. Index is the index of
 // the last command applied when they were read.
 type ChangedRows struct {
-	Index     uint64
-	Servers   []*pb.BackendServer
-	Instances []*pb.Instance
+	Index       uint64
+	Servers     []*pb.BackendServer
+	Instances   []*pb.Instance
+	Quarantines []*pb.Quarantine
 }
 
+// Len returns the number of rows.
+func (c ChangedRows) Len() int { return len(c.Servers) + len(c.Instances) + len(c.Quarantines) }
+
 // Changes returns the rows that changed after log index since; zero returns all
 // rows. Rows are replaced rather than modified, so they may be read without a
 // lock.
@@ -43,6 +47,11 @@
 			t.Instances = append(t.Instances, i)
 		}
 	}
+	for _, q := range l.quarantines {
+		if q.GetChangedIndex() > since {
+			t.Quarantines = append(t.Quarantines, q)
+		}
+	}
 	return t
 }
 
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -215,11 +215,15 @@
 		Frozen:     slices.Sorted(maps.Keys(m.pending)),
 		Instances:  changes.Instances,
 		Whole:      req.GetSeenIndex() == 0,
-		Term:       m.term,
-		Loads:      m.otherLoads(now, h, row.Loads),
+
+		Quarantines: changes.Quarantines,
+
+		Term:  m.term,
+		Loads: m.otherLoads(now, h, row.Loads),
 	}
-	if len(changes.Servers)+len(changes.Instances) > maxHeartbeatRows {
+	if changes.Len() > maxHeartbeatRows {
 		resp.Index, resp.Servers, resp.Instances, resp.Whole = req.GetSeenIndex(), nil, nil, false
+		resp.Quarantines = nil
 		resp.TablesBehind = true
 	}
 	version, content := l.Rules()
--- a/internal/control/tables/tables.go
+++ b/internal/control/tables/tables.go
@@ -87,6 +87,8 @@
 		Servers:   changes.Servers,
 		Instances: changes.Instances,
 		Whole:     since == 0,
+
+		Quarantines: changes.Quarantines,
 	})
 	if err != nil {
 		return nil, nil, fault.Wrap(fault.Internal, "tables", err)
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -187,9 +187,8 @@
 		}
 		c.sends++
 		c.runs++
-		c.checkDown(g, 0)
 		g.Report(scheduler.Report{
-			Event: c.attributedEvent(scheduler.Broken),
+			Event: c.attributedEvent(c.brokenEvent(g, 0)),
 		})
 		return broken
 	}
@@ -221,12 +220,14 @@
 	g.Report(report)
 	relayed := c.bytesRelayed
 	result, event := c.relay(resp, info)
+	relayed = c.bytesRelayed - relayed
 	if event == scheduler.Broken {
-		c.checkDown(g, c.bytesRelayed-relayed)
+		event = c.brokenEvent(g, relayed)
 	}
 	g.Report(scheduler.Report{
-		Event:   c.attributedEvent(event),
-		Elapsed: c.h.Now() - sent,
+		Event:    c.attributedEvent(event),
+		Elapsed:  c.h.Now() - sent,
+		Answered: relayed > 0,
 	})
 	if result == ended && !c.mustAbort {
 		c.logOutcome("done", nil)
@@ -234,12 +235,12 @@
 	return result
 }
 
-// checkDown logs that a server broke the connection of a request because it went down,
-// which shows in that it accepts no other. relayed is the number of bytes of its response
-// that the caller has received.
-func (c *call) checkDown(g *placer.Grant, relayed int) {
+// brokenEvent returns the event to report for a broken connection: Down if the server
+// accepts no other, which is logged. relayed is the number of bytes of its response that
+// the caller has received.
+func (c *call) brokenEvent(g *placer.Grant, relayed int) scheduler.Event {
 	if c.ctx.Err() != nil || c.h.Pool.Accepts(g.Address) {
-		return
+		return scheduler.Broken
 	}
 	c.h.Logger.WithFields(logrus.Fields{
 		"request": c.req.ID,
@@ -249,6 +250,7 @@
 		"relayed": relayed,
 		"parts":   formatParts(c.req.Prompt),
 	}).Warn("ingress: a server went down with the request in flight")
+	return scheduler.Down
 }
 
 // formatParts returns the IDs of the parts of a prompt in hexadecimal, as callers send
--- a/internal/daemon/membership/heartbeat.go
+++ b/internal/daemon/membership/heartbeat.go
@@ -142,7 +142,12 @@
 	old = a.view.Load()
 	a.cfg.Checker.Check(resp.GetIndex() >= req.GetSeenIndex(), "tablesRise",
 		"the leader answered with log index %d, this router had index %d when it sent the heartbeat", resp.GetIndex(), req.GetSeenIndex())
-	next = withRows(old, resp.GetIndex(), resp.GetWhole(), resp.GetServers(), resp.GetInstances())
+	next = withRows(old, resp.GetIndex(), &pb.TableRows{
+		Servers:     resp.GetServers(),
+		Instances:   resp.GetInstances(),
+		Whole:       resp.GetWhole(),
+		Quarantines: resp.GetQuarantines(),
+	})
 	a.cfg.Checker.Check(resp.GetRuleVersion() >= req.GetRuleVersion(), "ruleVersionRises",
 		"the leader answered with rule version %d, this router held %d when it sent the heartbeat", resp.GetRuleVersion(), req.GetRuleVersion())
 	next, ok := a.applyRules(next, resp.GetRuleVersion(), a.ruleText(next, resp))
--- a/internal/daemon/membership/tables.go
+++ b/internal/daemon/membership/tables.go
@@ -87,19 +87,23 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	old = a.view.Load()
-	next = withRows(old, index, rows.GetWhole(), rows.GetServers(), rows.GetInstances())
+	next = withRows(old, index, rows)
 	a.view.Store(next)
 	return old, next
 }
 
 // withRows returns v with the given rows, which are complete up to index; v itself if
 // it is as recent. Rows that arrive late must not replace newer ones.
-func withRows(v *view.View, index uint64, whole bool, servers []*pb.BackendServer, instances []*pb.Instance) *view.View {
+func withRows(v *view.View, index uint64, rows *pb.TableRows) *view.View {
 	if index <= v.Index {
 		return v
 	}
-	if len(servers) == 0 && len(instances) == 0 && !whole {
-		return v.WithIndex(index)
+	next := v.WithIndex(index)
+	if rows.GetWhole() || len(rows.GetServers()) > 0 || len(rows.GetInstances()) > 0 {
+		next = v.WithTables(index, rows.GetWhole(), rows.GetServers(), rows.GetInstances())
 	}
-	return v.WithTables(index, whole, servers, instances)
+	if rows.GetWhole() || len(rows.GetQuarantines()) > 0 {
+		next = next.WithQuarantines(rows.GetWhole(), rows.GetQuarantines())
+	}
+	return next
 }
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -121,6 +121,7 @@
 			Running:   uint32(r.Running),
 			Waiting:   uint32(r.Waiting),
 			ElapsedMs: uint32(r.Elapsed.Milliseconds()),
+			Answered:  r.Answered,
 		},
 	})
 }
@@ -185,6 +186,7 @@
 				FetchFrom:        m.GetFetchFrom(),
 				RereadTokens:     int(m.GetReread()),
 				Reuse:            m.GetReuse(),
+				Quarantine:       m.GetQuarantine(),
 			}, true
 		case <-timer.C:
 			withdraw()
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -74,7 +75,9 @@
 	// CacheReader queries engines for the prefixes that they have cached; nil if the
 	// engines do not support it.
 	CacheReader edge.CacheReader
-	Logger      logrus.FieldLogger
+	// Record records a change of a quarantine for all instances; it may be nil.
+	Record func(ctx context.Context, q *pb.Quarantine) error
+	Logger logrus.FieldLogger
 }
 
 // Placer chooses backend servers for the requests that enter at one instance.
@@ -142,6 +145,7 @@
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wg.Go(p.runTicker)
+	p.wg.Go(p.runRecorder)
 	return p, func() {
 		p.cancel()
 		p.wg.Wait()
@@ -355,6 +359,13 @@
 		kind = fault.NoEngine
 	case scheduler.RetryBudget:
 		kind = fault.RetryBudget
+	case scheduler.Quarantined:
+		return &fault.Fault{
+			Kind:       fault.PromptQuarantined,
+			Subject:    strconv.FormatUint(d.Quarantine, 16),
+			Advice:     "parts of the prompt end the servers that answer them",
+			RetryAfter: d.RetryAfter,
+		}
 	}
 	return &fault.Fault{
 		Kind:       kind,
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/routing/view"
@@ -36,6 +37,8 @@
 	// complete holds the services for which this instance, as their decider, knows
 	// what the engines have cached.
 	complete map[string]bool
+	// changes holds the changes of quarantines that are not recorded yet.
+	changes chan *pb.Quarantine
 }
 
 func newSchedulers(cfg Config) *Schedulers {
@@ -48,6 +51,7 @@
 		decidedAt: make(map[string]time.Duration),
 		fedAt:     make(map[string]time.Duration),
 		complete:  make(map[string]bool),
+		changes:   make(chan *pb.Quarantine, maxUnrecorded),
 	}
 }
 
@@ -121,6 +125,8 @@
 		list := lists[name]
 		slices.SortFunc(list, func(a, b scheduler.Server) int { return strings.Compare(a.Name, b.Name) })
 		s.SetServers(list)
+		s.SetQuarantines(d.cfg.Now(), quarantines(v.Quarantines[name]))
+		d.recordChanges(name, s)
 	}
 }
 
@@ -144,6 +150,7 @@
 	if isDecider {
 		d.queryUnlessInformed(service)
 	}
+	req.MayTry = isDecider
 	recorded := answer
 	if isDecider {
 		recorded = func(decision scheduler.Decision) {
@@ -152,6 +159,7 @@
 		}
 	}
 	decision, ok := s.Schedule(d.cfg.Now(), req)
+	d.recordChanges(service, s)
 	if ok {
 		recorded(decision)
 		return req.ID, false
@@ -170,6 +178,7 @@
 	}
 	if s := d.services[service]; s != nil {
 		d.deliver(s.Report(d.cfg.Now(), id, r))
+		d.recordChanges(service, s)
 	}
 }
 
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -116,6 +116,7 @@
 		FetchFrom:           d.FetchFrom,
 		Reread:              uint32(d.RereadTokens),
 		Reuse:               d.Reuse,
+		Quarantine:          d.Quarantine,
 	})
 }
 
@@ -144,6 +145,8 @@
 		Running: int(r.GetRunning()),
 		Waiting: int(r.GetWaiting()),
 		Elapsed: time.Duration(r.GetElapsedMs()) * time.Millisecond,
+
+		Answered: r.GetAnswered(),
 	})
 }
 
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -5,6 +5,7 @@
 // platform over the platform's own HTTP protocol.
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"os"
@@ -220,6 +221,7 @@
 		Unresponsive: in.agent.Unresponsive,
 		Leader:       in.agent.Leader,
 		CacheReader:  in.adapters.CacheReader,
+		Record:       in.recordQuarantine,
 		Logger:       in.log,
 	})
 	in.onCleanUp(stopPlacer)
@@ -238,6 +240,23 @@
 	return nil
 }
 
+// recordQuarantine records a change of a quarantine in the log of the control group.
+func (in *instance) recordQuarantine(ctx context.Context, q *pb.Quarantine) error {
+	r, err := in.control.Propose(ctx, &pb.Command{
+		Kind: &pb.Command_Quarantine{
+			Quarantine: q,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	if r.GetFailure() != "" && r.GetFailure() != fault.UnknownQuarantine {
+		return fault.New(r.GetFailure(), r.GetSubject(), "the quarantine was not recorded")
+	}
+	// One that is unknown was released already.
+	return nil
+}
+
 // leadership returns the address of the local replica and the peer addresses of the
 // instances whose recent heartbeats are missing, if the local replica is the leader.
 func (e *entry) leadership() (leader string, unresponsivePeers []string) {
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -96,6 +96,24 @@
 	return respond(&pb.DrainResponse{}, err)
 }
 
+// Release ends a quarantine of parts of prompts.
+func (h *Handler) Release(ctx context.Context, r *connect.Request[pb.ReleaseRequest]) (*connect.Response[pb.ReleaseResponse], error) {
+	if err := requireReason(r.Msg.GetReason()); err != nil {
+		return nil, fault.Connect(err)
+	}
+	_, err := h.propose(ctx, &pb.Command{
+		Kind: &pb.Command_Quarantine{
+			Quarantine: &pb.Quarantine{
+				Service:  r.Msg.GetService(),
+				Id:       r.Msg.GetQuarantine(),
+				Released: true,
+				Source:   r.Msg.GetReason(),
+			},
+		},
+	}, "use a service and an ID that camphor quarantines lists")
+	return respond(&pb.ReleaseResponse{}, err)
+}
+
 // OrderEngine places an order for a model engine.
 func (h *Handler) OrderEngine(ctx context.Context, r *connect.Request[pb.OrderEngineRequest]) (*connect.Response[pb.OrderEngineResponse], error) {
 	switch r.Msg.GetAction() {
--- a/internal/gen/camphorspoke/v1/camphorspokev1connect/operator.connect.go
+++ b/internal/gen/camphorspoke/v1/camphorspokev1connect/operator.connect.go
@@ -41,6 +41,8 @@
 	OperatorServiceShowRulesProcedure = "/camphorspoke.v1.OperatorService/ShowRules"
 	// OperatorServiceDrainProcedure is the fully-qualified name of the OperatorService's Drain RPC.
 	OperatorServiceDrainProcedure = "/camphorspoke.v1.OperatorService/Drain"
+	// OperatorServiceReleaseProcedure is the fully-qualified name of the OperatorService's Release RPC.
+	OperatorServiceReleaseProcedure = "/camphorspoke.v1.OperatorService/Release"
 	// OperatorServiceOrderEngineProcedure is the fully-qualified name of the OperatorService's
 	// OrderEngine RPC.
 	OperatorServiceOrderEngineProcedure = "/camphorspoke.v1.OperatorService/OrderEngine"
@@ -62,6 +64,8 @@
 	ApplyRules(context.Context, *connect.Request[v1.ApplyRulesRequest]) (*connect.Response[v1.ApplyRulesResponse], error)
 	ShowRules(context.Context, *connect.Request[v1.ShowRulesRequest]) (*connect.Response[v1.ShowRulesResponse], error)
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
+	// Release ends a quarantine of parts of prompts.
+	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	OrderEngine(context.Context, *connect.Request[v1.OrderEngineRequest]) (*connect.Response[v1.OrderEngineResponse], error)
 	ListClaims(context.Context, *connect.Request[v1.ListClaimsRequest]) (*connect.Response[v1.ListClaimsResponse], error)
 	SettleClaim(context.Context, *connect.Request[v1.SettleClaimRequest]) (*connect.Response[v1.SettleClaimResponse], error)
@@ -99,6 +103,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 			connect.WithClientOptions(opts...),
 		),
+		release: connect.NewClient[v1.ReleaseRequest, v1.ReleaseResponse](
+			httpClient,
+			baseURL+OperatorServiceReleaseProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Release")),
+			connect.WithClientOptions(opts...),
+		),
 		orderEngine: connect.NewClient[v1.OrderEngineRequest, v1.OrderEngineResponse](
 			httpClient,
 			baseURL+OperatorServiceOrderEngineProcedure,
@@ -137,6 +147,7 @@
 	applyRules    *connect.Client[v1.ApplyRulesRequest, v1.ApplyRulesResponse]
 	showRules     *connect.Client[v1.ShowRulesRequest, v1.ShowRulesResponse]
 	drain         *connect.Client[v1.DrainRequest, v1.DrainResponse]
+	release       *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
 	orderEngine   *connect.Client[v1.OrderEngineRequest, v1.OrderEngineResponse]
 	listClaims    *connect.Client[v1.ListClaimsRequest, v1.ListClaimsResponse]
 	settleClaim   *connect.Client[v1.SettleClaimRequest, v1.SettleClaimResponse]
@@ -159,6 +170,11 @@
 	return c.drain.CallUnary(ctx, req)
 }
 
+// Release calls camphorspoke.v1.OperatorService.Release.
+func (c *operatorServiceClient) Release(ctx context.Context, req *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
+	return c.release.CallUnary(ctx, req)
+}
+
 // OrderEngine calls camphorspoke.v1.OperatorService.OrderEngine.
 func (c *operatorServiceClient) OrderEngine(ctx context.Context, req *connect.Request[v1.OrderEngineRequest]) (*connect.Response[v1.OrderEngineResponse], error) {
 	return c.orderEngine.CallUnary(ctx, req)
@@ -189,6 +205,8 @@
 	ApplyRules(context.Context, *connect.Request[v1.ApplyRulesRequest]) (*connect.Response[v1.ApplyRulesResponse], error)
 	ShowRules(context.Context, *connect.Request[v1.ShowRulesRequest]) (*connect.Response[v1.ShowRulesResponse], error)
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
+	// Release ends a quarantine of parts of prompts.
+	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	OrderEngine(context.Context, *connect.Request[v1.OrderEngineRequest]) (*connect.Response[v1.OrderEngineResponse], error)
 	ListClaims(context.Context, *connect.Request[v1.ListClaimsRequest]) (*connect.Response[v1.ListClaimsResponse], error)
 	SettleClaim(context.Context, *connect.Request[v1.SettleClaimRequest]) (*connect.Response[v1.SettleClaimResponse], error)
@@ -222,6 +240,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceReleaseHandler := connect.NewUnaryHandler(
+		OperatorServiceReleaseProcedure,
+		svc.Release,
+		connect.WithSchema(operatorServiceMethods.ByName("Release")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceOrderEngineHandler := connect.NewUnaryHandler(
 		OperatorServiceOrderEngineProcedure,
 		svc.OrderEngine,
@@ -260,6 +284,8 @@
 			operatorServiceShowRulesHandler.ServeHTTP(w, r)
 		case OperatorServiceDrainProcedure:
 			operatorServiceDrainHandler.ServeHTTP(w, r)
+		case OperatorServiceReleaseProcedure:
+			operatorServiceReleaseHandler.ServeHTTP(w, r)
 		case OperatorServiceOrderEngineProcedure:
 			operatorServiceOrderEngineHandler.ServeHTTP(w, r)
 		case OperatorServiceListClaimsProcedure:
@@ -291,6 +317,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.OperatorService.Drain is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.OperatorService.Release is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) OrderEngine(context.Context, *connect.Request[v1.OrderEngineRequest]) (*connect.Response[v1.OrderEngineResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.OperatorService.OrderEngine is not implemented"))
 }
--- /dev/null
+++ b/internal/routing/quarantine/quarantine.go
@@ -0,0 +1,326 @@
+// Package quarantine finds parts of prompts that end the server which answers them, and
+// decides which requests are refused because of them.
+//
+// Load pattern: one part makes every engine that begins to answer it go down, whatever
+// else the prompt holds. Each of the callers' requests with it, and each retry, ends one
+// more engine, together with all requests that run there.
+//
+// The requests that were in flight at a server when it went down, and of which the
+// caller had no part of the answer yet, share the blame. If the answers to some of them had
+// begun, only those do, as the others were still queued or being read. All parts of a
+// blamed request but the last are blamed; the last belongs to the request alone. These
+// rules single out the part that is at fault:
+//
+//   - A part is innocent once the answer to a request with it has reached the caller, if
+//     the request was granted after the part was first blamed. Parts that many prompts
+//     share are cleared so within moments.
+//   - A part is blamed again only by a request that was granted after the previous server
+//     went down. Servers that go down together, for a reason of their own, are thus one
+//     piece of evidence.
+//   - Parts that are blamed for the same servers cannot be told apart. They are
+//     quarantined together: only a request with all of them is refused, and those that
+//     turn out to be innocent are taken out.
+//   - Where a quarantine explains the end of a server, no other part is blamed for it.
+//
+// After a pause one request is let through as a trial: if it is answered, the quarantine
+// ends, otherwise the pause doubles.
+//
+// Tracker is a deterministic state machine without a clock or I/O.
+package quarantine
+
+// This file defines Tracker and its verdicts on requests.
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// minTrialPause is the time until the first trial of a quarantine; it doubles with
+	// each failed trial, up to maxTrialPause.
+	minTrialPause = 30 * time.Second
+	maxTrialPause = time.Hour
+	// trialTimeout is the time after which a trial without an outcome counts no longer.
+	trialTimeout = time.Minute
+	// minRetryAfter is the least retry delay for a refused caller.
+	minRetryAfter = time.Second
+	// maxQuarantines bounds the memory, as callers may invent parts.
+	maxQuarantines = 256
+)
+
+// Quarantine is a set of parts that are refused in one prompt.
+type Quarantine struct {
+	// ID names the quarantine; it stays while parts are taken out.
+	ID uint64
+	// Parts are in ascending order.
+	Parts []uint64
+	// FailedTrials is the number of trials that ended a server.
+	FailedTrials int
+	// Released is true if the quarantine has ended.
+	Released bool
+}
+
+// Refusal tells why a request is refused.
+type Refusal struct {
+	// ID is that of the quarantine.
+	ID         uint64
+	RetryAfter time.Duration
+}
+
+// Tracker holds the suspected and the quarantined parts of one service. Its zero value is
+// ready for use. It is not safe for concurrent use.
+type Tracker struct {
+	suspects    suspects
+	quarantines map[uint64]*entry
+	changes     []Quarantine
+}
+
+// entry is a quarantine with its state in this process.
+type entry struct {
+	Quarantine
+	// since is the time from which an answered request clears parts.
+	since   time.Duration
+	trialAt time.Duration
+	// triedAt is when the trial in progress began, if trying is true.
+	triedAt time.Duration
+	trying  bool
+	// recorded is true once the quarantine has been among the recorded ones. A released
+	// one is kept until it no longer is.
+	recorded   bool
+	releasedAt time.Duration
+}
+
+// Idle reports whether no part is suspected or quarantined.
+func (t *Tracker) Idle() bool { return len(t.quarantines) == 0 && t.suspects.idle() }
+
+// Len returns the number of quarantines.
+func (t *Tracker) Len() int { return len(t.quarantines) }
+
+// Down records a request that was in flight at a server which went down.
+func (t *Tracker) Down(now time.Duration, server string, v Victim) {
+	t.judgeEnds(now)
+	t.suspects.addVictim(now, server, v)
+}
+
+// judgeEnds blames the victims of the ends whose reports have been gathered, unless a
+// quarantine explains the end.
+func (t *Tracker) judgeEnds(now time.Duration) {
+	for _, e := range t.suspects.gathered(now) {
+		if !t.explains(e) {
+			t.suspects.blame(e)
+		}
+	}
+}
+
+// explains reports whether a victim of an end has all parts of a quarantine. It ends the
+// trials that the victims were.
+func (t *Tracker) explains(e *end) bool {
+	explained := false
+	for _, v := range e.victims {
+		for _, q := range t.quarantines {
+			if q.Released || !containsAll(v.Parts, q.Parts) {
+				continue
+			}
+			explained = true
+			t.failTrial(e.at, v.GrantedAt, q)
+		}
+	}
+	return explained
+}
+
+// failTrial records that a trial has ended a server.
+func (t *Tracker) failTrial(now, grantedAt time.Duration, q *entry) {
+	if !q.trying || grantedAt < q.triedAt {
+		return
+	}
+	q.trying = false
+	q.FailedTrials++
+	q.trialAt = now + trialPause(q.FailedTrials)
+	t.change(q)
+}
+
+// trialPause returns the time until the next trial.
+func trialPause(failed int) time.Duration {
+	return min(minTrialPause<<min(failed, 8), maxTrialPause)
+}
+
+func (t *Tracker) change(q *entry) {
+	c := q.Quarantine
+	c.Parts = slices.Clone(q.Parts)
+	t.changes = append(t.changes, c)
+}
+
+// Clear records that the caller of a request has received an answer, or a part of it.
+// parts are those of its prompt but the last.
+func (t *Tracker) Clear(now, grantedAt time.Duration, parts []uint64) {
+	t.judgeEnds(now)
+	t.suspects.clear(grantedAt, parts)
+	for _, q := range t.quarantines {
+		if !q.Released && grantedAt >= q.since {
+			t.takeOut(now, q, parts)
+		}
+	}
+}
+
+// takeOut takes innocent parts out of a quarantine, which ends if none is left.
+func (t *Tracker) takeOut(now time.Duration, q *entry, innocent []uint64) {
+	guilty := slices.DeleteFunc(slices.Clone(q.Parts), func(p uint64) bool { return slices.Contains(innocent, p) })
+	switch len(guilty) {
+	case len(q.Parts):
+	case 0:
+		t.release(now, q)
+	default:
+		q.Parts = guilty
+		t.change(q)
+	}
+}
+
+func (t *Tracker) release(now time.Duration, q *entry) {
+	q.Released, q.releasedAt = true, now
+	t.change(q)
+	if !q.recorded {
+		delete(t.quarantines, q.ID)
+	}
+}
+
+// Check returns nil if a request may be sent. parts are those of its prompt but the last.
+// mayTry is true if it may be the trial of a quarantine. survived reports whether a
+// request with a part, granted after a time, is being answered.
+func (t *Tracker) Check(now time.Duration, parts []uint64, mayTry bool, survived func(part uint64, since time.Duration) bool) *Refusal {
+	t.judgeEnds(now)
+	for _, part := range parts {
+		if set := t.suspects.guilty(now, part, survived); len(set) > 0 {
+			t.quarantine(now, set)
+		}
+	}
+	var trial *entry
+	for _, id := range slices.Sorted(maps.Keys(t.quarantines)) {
+		q := t.quarantines[id]
+		if q.Released || !containsAll(parts, q.Parts) {
+			continue
+		}
+		if !mayTry || !q.trialDue(now) || trial != nil {
+			return &Refusal{
+				ID:         q.ID,
+				RetryAfter: max(q.trialAt-now, minRetryAfter),
+			}
+		}
+		trial = q
+	}
+	if trial != nil {
+		trial.trying, trial.triedAt = true, now
+	}
+	return nil
+}
+
+// trialDue reports whether a request may be let through as a trial.
+func (q *entry) trialDue(now time.Duration) bool {
+	return now >= q.trialAt && (!q.trying || now-q.triedAt >= trialTimeout)
+}
+
+// quarantine adds a quarantine of suspected parts. Those that refuse more specific prompts
+// end, as the new one covers them.
+func (t *Tracker) quarantine(now time.Duration, parts []uint64) {
+	for _, q := range t.quarantines {
+		switch {
+		case q.Released:
+		case containsAll(parts, q.Parts):
+			return
+		case containsAll(q.Parts, parts):
+			t.release(now, q)
+		}
+	}
+	q := &entry{
+		Quarantine: Quarantine{
+			ID:    identify(parts),
+			Parts: parts,
+		},
+		since:   t.suspects.firstBlame(parts),
+		trialAt: now + minTrialPause,
+	}
+	t.suspects.explain(parts)
+	t.add(q)
+	t.change(q)
+}
+
+// add adds a quarantine. If there are too many, the one whose trial is due the soonest is
+// dropped.
+func (t *Tracker) add(q *entry) {
+	if t.quarantines == nil {
+		t.quarantines = make(map[uint64]*entry)
+	}
+	if len(t.quarantines) >= maxQuarantines {
+		var first *entry
+		for _, other := range t.quarantines {
+			if first == nil || other.trialAt < first.trialAt {
+				first = other
+			}
+		}
+		delete(t.quarantines, first.ID)
+	}
+	t.quarantines[q.ID] = q
+}
+
+// SetRecorded replaces the quarantines that are recorded for all instances. One that was
+// recorded and is no longer has ended.
+func (t *Tracker) SetRecorded(now time.Duration, recorded []Quarantine) {
+	ids := make(map[uint64]bool, len(recorded))
+	for _, r := range recorded {
+		ids[r.ID] = true
+		t.record(now, r)
+	}
+	for id, q := range t.quarantines {
+		if q.recorded && !ids[id] {
+			delete(t.quarantines, id)
+			t.suspects.forget(q.Parts)
+		}
+	}
+}
+
+// record takes over a recorded quarantine.
+func (t *Tracker) record(now time.Duration, r Quarantine) {
+	q := t.quarantines[r.ID]
+	if q == nil {
+		t.add(&entry{
+			Quarantine: r,
+			since:      now,
+			trialAt:    now + trialPause(r.FailedTrials),
+			recorded:   true,
+		})
+		return
+	}
+	q.recorded = true
+	if r.FailedTrials > q.FailedTrials {
+		q.FailedTrials = r.FailedTrials
+		q.trialAt = now + trialPause(q.FailedTrials)
+		q.trying = false
+	}
+	if !q.Released {
+		q.Parts = slices.DeleteFunc(q.Parts, func(p uint64) bool { return !slices.Contains(r.Parts, p) })
+		if len(q.Parts) == 0 {
+			q.Parts = slices.Clone(r.Parts)
+		}
+	} else if now-q.releasedAt >= trialTimeout {
+		// The release was lost on its way to the record.
+		t.release(now, q)
+	}
+}
+
+// TakeChanges returns the quarantines that were added, changed or released since the last
+// call.
+func (t *Tracker) TakeChanges() []Quarantine {
+	out := t.changes
+	t.changes = nil
+	return out
+}
+
+// containsAll reports whether all elements of subset are in set.
+func containsAll(set, subset []uint64) bool {
+	for _, p := range subset {
+		if !slices.Contains(set, p) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -24,6 +24,8 @@
 //   - Failing servers: a server that could not be reached or broke off responses is
 //     ejected for a time that doubles. The more often a server has failed recently,
 //     the higher is the cost of placing a request there.
+//   - A part of prompts that ends every server which answers it: requests with it are
+//     refused; see package quarantine.
 package scheduler
 
 // This file defines Scheduler, its requests, reports and decisions.
@@ -34,6 +36,7 @@
 	"time"
 
 	"camphorspoke/internal/routing/prefixcache"
+	"camphorspoke/internal/routing/quarantine"
 	"camphorspoke/internal/routing/retrybudget"
 )
 
@@ -86,6 +89,9 @@
 	Tried []string
 	// Retry is true for a retry, which counts against the retry budget.
 	Retry bool
+	// MayTry is true if the request may be the trial of a quarantined part. It is set
+	// where one scheduler decides for all instances, so that there is one trial at a time.
+	MayTry bool
 	// FailureDomain is that of the instance that received the request.
 	FailureDomain string
 }
@@ -95,6 +101,8 @@
 	NoServer    = "noServer"
 	Overloaded  = "overloaded"
 	RetryBudget = "retryBudget"
+	// Quarantined means that a part of the prompt ends the servers that answer it.
+	Quarantined = "quarantined"
 )
 
 // Decision grants a request a server or refuses it.
@@ -103,6 +111,8 @@
 	// Server is empty when the request is refused.
 	Server  string
 	Refusal string
+	// Quarantine is the ID of the quarantine because of which the request is refused.
+	Quarantine uint64
 	// RetryAfter is the expected time until there is room; zero when unknown.
 	RetryAfter time.Duration
 	// CachedTokens is the length in tokens of the prompt's prefix that the server is
@@ -149,6 +159,8 @@
 	Cancelled
 	// Failed means that the server responded with an error of its own.
 	Failed
+	// Down means that the server broke the connection and accepts no other.
+	Down
 )
 
 // Report reports an event of a granted request.
@@ -161,6 +173,8 @@
 	Waiting int
 	// Elapsed is the time since the request was sent.
 	Elapsed time.Duration
+	// Answered is true if the caller has a part of the answer.
+	Answered bool
 }
 
 // Scheduler decides for one service; New returns one. It is not safe for concurrent
@@ -173,6 +187,8 @@
 	granted       map[uint64]*grant
 	queue         []*queuedRequest
 	budget        retrybudget.Budget
+	// quarantine finds the parts of prompts that end servers.
+	quarantine quarantine.Tracker
 	// completions measures how fast slots become free.
 	completions completionRate
 	// index finds the servers that have a part cached; nil in a small service.
@@ -195,7 +211,9 @@
 	grantedAt time.Duration
 	// missTokens are the prompt tokens that were not cached at the time of the grant.
 	missTokens int
-	started    bool
+	// startedAt is when the response began, if started is true.
+	started   bool
+	startedAt time.Duration
 }
 
 // queuedRequest is a request that no server had room for.
@@ -258,6 +276,9 @@
 // Schedule decides on a request at once, or queues it and returns false; the decision is
 // then returned by a later Tick or Report.
 func (s *Scheduler) Schedule(now time.Duration, req Request) (Decision, bool) {
+	if d, refused := s.refuseQuarantined(now, req); refused {
+		return d, true
+	}
 	if req.Retry {
 		if !s.budget.TrySpend(now) {
 			return refuse(req, RetryBudget, 0), true
@@ -299,8 +320,9 @@
 		s.dequeue(id)
 		return nil
 	}
-	if !g.started {
-		g.started = true
+	started := g.started
+	if !started {
+		g.started, g.startedAt = true, now
 		g.server.recordStart(g)
 		g.server.pendingTokens -= g.missTokens
 		g.endRead()
@@ -314,6 +336,7 @@
 	s.full = false
 	g.server.running--
 	g.server.recordReportedLoad(now, r)
+	s.recordVerdict(now, g, r, started)
 	r.Elapsed = now - g.grantedAt
 	g.server.applyReport(now, r)
 	if r.Event == Done {
@@ -335,7 +358,7 @@
 // Tick refuses the queued requests that have waited too long, grants the free slots to
 // others, and returns the decisions.
 func (s *Scheduler) Tick(now time.Duration) []Decision {
-	out := s.expire(now)
+	out := append(s.expire(now), s.expelQuarantined(now)...)
 	for {
 		i, sv := s.next(now)
 		if i < 0 {
@@ -427,7 +450,11 @@
 		return
 	}
 	g := &grant{
-		server:    sv,
+		server: sv,
+		request: Request{
+			ID:    id,
+			Parts: parts,
+		},
 		grantedAt: now,
 	}
 	s.granted[id] = g
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -252,22 +252,33 @@
 		sv.silent = false
 		sv.consecutiveBreaks = 0
 		sv.recordOutcome(now, true)
-	case Broken, Unreachable:
+	case Broken:
 		sv.recordOutcome(now, true)
 		sv.consecutiveBreaks++
-		if sv.consecutiveBreaks >= breaksToEject && !sv.responding() || r.Event == Unreachable {
-			sv.ejectedUntil = now + min(minEjection<<min(sv.ejections, 8), maxEjection)
-			sv.silent = true
-			sv.probeAt = now
-			if r.Event == Unreachable {
-				sv.probeAt = now + max(minProbeInterval, probePause*r.Elapsed)
-			}
-			sv.ejections++
-			sv.consecutiveBreaks = 0
+		if sv.consecutiveBreaks >= breaksToEject && !sv.responding() {
+			sv.eject(now, 0)
+		}
+	case Unreachable:
+		sv.recordOutcome(now, true)
+		sv.eject(now, max(minProbeInterval, probePause*r.Elapsed))
+	case Down:
+		sv.recordOutcome(now, true)
+		// All requests that ran there report the same end of the server.
+		if !sv.silent {
+			sv.eject(now, minProbeInterval)
 		}
 	}
 }
 
+// eject excludes the server from placement, and from probes for probeAfter.
+func (sv *server) eject(now, probeAfter time.Duration) {
+	sv.ejectedUntil = now + min(minEjection<<min(sv.ejections, 8), maxEjection)
+	sv.probeAt = now + probeAfter
+	sv.silent = true
+	sv.ejections++
+	sv.consecutiveBreaks = 0
+}
+
 // completionRate measures the rate of completions from the times of the latest ones.
 // times is a ring buffer.
 type completionRate struct {
--- a/internal/routing/view/view.go
+++ b/internal/routing/view/view.go
@@ -25,6 +25,8 @@
 	Rules       *ruleset.Rules
 	Servers     map[string]*pb.BackendServer
 	Instances   map[string]*pb.Instance
+	// Quarantines holds the quarantines of parts of prompts, by service and ID.
+	Quarantines map[string]map[uint64]*pb.Quarantine
 
 	// byService lists the servers of each service not marked gone, sorted by name.
 	byService map[string][]*pb.BackendServer
@@ -57,6 +59,31 @@
 	return &next
 }
 
+// WithQuarantines returns a copy of v with the given quarantines added, replaced or, if
+// they are released, removed. If full is set, they replace the table.
+func (v *View) WithQuarantines(full bool, quarantines []*pb.Quarantine) *View {
+	next := *v
+	next.Quarantines = make(map[string]map[uint64]*pb.Quarantine)
+	if !full {
+		for service, table := range v.Quarantines {
+			next.Quarantines[service] = maps.Clone(table)
+		}
+	}
+	for _, q := range quarantines {
+		if q.GetReleased() {
+			delete(next.Quarantines[q.GetService()], q.GetId())
+			continue
+		}
+		table := next.Quarantines[q.GetService()]
+		if table == nil {
+			table = make(map[uint64]*pb.Quarantine)
+			next.Quarantines[q.GetService()] = table
+		}
+		table[q.GetId()] = q
+	}
+	return &next
+}
+
 // WithRules returns a copy of v with another rule file.
 func (v *View) WithRules(version uint64, text []byte, rules *ruleset.Rules) *View {
 	next := *v
