--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -38,6 +38,9 @@
 	ControlBytes func() map[string]uint64
 	// Violations returns the number of violations of each invariant, by name.
 	Violations func() map[string]uint64
+	// Quarantines returns the number of quarantines of parts of prompts by service; it
+	// may be nil.
+	Quarantines func() map[string]int
 	// Loads returns the number of requests running and queued at each backend
 	// server that this instance owns.
 	Loads func() map[string]int
@@ -68,6 +71,9 @@
 	b.observableCounter("camphorspoke.control.bytes", "Bytes of control traffic by kind.", "kind", func() map[string]int64 { return toInt64(callbacks.ControlBytes()) })
 	b.observableCounter("camphorspoke.invariant.violations", "Violated invariants by name.", "name", func() map[string]int64 { return toInt64(callbacks.Violations()) })
 	b.observableGauge("camphorspoke.server.load", "Requests running and queued at each owned backend server.", "server", func() map[string]int64 { return toInt64(callbacks.Loads()) })
+	if callbacks.Quarantines != nil {
+		b.observableGauge("camphorspoke.quarantines", "Quarantines of parts of prompts by service.", "service", func() map[string]int64 { return toInt64(callbacks.Quarantines()) })
+	}
 	if b.err != nil {
 		return nil, nil, nil, fault.Wrap(fault.Internal, "metrics", b.err)
 	}
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -74,9 +74,22 @@
 	return newFleetUnresponsive(t, n, 0, c)
 }
 
+// newRecordingFleet starts a fleet whose instances record quarantines with record. It also
+// returns their view.
+func newRecordingFleet(t *testing.T, n int, record func(context.Context, *pb.Quarantine) error) (map[string]*instance, []string, *view.View) {
+	t.Helper()
+	return startFleet(t, n, 0, nil, record)
+}
+
 // newFleetUnresponsive starts a fleet like newFleet in which the first unresponsive
 // instances in the order of deciders answer on no stream from the start.
 func newFleetUnresponsive(t *testing.T, n, unresponsive int, c edge.CacheReader) (map[string]*instance, []string) {
+	t.Helper()
+	fleet, order, _ := startFleet(t, n, unresponsive, c, nil)
+	return fleet, order
+}
+
+func startFleet(t *testing.T, n, unresponsive int, c edge.CacheReader, record func(context.Context, *pb.Quarantine) error) (map[string]*instance, []string, *view.View) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -101,6 +114,7 @@
 			Instance:    name,
 			Peers:       peers,
 			CacheReader: c,
+			Record:      record,
 			Logger:      log,
 		})
 		s := grpc.NewServer()
@@ -141,7 +155,7 @@
 	for _, in := range fleet {
 		in.placer.Update(v)
 	}
-	return fleet, order
+	return fleet, order, v
 }
 
 func newRequest(prefix, last uint64) scheduler.Request {
--- a/internal/daemon/server/dump.go
+++ b/internal/daemon/server/dump.go
@@ -4,11 +4,13 @@
 
 import (
 	"os"
+	"strconv"
 
 	"camphorspoke/internal/control/replica"
 	"camphorspoke/internal/daemon/membership"
 	"camphorspoke/internal/daemon/router"
 	"camphorspoke/internal/daemon/version"
+	"camphorspoke/internal/routing/view"
 )
 
 // dump is the state of a process.
@@ -23,6 +25,17 @@
 	Instances    []instanceDump    `json:"instances"`
 	ControlBytes map[string]uint64 `json:"controlBytes"`
 	Violations   map[string]uint64 `json:"violations"`
+	Quarantines  []quarantineDump  `json:"quarantines"`
+}
+
+// quarantineDump is a quarantine of parts of prompts, as listed in the view of this
+// process; the ID and the parts are in hexadecimal.
+type quarantineDump struct {
+	Service      string   `json:"service"`
+	ID           string   `json:"id"`
+	Parts        []string `json:"parts"`
+	FailedTrials uint32   `json:"failedTrials"`
+	Source       string   `json:"source"`
 }
 
 // replicaDump is the state of the local control replica.
@@ -102,12 +115,33 @@
 			Gone:          i.GetGone(),
 		})
 	}
+	d.Quarantines = dumpQuarantines(v)
 	if in.replica != nil {
 		d.Replica = dumpReplica(in.replica)
 	}
 	return d
 }
 
+func dumpQuarantines(v *view.View) []quarantineDump {
+	var out []quarantineDump
+	for service, table := range v.Quarantines {
+		for id, q := range table {
+			parts := make([]string, len(q.GetParts()))
+			for i, part := range q.GetParts() {
+				parts[i] = strconv.FormatUint(part, 16)
+			}
+			out = append(out, quarantineDump{
+				Service:      service,
+				ID:           strconv.FormatUint(id, 16),
+				Parts:        parts,
+				FailedTrials: q.GetFailedTrials(),
+				Source:       q.GetSource(),
+			})
+		}
+	}
+	return out
+}
+
 func dumpReplica(r *replica.Replica) *replicaDump {
 	st := r.Status()
 	d := &replicaDump{
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -147,6 +147,7 @@
 		ControlBytes: in.byteCounter.Bytes,
 		Violations:   in.checker.Counts,
 		Loads:        in.loads,
+		Quarantines:  in.quarantineCounts,
 	})
 	if err != nil {
 		return err
@@ -240,6 +241,18 @@
 	return nil
 }
 
+// quarantineCounts returns the number of quarantines by service.
+func (in *instance) quarantineCounts() map[string]int {
+	out := make(map[string]int)
+	if in.agent == nil {
+		return out
+	}
+	for service, table := range in.agent.View().Quarantines {
+		out[service] = len(table)
+	}
+	return out
+}
+
 // recordQuarantine records a change of a quarantine in the log of the control group.
 func (in *instance) recordQuarantine(ctx context.Context, q *pb.Quarantine) error {
 	r, err := in.control.Propose(ctx, &pb.Command{
