A response that names no request is not trusted on a connection that has had others

Operators of similar systems reported it: a faulty server wrote an earlier refusal once more on a kept connection. Without the request's ID it was taken as the answer to the request that had just been written; the caller heard 'not run' while that request ran, and it could be sent to a second server.

The response is now an error after which the request may have run. On a new connection an unnamed refusal still counts. TestUnnamedRefusalOnUsedConnection failed before.

--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -63,6 +63,8 @@
 	expiry time.Duration
 	// reused is set when the connection first returns to the pool.
 	reused bool
+	// requests is the number of requests that were written to the connection.
+	requests int
 }
 
 // get returns an idle connection to address that has neither expired nor been
--- a/internal/edge/backend/backend_test.go
+++ b/internal/edge/backend/backend_test.go
@@ -281,6 +281,46 @@
 	require.EqualValues(t, 2, conns.Load())
 }
 
+// TestUnnamedRefusalOnUsedConnection: a faulty server writes an earlier refusal once more,
+// without the request's ID, on a kept connection, and runs the next request. The refusal
+// must not count as that request's, whose caller would be told that it did not run.
+func TestUnnamedRefusalOnUsedConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nNot-Run: 1\r\nKeep-Alive: timeout=5\r\n%sContent-Length: 0\r\n\r\n"
+	address, _ := server(t, func(c net.Conn, number int, r *http.Request) {
+		if number == 1 {
+			fmt.Fprintf(c, refusal, "X-Id: "+r.Header.Get("X-Id")+"\r\n")
+			return
+		}
+		fmt.Fprintf(c, refusal, "")
+		reply(c, r.Header.Get("X-Id"), "ran", "")
+	})
+	p := pool(t)
+	first, err := p.Send(t.Context(), address, request("1"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, first.Status)
+	_, err = io.ReadAll(first)
+	require.NoError(t, err)
+	second, err := p.Send(t.Context(), address, request("2"))
+	if err == nil {
+		require.NotEqual(t, http.StatusServiceUnavailable, second.Status)
+		second.Close()
+		return
+	}
+	require.True(t, fault.MayHaveRun(err))
+}
+
+// TestUnnamedRefusalOnNewConnection: the first response on a connection can only be to the
+// first request, so that a refusal without an ID is taken at its word.
+func TestUnnamedRefusalOnNewConnection(t *testing.T) {
+	address, _ := server(t, func(c net.Conn, _ int, _ *http.Request) {
+		io.WriteString(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	resp, err := pool(t).Send(t.Context(), address, request("1"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.Status)
+	resp.Close()
+}
+
 // TestAccepts: a server that accepts connections is told from one that has gone down, and
 // the connection of the check serves the next request.
 func TestAccepts(t *testing.T) {
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -76,7 +76,8 @@
 // line and headers of its response. An Unreachable fault means that no byte was
 // sent; LinkBroken, WrongFrame and TimedOut mean that the request may have run.
 // Responses that echo the ID of another request, which a faulty server may send
-// late, are discarded.
+// late, are discarded. One that echoes none is an error on a connection that has had
+// other requests.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
 	c, err := p.get(ctx, address)
 	if err != nil {
@@ -84,6 +85,7 @@
 	}
 	stopAfterFunc := context.AfterFunc(ctx, func() { c.Close() })
 	writeState := &atomic.Int32{}
+	c.requests++
 	if err := c.write(req, writeState); err != nil {
 		stopAfterFunc()
 		c.Close()
@@ -178,8 +180,8 @@
 			continue
 		}
 		echo := req.EchoedID(resp.StatusCode, resp.Header)
-		if echo == "" && req.ID != "" && resp.StatusCode < http.StatusMultipleChoices {
-			return nil, stray, fault.New(fault.WrongFrame, c.address, "received a success that names no request")
+		if echo == "" && req.ID != "" && !c.trustsUnnamed(resp.StatusCode) {
+			return nil, stray, fault.New(fault.WrongFrame, c.address, "received a response that names no request")
 		}
 		if echo == "" || echo == req.ID {
 			return resp, stray, nil
@@ -192,6 +194,14 @@
 	return nil, stray, fault.New(fault.WrongFrame, c.address, "received only informational responses or responses to other requests")
 }
 
+// trustsUnnamed reports whether a response that names no request is taken as that to the
+// last one. It is not if it may be a late copy of a response to an earlier request on the
+// connection: a refusal would then state that a request did not run which does. A success
+// always names its request.
+func (c *conn) trustsUnnamed(status int) bool {
+	return c.requests == 1 && status >= http.StatusMultipleChoices
+}
+
 // discardBody reads the body of a stray response to its end, which has to come within
 // maxStrayBody bytes.
 func (c *conn) discardBody(resp *http.Response) error {
