A stream that ends with its connection inside an event has been broken off

What was left of an unfinished event at the end of such a body was written to the caller, and the stream ended as complete. It is now resumed where the route allows it; otherwise the caller's connection is broken after the last whole event. Chunked streams say themselves that they are complete and are passed on as they are.

TestUnframedStreamBreaksInsideEvent failed before.

--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -143,7 +143,12 @@
 			return broken, scheduler.Broken
 		}
 	}
-	if rest := splitter.Rest(); len(rest) > 0 && !c.writeEvents(resp, rest) {
+	rest := splitter.Rest()
+	if len(rest) > 0 && resp.EndsWithConnection {
+		c.lastErr = fault.New(fault.ShortAnswer, c.service, "the stream ended with its connection inside an event")
+		return broken, scheduler.Broken
+	}
+	if len(rest) > 0 && !c.writeEvents(resp, rest) {
 		return c.endCallerLost()
 	}
 	c.sendHeader(resp)
