--- /dev/null
+++ b/internal/daemon/ingress/env_test.go
@@ -0,0 +1,300 @@
+package ingress_test
+
+// This file defines an instance with backend servers on loopback, for the tests of this
+// package.
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"camphorspoke/internal/base/boottime"
+	"camphorspoke/internal/base/fault"
+	"camphorspoke/internal/daemon/ingress"
+	"camphorspoke/internal/daemon/placer"
+	"camphorspoke/internal/edge"
+	"camphorspoke/internal/edge/backend"
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/view"
+	"camphorspoke/internal/rules/parse"
+	"camphorspoke/internal/rules/ruleset"
+)
+
+// testDialect is a minimal dialect with one header per field.
+type testDialect struct{}
+
+var _ edge.Dialect = testDialect{}
+
+func (testDialect) ParseRequest(r *http.Request) (edge.Request, error) {
+	out := edge.Request{
+		ID:          r.Header.Get("Id"),
+		APIKey:      r.Header.Get("Key"),
+		LastEventID: r.Header.Get("Last"),
+	}
+	if v := r.Header.Get("Wait"); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil {
+			return out, fault.Wrap(fault.BadRequest, "Wait", err)
+		}
+		out.Timeout = d
+	}
+	for id := range strings.FieldsSeq(r.Header.Get("Parts")) {
+		n, err := strconv.ParseUint(id, 16, 64)
+		if err != nil {
+			return out, fault.Wrap(fault.BadRequest, "Parts", err)
+		}
+		out.Prompt.Parts = append(out.Prompt.Parts, edge.Part{
+			ID:     n,
+			Tokens: 100,
+		})
+	}
+	return out, nil
+}
+
+func (testDialect) SetForwardHeaders(h http.Header, f edge.Forwarding) {
+	h.Del("Key")
+	h.Set("Server", f.Server)
+	h.Set("Account", f.Account)
+	h.Set("Left", f.TimeLeft.String())
+	h.Set("Last", f.LastEventID)
+}
+
+func (testDialect) ParseResponse(_ int, h http.Header) edge.ResponseInfo {
+	return edge.ResponseInfo{
+		ID:          h.Get("Id"),
+		NotRun:      h.Get("Not-Run") != "",
+		OtherServer: h.Get("Other") != "",
+		Signed:      h.Get("Signed") != "",
+	}
+}
+
+func (testDialect) WriteError(w http.ResponseWriter, f *fault.Fault) {
+	w.Header().Set("Kind", f.Kind)
+	if f.RetryAfter > 0 {
+		w.Header().Set("Retry", f.RetryAfter.String())
+	}
+	status := http.StatusServiceUnavailable
+	if fault.MayHaveRun(f) {
+		status = http.StatusBadGateway
+	}
+	w.WriteHeader(status)
+}
+
+// fakeMembership stands in for the membership agent.
+type fakeMembership struct {
+	view *view.View
+	// stale is true while the rules are not confirmed to be in force.
+	stale atomic.Bool
+	// freshSoon is true when AwaitFresh should wait for the confirmation.
+	freshSoon atomic.Bool
+}
+
+func (m *fakeMembership) AwaitFresh(ctx context.Context, _, limit time.Duration) bool {
+	if !m.freshSoon.Load() {
+		return m.Fresh()
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !m.Fresh() && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return m.Fresh()
+}
+
+func (m *fakeMembership) View() *view.View { return m.view }
+func (m *fakeMembership) Fresh() bool      { return !m.stale.Load() }
+
+// testEnv is one instance with its backend servers and a caller.
+type testEnv struct {
+	t          *testing.T
+	membership *fakeMembership
+	url        string
+	mu         sync.Mutex
+	// received holds, for each request that reached a server, the server's name.
+	received []string
+	client   *http.Client
+	// stopsAt is set while the instance is shutting down.
+	stopsAt atomic.Pointer[time.Time]
+}
+
+// shutdownState returns the time left until stopsAt, and whether the instance is
+// shutting down.
+func (e *testEnv) shutdownState() (time.Duration, bool) {
+	if at := e.stopsAt.Load(); at != nil {
+		return time.Until(*at), true
+	}
+	return 0, false
+}
+
+// responder writes one response to a raw connection. The request was read before.
+type responder func(c net.Conn, r *http.Request)
+
+const ruleText = `service s type=plain # t: t
+account acme share=1 keys=%s # t: t
+route open host=h prefix=/open/ kind=safe to=s timeout=2s public=yes # t: t
+route read host=h prefix=/read/ kind=safe to=s timeout=2s attempts=2 # t: t
+route book host=h prefix=/book/ kind=unsafe to=s timeout=2s attempts=1 # t: t
+route chat host=h prefix=/chat/ kind=stream to=s timeout=2s attempts=2 resume=yes # t: t
+route once host=h prefix=/once/ kind=stream to=s timeout=2s attempts=2 # t: t
+route fast host=h prefix=/fast/ kind=safe to=s timeout=200ms attempts=2 # t: t
+`
+
+func newTestEnv(t *testing.T, responders ...responder) *testEnv {
+	t.Helper()
+	e := &testEnv{
+		t: t,
+	}
+	var addresses []string
+	for i, respond := range responders {
+		addresses = append(addresses, e.backend(fmt.Sprintf("b%d", i), respond))
+	}
+	return e.start(fmt.Sprintf(ruleText, ruleset.KeyDigest("secret")), addresses)
+}
+
+// start serves an instance whose service has servers at the given addresses, called b0,
+// b1 and so on.
+func (e *testEnv) start(rules string, addresses []string) *testEnv {
+	t := e.t
+	e.membership = &fakeMembership{}
+	e.client = &http.Client{
+		Transport: &http.Transport{},
+	}
+	f, err := parse.Rules("rules", []byte(rules))
+	require.NoError(t, err)
+	var servers []*pb.BackendServer
+	for i, address := range addresses {
+		servers = append(servers, &pb.BackendServer{
+			Name:    fmt.Sprintf("b%d", i),
+			Service: "s",
+			Slots:   4,
+			Address: address,
+		})
+	}
+	e.membership.view = (&view.View{}).WithTables(1, true, servers, nil).WithRules(1, []byte(rules), f)
+	clock := boottime.New()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	p, stop := placer.New(placer.Config{
+		Now:         clock.Now,
+		LoadBound:   2,
+		RetryWindow: 10 * time.Second,
+		RetryRatio:  1,
+		RetrySlack:  20,
+		Instance:    "i",
+		Logger:      log,
+	})
+	t.Cleanup(stop)
+	p.Update(e.membership.view)
+	pool := &backend.Pool{
+		Now: clock.Now,
+	}
+	t.Cleanup(pool.Close)
+	s := httptest.NewServer(&ingress.Handler{
+		Membership:    e.membership,
+		Dialect:       testDialect{},
+		Placer:        p,
+		Pool:          pool,
+		Logger:        log,
+		Now:           clock.Now,
+		ShutdownState: e.shutdownState,
+	})
+	t.Cleanup(s.Close)
+	e.url = s.URL
+	return e
+}
+
+func (e *testEnv) backend(name string, respond responder) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(e.t, err)
+	e.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					e.mu.Lock()
+					e.received = append(e.received, name)
+					e.mu.Unlock()
+					respond(c, r)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (e *testEnv) requestCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.received)
+}
+
+func (e *testEnv) do(path string, header ...string) (*http.Response, string, error) {
+	e.t.Helper()
+	r, err := http.NewRequestWithContext(e.t.Context(), http.MethodPost, e.url+path, strings.NewReader("body"))
+	require.NoError(e.t, err)
+	r.Host = "h"
+	r.Header.Set("Id", "x1")
+	r.Header.Set("Key", "secret")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := e.client.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+func (e *testEnv) status(path string, header ...string) int {
+	e.t.Helper()
+	resp, _, err := e.do(path, header...)
+	require.NoError(e.t, err)
+	return resp.StatusCode
+}
+
+func respondOK(c net.Conn, r *http.Request) {
+	body := "for " + r.Header.Get("Account") + r.Header.Get("Key")
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(body), body)
+}
+
+func respondServerError(c net.Conn, r *http.Request) {
+	fmt.Fprintf(c, "HTTP/1.1 500 X\r\nId: %s\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nf", r.Header.Get("Id"))
+}
+
+func respondNotRun(c net.Conn, _ *http.Request) {
+	io.WriteString(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+func closeConnection(c net.Conn, _ *http.Request) { c.Close() }
+
+func neverRespond(c net.Conn, _ *http.Request) { c.Read(make([]byte, 1)) }
+
+func respondUnsigned(c net.Conn, _ *http.Request) {
+	io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+}
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -7,8 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +15,7 @@
 	"camphorspoke/internal/daemon/placer"
 	"camphorspoke/internal/edge"
 	"camphorspoke/internal/edge/backend"
+	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/rules/ruleset"
 )
@@ -248,19 +247,18 @@
 		"service": c.service,
 		"account": c.account,
 		"relayed": relayed,
-		"parts":   formatParts(c.req.Prompt),
+		"parts":   prefixcache.FormatIDs(partIDs(c.req.Prompt)),
 	}).Warn("ingress: a server went down with the request in flight")
 	return scheduler.Down
 }
 
-// formatParts returns the IDs of the parts of a prompt in hexadecimal, as callers send
-// them.
-func formatParts(p edge.Prompt) string {
-	ids := make([]string, len(p.Parts))
+// partIDs returns the IDs of the parts of a prompt.
+func partIDs(p edge.Prompt) []uint64 {
+	out := make([]uint64, len(p.Parts))
 	for i, part := range p.Parts {
-		ids[i] = strconv.FormatUint(part.ID, 16)
+		out[i] = part.ID
 	}
-	return strings.Join(ids, ",")
+	return out
 }
 
 // attributedEvent returns the event to report to the scheduler. A failure counts as
--- a/internal/daemon/placer/recorder.go
+++ b/internal/daemon/placer/recorder.go
@@ -8,12 +8,12 @@
 	"context"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/quarantine"
 	"camphorspoke/internal/routing/scheduler"
 )
@@ -46,7 +46,7 @@
 		log := d.cfg.Logger.WithFields(logrus.Fields{
 			"service":      service,
 			"quarantine":   strconv.FormatUint(q.ID, 16),
-			"parts":        formatParts(q.Parts),
+			"parts":        prefixcache.FormatIDs(q.Parts),
 			"failedTrials": q.FailedTrials,
 		})
 		if q.Released {
@@ -69,15 +69,6 @@
 	}
 }
 
-// formatParts returns the IDs of parts in hexadecimal.
-func formatParts(parts []uint64) string {
-	ids := make([]string, len(parts))
-	for i, part := range parts {
-		ids[i] = strconv.FormatUint(part, 16)
-	}
-	return strings.Join(ids, ",")
-}
-
 // runRecorder records the changes, each until it succeeds.
 func (p *Placer) runRecorder() {
 	for {
--- a/internal/routing/prefixcache/prefixcache.go
+++ b/internal/routing/prefixcache/prefixcache.go
@@ -8,7 +8,11 @@
 
 // This file defines Cache.
 
-import "container/list"
+import (
+	"container/list"
+	"strconv"
+	"strings"
+)
 
 // Part is a section of a prompt. Parts with the same ID have the same content.
 type Part struct {
@@ -16,6 +20,15 @@
 	Tokens int
 }
 
+// FormatIDs returns the IDs of parts in hexadecimal, separated by commas, for logs.
+func FormatIDs(ids []uint64) string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = strconv.FormatUint(id, 16)
+	}
+	return strings.Join(out, ",")
+}
+
 // Observer is told which parts a Cache has cached and evicted.
 type Observer interface {
 	Cached(id uint64)
--- a/internal/routing/scheduler/loadbound_test.go
+++ b/internal/routing/scheduler/loadbound_test.go
@@ -65,12 +65,10 @@
 	sends []send
 }
 
-// serviceEvent is something that happens to a request at a time.
+// serviceEvent is something that happens at a time.
 type serviceEvent struct {
-	at    time.Duration
-	id    uint64
-	run   func()
-	order int
+	at  time.Duration
+	run func()
 }
 
 // send is a request that reached a server.
@@ -109,9 +107,8 @@
 // after schedules run at a later time.
 func (f *faultyService) after(d time.Duration, run func()) {
 	f.events = append(f.events, serviceEvent{
-		at:    f.now + d,
-		run:   run,
-		order: len(f.events),
+		at:  f.now + d,
+		run: run,
 	})
 }
 
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -19,11 +19,6 @@
 	// only delay this request, while prefilling its prefix on one more engine delays
 	// every request there.
 	pendingPrefillWeight = 0.3
-	// boundSlack is added to the load bound, in requests, so that a handful of
-	// requests on an otherwise idle service does not count as an imbalance.
-	boundSlack = 2.3
-	// boundFraction is the fraction of Service.LoadBound up to which servers are loaded.
-	boundFraction = 0.9
 	// noServerRetryAfter is the retry delay returned while no server accepts new
 	// requests.
 	noServerRetryAfter = 300 * time.Millisecond
@@ -45,9 +40,6 @@
 	// tieBreakTokens scales the hash that breaks ties, in prefill tokens. It spreads
 	// prompts that no engine has cached.
 	tieBreakTokens = 40
-	// maxLimitAge is how long the load limit of a large service is used, and how long
-	// its servers count as full if no request ends.
-	maxLimitAge = 10 * time.Millisecond
 	// prefixCacheFraction is the fraction of an engine's cache memory that holds
 	// prefixes; running requests use the rest.
 	prefixCacheFraction = 0.85
@@ -250,65 +242,6 @@
 	})
 }
 
-// loadLimit is the number of requests that one server may run, and the number of servers
-// over which the mean load behind it was taken.
-type loadLimit struct {
-	requests float64
-	servers  int
-}
-
-// currentLimit returns the load limit. In a large service it may be maxLimitAge old.
-func (s *Scheduler) currentLimit(now time.Duration) loadLimit {
-	if s.index == nil {
-		return s.newLimit(now)
-	}
-	if now-s.limitAt >= maxLimitAge {
-		s.limit, s.limitAt = s.newLimit(now), now
-	}
-	return s.limit
-}
-
-// limitAmongAvailable returns a load limit derived from the mean load of the servers that
-// are not ejected and may take req. It keeps their loads even while the others reject
-// requests.
-func (s *Scheduler) limitAmongAvailable(now time.Duration, req Request) float64 {
-	sum, n := 1, 0
-	for _, sv := range s.listedServers {
-		if sv.eligible(now, req) && !sv.ejected(now) && sv.load(now) < s.maxGrants(sv) {
-			sum += sv.load(now)
-			n++
-		}
-	}
-	return float64(sum)/float64(max(n, 1)) + 1
-}
-
-// newLimit returns the load limit, derived from the mean load of the accepting servers
-// with the new request included. Ejected servers count: each may be up, and a mean over
-// the others would let them take the load of all. Only requests that are known to be on
-// a server count.
-func (s *Scheduler) newLimit(now time.Duration) loadLimit {
-	return s.limitOver(now, func(*server) bool { return true })
-}
-
-// limitOver returns the load limit derived from the mean load of the accepting servers
-// that are included.
-func (s *Scheduler) limitOver(now time.Duration, included func(*server) bool) loadLimit {
-	sum, n := 1, 0
-	for _, sv := range s.listedServers {
-		if sv.accepting && included(sv) {
-			sum += sv.knownLoad(now)
-			n++
-		}
-	}
-	if n == 0 {
-		return loadLimit{}
-	}
-	return loadLimit{
-		requests: math.Max(1, s.svc.LoadBound*boundFraction)*float64(sum)/float64(n) + boundSlack,
-		servers:  n,
-	}
-}
-
 // cost returns the cost of running req on sv, for comparison between servers. For an
 // engine the unit is a prefill token; for other servers it is the fraction of the
 // slots in use, and a server in another failure domain counts half a request more.
