--- a/internal/client/command/quarantine.go
+++ b/internal/client/command/quarantine.go
@@ -31,7 +31,7 @@
 	return &ffcli.Command{
 		Name:       "quarantines",
 		ShortUsage: "camphor quarantines",
-		ShortHelp:  "list the parts of prompts that are refused because they end the servers which answer them",
+		ShortHelp:  "list the parts of prompts that are refused because they crash the servers which answer them",
 		Exec: func(ctx context.Context, _ []string) error {
 			b, err := a.fetchDump(ctx)
 			if err != nil {
--- a/internal/daemon/ingress/crash_test.go
+++ b/internal/daemon/ingress/crash_test.go
@@ -1,6 +1,6 @@
 package ingress_test
 
-// This file tests prompts that end the server which answers them.
+// This file tests prompts that crash the server which answers them.
 
 import (
 	"bufio"
@@ -18,9 +18,9 @@
 )
 
 const (
-	// deadlyPart is the part of a prompt that ends the server which answers it.
+	// deadlyPart is the part of a prompt that crashes the server which answers it.
 	deadlyPart = "dead"
-	// crashDelay is how long after its response head such a server ends, and downFor
+	// crashDelay is how long after its response head such a server crashes, and downFor
 	// how long it is down.
 	crashDelay = 30 * time.Millisecond
 	downFor    = 400 * time.Millisecond
@@ -34,7 +34,7 @@
 route chat host=h prefix=/chat/ kind=stream to=s timeout=2s attempts=2 resume=yes public=yes # t: t
 `
 
-// fragileServer is a server that ends when it answers a prompt with the deadly part,
+// fragileServer is a server that crashes when it answers a prompt with the deadly part,
 // and is back at its address after a while.
 type fragileServer struct {
 	t       *testing.T
@@ -114,7 +114,7 @@
 	}
 }
 
-// crash ends the server, unless it has ended, and starts it again later.
+// crash closes the server, unless it is closed, and starts it again later.
 func (s *fragileServer) crash() {
 	if !s.close() {
 		return
@@ -125,7 +125,7 @@
 	time.AfterFunc(downFor, s.listen)
 }
 
-// close ends the server and reports whether it was up.
+// close closes the server and reports whether it was up.
 func (s *fragileServer) close() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,10 +166,10 @@
 	return n
 }
 
-// TestPartThatEndsServers: prompts with one part, in different prompts and beside sound
-// ones that share the others, end each server that answers them. A few seconds after
-// the fifth such end hardly any must reach a server, and sound requests are served.
-func TestPartThatEndsServers(t *testing.T) {
+// TestPartThatCrashesServers: prompts with one part, in different prompts and beside sound
+// ones that share the others, crash each server that answers them. A few seconds after
+// the fifth crash hardly any must reach a server, and sound requests are served.
+func TestPartThatCrashesServers(t *testing.T) {
 	crashes := &crashLog{}
 	var addresses []string
 	for range 6 {
--- a/internal/daemon/placer/recorder.go
+++ b/internal/daemon/placer/recorder.go
@@ -52,7 +52,7 @@
 		if q.Released {
 			log.Info("placer: a quarantine of parts of prompts has ended")
 		} else {
-			log.Warn("placer: parts of prompts that end the servers which answer them are quarantined")
+			log.Warn("placer: parts of prompts that crash the servers which answer them are quarantined")
 		}
 		select {
 		case d.changes <- &pb.Quarantine{
--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -1,26 +1,26 @@
-// Package quarantine finds parts of prompts that end the server which answers them, and
+// Package quarantine finds parts of prompts that crash the server which answers them, and
 // decides which requests are refused because of them.
 //
 // Load pattern: one part makes every engine that begins to answer it go down, whatever
-// else the prompt holds. Each of the callers' requests with it, and each retry, ends one
+// else the prompt holds. Each of the callers' requests with it, and each retry, crashes one
 // more engine, together with all requests that run there.
 //
-// The requests that were in flight at a server when it went down, and of which the
+// The requests that were in flight at a server when it crashed, and of which the
 // caller had no part of the answer yet, share the blame. If the answers to some of them had
 // begun, only those do, as the others were still queued or being read. All parts of a
 // blamed request but the last are blamed; the last belongs to the request alone. These
 // rules single out the part that is at fault:
 //
-//   - A part is innocent once the answer to a request with it has reached the caller, if
+//   - A part is cleared once the answer to a request with it has reached the caller, if
 //     the request was granted after the part was first blamed. Parts that many prompts
 //     share are cleared so within moments.
 //   - A part is blamed again only by a request that was granted after the previous server
-//     went down. Servers that go down together, for a reason of their own, are thus one
+//     crashed. Servers that crash together, for a reason of their own, are thus one
 //     piece of evidence.
 //   - Parts that are blamed for the same servers cannot be told apart. They are
 //     quarantined together: only a request with all of them is refused, and those that
-//     turn out to be innocent are taken out.
-//   - Where a quarantine explains the end of a server, no other part is blamed for it.
+//     are cleared later are taken out.
+//   - Where a quarantine explains the crash of a server, no other part is blamed for it.
 //
 // After a pause one request is let through as a trial: if it is answered, the quarantine
 // ends, otherwise the pause doubles.
@@ -55,7 +55,7 @@
 	ID uint64
 	// Parts are in ascending order.
 	Parts []uint64
-	// FailedTrials is the number of trials that ended a server.
+	// FailedTrials is the number of trials that crashed a server.
 	FailedTrials int
 	// Released is true if the quarantine has ended.
 	Released bool
@@ -97,39 +97,39 @@
 // Len returns the number of quarantines.
 func (t *Tracker) Len() int { return len(t.quarantines) }
 
-// Down records a request that was in flight at a server which went down.
-func (t *Tracker) Down(now time.Duration, server string, v Victim) {
-	t.judgeEnds(now)
-	t.suspects.addVictim(now, server, v)
+// Crashed records a request that was in flight at a server which crashed.
+func (t *Tracker) Crashed(now time.Duration, server string, r Request) {
+	t.judgeCrashes(now)
+	t.suspects.addRequest(now, server, r)
 }
 
-// judgeEnds blames the victims of the ends whose reports have been gathered, unless a
-// quarantine explains the end.
-func (t *Tracker) judgeEnds(now time.Duration) {
-	for _, e := range t.suspects.gathered(now) {
-		if !t.explains(e) {
-			t.suspects.blame(e)
+// judgeCrashes blames the requests of the crashes whose reports have been gathered, unless
+// a quarantine explains the crash.
+func (t *Tracker) judgeCrashes(now time.Duration) {
+	for _, c := range t.suspects.gathered(now) {
+		if !t.explains(c) {
+			t.suspects.blame(c)
 		}
 	}
 }
 
-// explains reports whether a victim of an end has all parts of a quarantine. It ends the
-// trials that the victims were.
-func (t *Tracker) explains(e *end) bool {
+// explains reports whether a request of a crash has all parts of a quarantine. It records
+// the failure of the trials among them.
+func (t *Tracker) explains(c *crash) bool {
 	explained := false
-	for _, v := range e.victims {
+	for _, r := range c.requests {
 		for _, q := range t.quarantines {
-			if q.Released || !containsAll(v.Parts, q.Parts) {
+			if q.Released || !containsAll(r.Parts, q.Parts) {
 				continue
 			}
 			explained = true
-			t.failTrial(e.at, v.GrantedAt, q)
+			t.failTrial(c.at, r.GrantedAt, q)
 		}
 	}
 	return explained
 }
 
-// failTrial records that a trial has ended a server.
+// failTrial records that a trial has crashed a server.
 func (t *Tracker) failTrial(now, grantedAt time.Duration, q *entry) {
 	if !q.trying || grantedAt < q.triedAt {
 		return
@@ -154,7 +154,7 @@
 // Clear records that the caller of a request has received an answer, or a part of it.
 // parts are those of its prompt but the last.
 func (t *Tracker) Clear(now, grantedAt time.Duration, parts []uint64) {
-	t.judgeEnds(now)
+	t.judgeCrashes(now)
 	t.suspects.clear(grantedAt, parts)
 	for _, q := range t.quarantines {
 		if !q.Released && grantedAt >= q.since {
@@ -163,15 +163,15 @@
 	}
 }
 
-// takeOut takes innocent parts out of a quarantine, which ends if none is left.
-func (t *Tracker) takeOut(now time.Duration, q *entry, innocent []uint64) {
-	guilty := slices.DeleteFunc(slices.Clone(q.Parts), func(p uint64) bool { return slices.Contains(innocent, p) })
-	switch len(guilty) {
+// takeOut takes cleared parts out of a quarantine, which is released if none is left.
+func (t *Tracker) takeOut(now time.Duration, q *entry, cleared []uint64) {
+	rest := slices.DeleteFunc(slices.Clone(q.Parts), func(p uint64) bool { return slices.Contains(cleared, p) })
+	switch len(rest) {
 	case len(q.Parts):
 	case 0:
 		t.release(now, q)
 	default:
-		q.Parts = guilty
+		q.Parts = rest
 		t.change(q)
 	}
 }
@@ -188,9 +188,9 @@
 // mayTry is true if it may be the trial of a quarantine. survived reports whether a
 // request with a part, granted after a time, is being answered.
 func (t *Tracker) Check(now time.Duration, parts []uint64, mayTry bool, survived func(part uint64, since time.Duration) bool) *Refusal {
-	t.judgeEnds(now)
+	t.judgeCrashes(now)
 	for _, part := range parts {
-		if set := t.suspects.guilty(now, part, survived); len(set) > 0 {
+		if set := t.suspects.quarantineSet(now, part, survived); len(set) > 0 {
 			t.quarantine(now, set)
 		}
 	}
@@ -219,8 +219,8 @@
 	return now >= q.trialAt && (!q.trying || now-q.triedAt >= trialTimeout)
 }
 
-// quarantine adds a quarantine of suspected parts. Those that refuse more specific prompts
-// end, as the new one covers them.
+// quarantine adds a quarantine of suspected parts. Those of more specific prompts are
+// released, as the new one covers them.
 func (t *Tracker) quarantine(now time.Duration, parts []uint64) {
 	for _, q := range t.quarantines {
 		switch {
--- a/internal/routing/quarantine/quarantine_test.go
+++ b/internal/routing/quarantine/quarantine_test.go
@@ -17,16 +17,16 @@
 const (
 	common  = 0xa // a part of many prompts
 	subject = 0xb // a part of some prompts
-	deadly  = 0xd // the part that ends servers
-	// gathered is longer than the reports of one end are gathered.
+	deadly  = 0xd // the part that crashes servers
+	// gathered is longer than the reports of one crash are gathered.
 	gathered = 60 * time.Millisecond
 )
 
 func nothingSurvived(uint64, time.Duration) bool { return false }
 
 // endServer reports that a server went down with one begun request.
-func endServer(t *quarantine.Tracker, now time.Duration, server string, parts ...uint64) {
-	t.Down(now, server, quarantine.Victim{
+func crashServer(t *quarantine.Tracker, now time.Duration, server string, parts ...uint64) {
+	t.Crashed(now, server, quarantine.Request{
 		GrantedAt: now - 50*time.Millisecond,
 		Begun:     true,
 		Parts:     parts,
@@ -34,9 +34,9 @@
 }
 
 // endServers ends n servers one after the other, 200 ms apart, and returns the time after.
-func endServers(t *quarantine.Tracker, now time.Duration, n int, parts ...uint64) time.Duration {
+func crashServers(t *quarantine.Tracker, now time.Duration, n int, parts ...uint64) time.Duration {
 	for i := range n {
-		endServer(t, now, fmt.Sprintf("e%d", i), parts...)
+		crashServer(t, now, fmt.Sprintf("e%d", i), parts...)
 		now += 200 * time.Millisecond
 	}
 	return now
@@ -46,33 +46,33 @@
 	return t.Check(now, parts, false, nothingSurvived) != nil
 }
 
-// TestThreeServersEndedInTurn: the prompt is refused after it has ended three servers one
+// TestThreeServersCrashedInTurn: the prompt is refused after it has crashed three servers one
 // after the other, not before.
-func TestThreeServersEndedInTurn(t *testing.T) {
+func TestThreeServersCrashedInTurn(t *testing.T) {
 	tracker := &quarantine.Tracker{}
-	now := endServers(tracker, 0, 2, common, deadly)
+	now := crashServers(tracker, 0, 2, common, deadly)
 	require.False(t, refused(tracker, now, common, deadly))
-	endServer(tracker, now, "e2", common, deadly)
+	crashServer(tracker, now, "e2", common, deadly)
 	now += gathered
 	require.True(t, refused(tracker, now, common, deadly))
 	require.False(t, refused(tracker, now, common, subject), "a prompt with one of the parts passes")
 }
 
-// TestServersThatEndTogether: servers that go down at the same time are no evidence
+// TestServersThatCrashTogether: servers that go down at the same time are no evidence
 // against the prompts that run there, however many they are.
-func TestServersThatEndTogether(t *testing.T) {
+func TestServersThatCrashTogether(t *testing.T) {
 	tracker := &quarantine.Tracker{}
 	for i := range 9 {
-		endServer(tracker, time.Second, fmt.Sprintf("e%d", i), common)
+		crashServer(tracker, time.Second, fmt.Sprintf("e%d", i), common)
 	}
 	require.False(t, refused(tracker, 3*time.Second, common))
 }
 
-// TestAnsweredPartIsInnocent: a part that is in an answered request is taken out of the
+// TestAnsweredPartIsCleared: a part that is in an answered request is taken out of the
 // quarantine, which then refuses the deadly part in any prompt.
-func TestAnsweredPartIsInnocent(t *testing.T) {
+func TestAnsweredPartIsCleared(t *testing.T) {
 	tracker := &quarantine.Tracker{}
-	now := endServers(tracker, 0, 3, common, subject, deadly)
+	now := crashServers(tracker, 0, 3, common, subject, deadly)
 	require.True(t, refused(tracker, now, common, subject, deadly))
 	require.False(t, refused(tracker, now, common, deadly))
 	tracker.Clear(now, now-time.Millisecond, []uint64{common, subject})
@@ -85,13 +85,13 @@
 }
 
 // TestOtherSubjectsNarrowTheParts: the deadly part comes with another subject once the
-// first combination is quarantined; one more end singles it out.
+// first combination is quarantined; one more crash singles it out.
 func TestOtherSubjectsNarrowTheParts(t *testing.T) {
 	tracker := &quarantine.Tracker{}
-	now := endServers(tracker, 0, 3, subject, deadly)
+	now := crashServers(tracker, 0, 3, subject, deadly)
 	require.True(t, refused(tracker, now, subject, deadly))
 	require.False(t, refused(tracker, now, 0xe, deadly))
-	endServer(tracker, now, "e7", 0xe, deadly)
+	crashServer(tracker, now, "e7", 0xe, deadly)
 	now += gathered
 	require.True(t, refused(tracker, now, 0xf, deadly))
 	require.False(t, refused(tracker, now, subject))
@@ -104,11 +104,11 @@
 	now := time.Duration(0)
 	for i := range 4 {
 		server := fmt.Sprintf("e%d", i)
-		tracker.Down(now, server, quarantine.Victim{
+		tracker.Crashed(now, server, quarantine.Request{
 			GrantedAt: now - 10*time.Millisecond,
 			Parts:     []uint64{subject},
 		})
-		endServer(tracker, now+5*time.Millisecond, server, deadly)
+		crashServer(tracker, now+5*time.Millisecond, server, deadly)
 		now += 200 * time.Millisecond
 	}
 	require.True(t, refused(tracker, now, deadly))
@@ -116,10 +116,10 @@
 }
 
 // TestTrialsEndTheQuarantine: one request at a time is let through after a pause. If it
-// ends a server the pause doubles; if it is answered the quarantine ends.
+// crashes a server the pause doubles; if it is answered the quarantine ends.
 func TestTrialsEndTheQuarantine(t *testing.T) {
 	tracker := &quarantine.Tracker{}
-	now := endServers(tracker, 0, 3, deadly)
+	now := crashServers(tracker, 0, 3, deadly)
 	require.True(t, refused(tracker, now, deadly))
 	try := func() bool { return tracker.Check(now, []uint64{deadly}, true, nothingSurvived) == nil }
 	require.False(t, try())
@@ -128,7 +128,7 @@
 	require.True(t, try())
 	require.False(t, try(), "one trial at a time")
 	now += 100 * time.Millisecond
-	endServer(tracker, now, "e5", deadly)
+	crashServer(tracker, now, "e5", deadly)
 	now += 30 * time.Second
 	require.False(t, try())
 	now += 31 * time.Second
@@ -156,10 +156,10 @@
 	now := time.Duration(0)
 	for i := range uint64(3000) {
 		now += 100 * time.Millisecond
-		endServer(tracker, now, fmt.Sprintf("e%d", i), 1000+5*i, 1001+5*i, 1002+5*i)
+		crashServer(tracker, now, fmt.Sprintf("e%d", i), 1000+5*i, 1001+5*i, 1002+5*i)
 		require.False(t, refused(tracker, now, common))
 	}
-	now = endServers(tracker, now+gathered, 3, deadly)
+	now = crashServers(tracker, now+gathered, 3, deadly)
 	require.True(t, refused(tracker, now, deadly))
 	require.Equal(t, 1, tracker.Len())
 }
@@ -178,14 +178,14 @@
 		}
 		running := make(map[string][]request)
 		downUntil := make(map[string]time.Duration)
-		end := func(now time.Duration, server string) {
+		crash := func(now time.Duration, server string) {
 			for _, r := range running[server] {
 				age := now - r.grantedAt
 				if age >= 80*time.Millisecond {
 					tracker.Clear(now, r.grantedAt, r.parts)
 					continue
 				}
-				tracker.Down(now, server, quarantine.Victim{
+				tracker.Crashed(now, server, quarantine.Request{
 					GrantedAt: r.grantedAt,
 					Begun:     age >= 30*time.Millisecond,
 					Parts:     r.parts,
@@ -194,7 +194,7 @@
 			running[server] = nil
 			downUntil[server] = now + 3*time.Second
 		}
-		deadlySince, innocentRefused := time.Duration(0), 0
+		deadlySince, othersRefused := time.Duration(0), 0
 		for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
 			for i := range 9 {
 				server := fmt.Sprintf("e%d", i)
@@ -202,15 +202,15 @@
 					continue
 				}
 				if rng.Float64() < spontaneous/10 {
-					end(now, server)
+					crash(now, server)
 				}
 				rest := running[server][:0]
-				ends := false
+				crashes := false
 				for _, r := range running[server] {
 					isDeadly := r.parts[len(r.parts)-1] == deadly
 					switch age := now - r.grantedAt; {
 					case isDeadly && age >= 60*time.Millisecond:
-						ends = true
+						crashes = true
 						rest = append(rest, r)
 					case age >= 300*time.Millisecond:
 						tracker.Clear(now, r.grantedAt, r.parts)
@@ -219,8 +219,8 @@
 					}
 				}
 				running[server] = rest
-				if ends {
-					end(now, server)
+				if crashes {
+					crash(now, server)
 				}
 			}
 			parts := []uint64{uint64(1 + rng.IntN(4)), uint64(100 + rng.IntN(40))}
@@ -230,7 +230,7 @@
 			}
 			if refused(tracker, now, parts...) {
 				if !isDeadly && now > 10*time.Second {
-					innocentRefused++
+					othersRefused++
 				}
 				continue
 			}
@@ -246,6 +246,6 @@
 			}
 		}
 		require.Less(rt, deadlySince, 10*time.Second, "the deadly part still passes")
-		require.Zero(rt, innocentRefused)
+		require.Zero(rt, othersRefused)
 	})
 }
--- a/internal/routing/quarantine/suspects.go
+++ b/internal/routing/quarantine/suspects.go
@@ -1,8 +1,9 @@
 package quarantine
 
-// This file defines how parts of prompts are suspected from the ends of servers.
+// This file defines how parts of prompts are suspected from the crashes of servers.
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -11,25 +12,25 @@
 )
 
 const (
-	// endsToQuarantine is the number of servers that a part has to end, one after the
+	// crashesToQuarantine is the number of servers that a part has to crash, one after the
 	// other, to be quarantined.
-	endsToQuarantine = 3
+	crashesToQuarantine = 3
 	// minSuspicion is the least time from the first blame to the quarantine, within
-	// which an innocent part is likely to be in an answered request.
+	// which a part of many prompts is likely to be in an answered request.
 	minSuspicion = 300 * time.Millisecond
 	// gatherTime is how long the reports of the requests that were in flight at a server
-	// are gathered, and sameEnd how long later reports count as of the same end.
+	// are gathered, and sameCrash how long later reports count as of the same crash.
 	gatherTime = 50 * time.Millisecond
-	sameEnd    = time.Second
-	// maxEnds is the number of ends of servers that are kept for one suspect.
-	maxEnds = 16
+	sameCrash  = time.Second
+	// maxCrashes is the number of crashes that are kept for one suspect.
+	maxCrashes = 16
 	// maxSuspects bounds the memory, as callers may invent parts.
 	maxSuspects = 4096
 )
 
-// Victim is a request that was in flight at a server when it went down, and of which the
+// Request is a request that was in flight at a server when it crashed, and of which the
 // caller had no part of the answer.
-type Victim struct {
+type Request struct {
 	GrantedAt time.Duration
 	// Begun is true if the server had begun its response.
 	Begun bool
@@ -37,97 +38,97 @@
 	Parts []uint64
 }
 
-// end is the end of one server.
-type end struct {
-	id      uint64
-	at      time.Duration
-	victims []Victim
-	judged  bool
+// crash is the crash of one server.
+type crash struct {
+	id       uint64
+	at       time.Duration
+	requests []Request
+	judged   bool
 }
 
 // suspect is a part that was blamed and not cleared since.
 type suspect struct {
 	firstAt, latestAt time.Duration
-	// ends holds the ends of servers for which the part is blamed, in their order.
-	ends []uint64
+	// crashes holds the IDs of the crashes for which the part is blamed, in their order.
+	crashes []uint64
 }
 
-// suspects holds the suspected parts and the recent ends of servers.
+// suspects holds the suspected parts and the recent crashes of servers.
 type suspects struct {
 	parts map[uint64]*suspect
-	// ends holds the recent ends, by server name.
-	ends   map[string]*end
-	lastID uint64
+	// crashes holds the recent crashes, by server name.
+	crashes map[string]*crash
+	lastID  uint64
 }
 
-func (s *suspects) idle() bool { return len(s.parts) == 0 && len(s.ends) == 0 }
+func (s *suspects) idle() bool { return len(s.parts) == 0 && len(s.crashes) == 0 }
 
-// addVictim adds a request to the end of a server.
-func (s *suspects) addVictim(now time.Duration, server string, v Victim) {
-	e := s.ends[server]
-	if e == nil {
-		if s.ends == nil {
-			s.ends = make(map[string]*end)
+// addRequest adds a request to the crash of a server.
+func (s *suspects) addRequest(now time.Duration, server string, r Request) {
+	c := s.crashes[server]
+	if c == nil {
+		if s.crashes == nil {
+			s.crashes = make(map[string]*crash)
 		}
 		s.lastID++
-		e = &end{
+		c = &crash{
 			id: s.lastID,
 			at: now,
 		}
-		s.ends[server] = e
+		s.crashes[server] = c
 	}
-	if !e.judged {
-		e.victims = append(e.victims, v)
+	if !c.judged {
+		c.requests = append(c.requests, r)
 	}
 }
 
-// gathered returns the ends whose reports have been gathered and that it has not returned
+// gathered returns the crashes whose reports have been gathered and that it has not returned
 // before, the earliest first.
-func (s *suspects) gathered(now time.Duration) []*end {
-	var out []*end
-	for server, e := range s.ends {
-		if !e.judged && now-e.at >= gatherTime {
-			e.judged = true
-			out = append(out, e)
+func (s *suspects) gathered(now time.Duration) []*crash {
+	var out []*crash
+	for server, c := range s.crashes {
+		if !c.judged && now-c.at >= gatherTime {
+			c.judged = true
+			out = append(out, c)
 		}
-		if now-e.at >= sameEnd {
-			delete(s.ends, server)
+		if now-c.at >= sameCrash {
+			delete(s.crashes, server)
 		}
 	}
-	slices.SortFunc(out, func(a, b *end) int { return int(a.id) - int(b.id) })
+	slices.SortFunc(out, func(a, b *crash) int { return cmp.Compare(a.id, b.id) })
 	return out
 }
 
-// blame blames the parts of the victims of an end.
-func (s *suspects) blame(e *end) {
-	begun := slices.ContainsFunc(e.victims, func(v Victim) bool { return v.Begun })
-	for _, v := range e.victims {
-		if v.Begun != begun {
+// blame blames the parts of the requests of a crash.
+func (s *suspects) blame(c *crash) {
+	begun := slices.ContainsFunc(c.requests, func(r Request) bool { return r.Begun })
+	for _, r := range c.requests {
+		if r.Begun != begun {
 			continue
 		}
-		for _, part := range v.Parts {
-			s.blamePart(e, v.GrantedAt, part)
+		for _, part := range r.Parts {
+			s.blamePart(c, r.GrantedAt, part)
 		}
 	}
 }
 
-// blamePart blames one part for an end. A request that was granted before the previous
-// end for which the part is blamed adds nothing.
-func (s *suspects) blamePart(e *end, grantedAt time.Duration, part uint64) {
+// blamePart blames one part for a crash. A request that was granted before the previous
+// crash for which the part is blamed adds nothing.
+func (s *suspects) blamePart(c *crash, grantedAt time.Duration, part uint64) {
 	p := s.parts[part]
 	if p == nil {
 		s.add(part, &suspect{
-			firstAt:  e.at,
-			latestAt: e.at,
-			ends:     []uint64{e.id},
+			firstAt:  c.at,
+			latestAt: c.at,
+			crashes:  []uint64{c.id},
 		})
 		return
 	}
-	if grantedAt < p.latestAt || len(p.ends) >= maxEnds {
+	if grantedAt < p.latestAt || len(p.crashes) >= maxCrashes {
 		return
 	}
-	p.ends = append(p.ends, e.id)
-	p.latestAt = e.at
+	p.crashes = append(p.crashes, c.id)
+	p.latestAt = c.at
 }
 
 // add adds a suspect. If there are too many, the one that was blamed the longest ago is
@@ -148,7 +149,7 @@
 	s.parts[part] = p
 }
 
-// clear removes the suspects that a request which was answered proves innocent.
+// clear removes the suspects that a request which was answered clears.
 func (s *suspects) clear(grantedAt time.Duration, parts []uint64) {
 	for _, part := range parts {
 		if p := s.parts[part]; p != nil && grantedAt >= p.firstAt {
@@ -164,12 +165,12 @@
 	}
 }
 
-// guilty returns the parts to quarantine because of a suspect, in ascending order: those
-// that are blamed for all the ends for which it is. It returns nothing if there is too
+// quarantineSet returns the parts to quarantine because of a suspect, in ascending order:
+// those that are blamed for all the crashes for which it is. It returns nothing if there is too
 // little evidence.
-func (s *suspects) guilty(now time.Duration, part uint64, survived func(part uint64, since time.Duration) bool) []uint64 {
+func (s *suspects) quarantineSet(now time.Duration, part uint64, survived func(part uint64, since time.Duration) bool) []uint64 {
 	p := s.parts[part]
-	if p == nil || len(p.ends) < endsToQuarantine || now-p.firstAt < minSuspicion {
+	if p == nil || len(p.crashes) < crashesToQuarantine || now-p.firstAt < minSuspicion {
 		return nil
 	}
 	if survived(part, p.firstAt) {
@@ -178,7 +179,7 @@
 	}
 	var out []uint64
 	for other, o := range s.parts {
-		if containsAll(o.ends, p.ends) && !survived(other, o.firstAt) {
+		if containsAll(o.crashes, p.crashes) && !survived(other, o.firstAt) {
 			out = append(out, other)
 		}
 	}
@@ -197,20 +198,20 @@
 	return max(first, 0)
 }
 
-// explain clears the other suspects of the ends that the given ones explain.
+// explain clears the other suspects of the crashes that the given ones explain.
 func (s *suspects) explain(parts []uint64) {
 	var explained []uint64
 	for _, part := range parts {
-		if p := s.parts[part]; p != nil && (explained == nil || len(p.ends) < len(explained)) {
-			explained = p.ends
+		if p := s.parts[part]; p != nil && (explained == nil || len(p.crashes) < len(explained)) {
+			explained = p.crashes
 		}
 	}
 	for part, p := range s.parts {
 		if slices.Contains(parts, part) {
 			continue
 		}
-		p.ends = slices.DeleteFunc(p.ends, func(id uint64) bool { return slices.Contains(explained, id) })
-		if len(p.ends) == 0 {
+		p.crashes = slices.DeleteFunc(p.crashes, func(id uint64) bool { return slices.Contains(explained, id) })
+		if len(p.crashes) == 0 {
 			delete(s.parts, part)
 		}
 	}
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -24,7 +24,7 @@
 //   - Failing servers: a server that could not be reached or broke off responses is
 //     ejected for a time that doubles. The more often a server has failed recently,
 //     the higher is the cost of placing a request there.
-//   - A part of prompts that ends every server which answers it: requests with it are
+//   - A part of prompts that crashes every server which answers it: requests with it are
 //     refused; see package quarantine.
 package scheduler
 
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -88,8 +88,8 @@
 	// ejections counts the ejections since the last request that succeeded.
 	ejections    int
 	ejectedUntil time.Duration
-	// silent is true from an ejection until the server responds.
-	silent bool
+	// unresponsive is true from an ejection until the server responds.
+	unresponsive bool
 	// probeAt is the earliest time at which the server is probed; see mayProbe.
 	probeAt time.Duration
 	// fullUntil is the time until which a server that rejected a request gets no other.
@@ -202,7 +202,7 @@
 // ejected reports whether the server is excluded from placement while others are healthy.
 // After its time has passed it gets one request at a time, until it responds.
 func (sv *server) ejected(now time.Duration) bool {
-	return sv.silent && (now < sv.ejectedUntil || sv.probed())
+	return sv.unresponsive && (now < sv.ejectedUntil || sv.probed())
 }
 
 // failureRate returns the moving average of the fraction of requests that failed,
@@ -233,7 +233,7 @@
 // which was granted after its last failure.
 func (sv *server) recordResponse(grantedAt time.Duration) {
 	if grantedAt >= sv.lastOutcomeAt {
-		sv.silent = false
+		sv.unresponsive = false
 	}
 }
 
@@ -241,15 +241,15 @@
 func (sv *server) applyReport(now time.Duration, r Report) {
 	switch r.Event {
 	case Done:
-		sv.silent = false
+		sv.unresponsive = false
 		sv.consecutiveBreaks, sv.ejections = 0, 0
 		sv.recordOutcome(now, false)
 	case Rejected:
-		sv.silent = false
+		sv.unresponsive = false
 		sv.fullUntil = now + rejectionBackoff
 		sv.recordOutcome(now, true)
 	case Failed:
-		sv.silent = false
+		sv.unresponsive = false
 		sv.consecutiveBreaks = 0
 		sv.recordOutcome(now, true)
 	case Broken:
@@ -264,7 +264,7 @@
 	case Down:
 		sv.recordOutcome(now, true)
 		// All requests that ran there report the same end of the server.
-		if !sv.silent {
+		if !sv.unresponsive {
 			sv.eject(now, minProbeInterval)
 		}
 	}
@@ -274,7 +274,7 @@
 func (sv *server) eject(now, probeAfter time.Duration) {
 	sv.ejectedUntil = now + min(minEjection<<min(sv.ejections, 8), maxEjection)
 	sv.probeAt = now + probeAfter
-	sv.silent = true
+	sv.unresponsive = true
 	sv.ejections++
 	sv.consecutiveBreaks = 0
 }
--- a/internal/routing/scheduler/suspects.go
+++ b/internal/routing/scheduler/suspects.go
@@ -1,7 +1,7 @@
 package scheduler
 
-// This file defines how the scheduler finds and refuses requests whose prompts end the
-// servers that answer them.
+// This file defines how the scheduler finds and refuses requests whose prompts crash
+// the servers that answer them.
 
 import (
 	"slices"
@@ -12,7 +12,7 @@
 )
 
 // survivalTime is how long after the beginning of its response a request counts as
-// survived: a prompt that ends its server does so when the answer begins.
+// survived: a prompt that crashes its server does so when the answer begins.
 const survivalTime = 300 * time.Millisecond
 
 // sharedParts returns the IDs of the parts of a prompt but the last, which belongs to the
@@ -80,7 +80,7 @@
 	case (r.Event == Done || r.Answered) && !s.quarantine.Idle():
 		s.quarantine.Clear(now, g.grantedAt, sharedParts(g.request.Parts))
 	case r.Event == Down && !r.Answered:
-		s.quarantine.Down(now, g.server.name, quarantine.Victim{
+		s.quarantine.Crashed(now, g.server.name, quarantine.Request{
 			GrantedAt: g.grantedAt,
 			Begun:     started,
 			Parts:     sharedParts(g.request.Parts),
