--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -54,7 +54,7 @@
 	// the request with this key did not run and never will.
 	KeyNotRun Kind = "keyNotRun"
 	Leaving   Kind = "leaving"
-	// PromptQuarantined means that parts of the prompt end the servers that answer them.
+	// PromptQuarantined means that parts of the prompt crash the servers that answer them.
 	PromptQuarantined Kind = "promptQuarantined"
 	ClaimSettled      Kind = "claimSettled"
 	BadSetting        Kind = "badSetting"
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -363,7 +363,7 @@
 		return &fault.Fault{
 			Kind:       fault.PromptQuarantined,
 			Subject:    strconv.FormatUint(d.Quarantine, 16),
-			Advice:     "parts of the prompt end the servers that answer them",
+			Advice:     "parts of the prompt crash the servers that answer them",
 			RetryAfter: d.RetryAfter,
 		}
 	}
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -101,7 +101,7 @@
 	NoServer    = "noServer"
 	Overloaded  = "overloaded"
 	RetryBudget = "retryBudget"
-	// Quarantined means that a part of the prompt ends the servers that answer it.
+	// Quarantined means that parts of the prompt crash the servers that answer them.
 	Quarantined = "quarantined"
 )
 
@@ -187,7 +187,7 @@
 	granted       map[uint64]*grant
 	queue         []*queuedRequest
 	budget        retrybudget.Budget
-	// quarantine finds the parts of prompts that end servers.
+	// quarantine finds the parts of prompts that crash servers.
 	quarantine quarantine.Tracker
 	// completions measures how fast slots become free.
 	completions completionRate
