--- a/Makefile
+++ b/Makefile
@@ -71,5 +71,6 @@
 	go test ./internal/control/wal -run xxx -fuzz FuzzDecodeSegment -fuzztime $(FUZZTIME)
 	go test ./internal/control/wal -run xxx -fuzz FuzzDecodeSnapshot -fuzztime $(FUZZTIME)
 	go test ./internal/control/ledger -run xxx -fuzz FuzzRestore -fuzztime $(FUZZTIME)
+	go test ./platform/serverlist -run xxx -fuzz FuzzPage -fuzztime $(FUZZTIME)
 
 ci: fmt lint test
