--- a/internal/routing/scheduler/loadbound_test.go
+++ b/internal/routing/scheduler/loadbound_test.go
@@ -36,8 +36,9 @@
 // faultyService is a service whose servers run requests for a time that depends on the
 // kind of request, and whose answers may be lost. Its clock advances in milliseconds.
 type faultyService struct {
-	rng      *rand.Rand
-	s        *scheduler.Scheduler
+	rng *rand.Rand
+	// deciders holds the schedulers that decide, each for a part of the requests.
+	deciders []*scheduler.Scheduler
 	now      time.Duration
 	nextID   uint64
 	requests map[uint64]scheduler.Request
@@ -79,17 +80,7 @@
 
 func newFaultyService(seed uint64, servers int) *faultyService {
 	f := &faultyService{
-		rng: rand.New(rand.NewPCG(seed, 7)),
-		s: scheduler.New(scheduler.Service{
-			Name:        "llm",
-			Engine:      true,
-			Slots:       48,
-			CacheTokens: 530_000,
-			LoadBound:   boundMultiple,
-			RetryWindow: 10 * time.Second,
-			RetryRatio:  0.2,
-			RetrySlack:  58,
-		}),
+		rng:      rand.New(rand.NewPCG(seed, 7)),
 		requests: make(map[uint64]scheduler.Request),
 		holds:    make(map[string]int),
 		down:     make(map[string]bool),
@@ -97,13 +88,36 @@
 		dark:     make(map[string]int),
 		full:     make(map[string]bool),
 	}
-	for _, sv := range listServers(f.s, servers, 0) {
-		f.names = append(f.names, sv.Name)
-		f.inFlight[sv.Name] = make(map[uint64]scheduler.Decision)
+	for i := range servers {
+		name := fmt.Sprintf("e%d", i)
+		f.names = append(f.names, name)
+		f.inFlight[name] = make(map[uint64]scheduler.Decision)
 	}
+	f.deciders = []*scheduler.Scheduler{f.newDecider()}
 	return f
 }
 
+// newDecider returns a scheduler that knows nothing but the list of servers.
+func (f *faultyService) newDecider() *scheduler.Scheduler {
+	s := scheduler.New(scheduler.Service{
+		Name:        "llm",
+		Engine:      true,
+		Slots:       48,
+		CacheTokens: 530_000,
+		LoadBound:   boundMultiple,
+		RetryWindow: 10 * time.Second,
+		RetryRatio:  0.2,
+		RetrySlack:  58,
+	})
+	listServers(s, len(f.names), 0)
+	return s
+}
+
+// decider returns the scheduler that decides on a request.
+func (f *faultyService) decider(id uint64) *scheduler.Scheduler {
+	return f.deciders[id%uint64(len(f.deciders))]
+}
+
 // after schedules run at a later time.
 func (f *faultyService) after(d time.Duration, run func()) {
 	f.events = append(f.events, serviceEvent{
@@ -119,7 +133,9 @@
 		if f.rng.Float64() < float64(perSecond)/1000 {
 			f.request()
 		}
-		f.grant(f.s.Tick(f.now))
+		for _, d := range f.deciders {
+			f.grant(d.Tick(f.now))
+		}
 	}
 }
 
@@ -152,7 +168,7 @@
 
 func (f *faultyService) schedule(req scheduler.Request) {
 	f.requests[req.ID] = req
-	if d, ok := f.s.Schedule(f.now, req); ok {
+	if d, ok := f.decider(req.ID).Schedule(f.now, req); ok {
 		f.grant([]scheduler.Decision{d})
 	}
 }
@@ -232,7 +248,7 @@
 
 // report reports an event of a request. A response names the load of its server.
 func (f *faultyService) report(d scheduler.Decision, e scheduler.Event) {
-	f.grant(f.s.Report(f.now, d.ID, scheduler.Report{
+	f.grant(f.decider(d.ID).Report(f.now, d.ID, scheduler.Report{
 		Event:   e,
 		HasLoad: e == scheduler.Started,
 		Running: f.holds[d.Server],
@@ -387,3 +403,79 @@
 		})
 	}
 }
+
+// TestDeciderChangesKeepTheBound: for some seconds two instances decide, each for half of
+// the requests, and know the others only from the load that the servers report; then
+// one decides alone that has just started and knows none of the requests in flight.
+func TestDeciderChangesKeepTheBound(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			f := newFaultyService(seed, 9)
+			f.run(130, 4*time.Second)
+			f.deciders = append(f.deciders, f.newDecider())
+			f.run(130, 6*time.Second)
+			f.deciders = []*scheduler.Scheduler{f.newDecider()}
+			f.run(130, 6*time.Second)
+			f.requireBound(t, 0)
+		})
+	}
+}
+
+// TestFaultsInSeriesKeepTheBound draws series of faults that overlap: lost answers,
+// servers that go down, reject or time out, and changes of the decider. The bound holds
+// in each span in which no server is down.
+func TestFaultsInSeriesKeepTheBound(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runFaultsInSeries(t, seed) })
+	}
+}
+
+// TestFaultsInSeriesMostAnswersLost holds the seeds of such series that failed: some seven
+// in ten answers of most servers are lost, and the few that lose none get one or two
+// requests too many, because lost requests count as load for up to 0.3 s.
+func TestFaultsInSeriesMostAnswersLost(t *testing.T) {
+	for _, seed := range []uint64{66, 284} {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runFaultsInSeries(t, seed) })
+	}
+}
+
+func runFaultsInSeries(t *testing.T, seed uint64) {
+	t.Helper()
+	f := newFaultyService(seed, 9)
+	f.run(130, 2*time.Second)
+	for range 6 {
+		f.drawFaults()
+		f.run(100+f.rng.IntN(100), time.Second+time.Duration(f.rng.IntN(2000))*time.Millisecond)
+	}
+	clear(f.down)
+	clear(f.full)
+	returned := f.now
+	f.run(130, 8*time.Second)
+	f.requireBound(t, returned)
+}
+
+// drawFaults replaces the faults by others.
+func (f *faultyService) drawFaults() {
+	f.lost, f.silent = 0, 0
+	clear(f.down)
+	clear(f.full)
+	f.spared = f.rng.IntN(3)
+	if f.rng.IntN(2) == 0 {
+		f.lost = 0.4 * f.rng.Float64()
+	}
+	if f.rng.IntN(2) == 0 {
+		f.silent = 0.4 * f.rng.Float64()
+	}
+	for _, name := range f.names[:f.rng.IntN(5)] {
+		f.crash(name)
+	}
+	for _, name := range f.names[6:] {
+		f.full[name] = f.rng.IntN(3) == 0
+	}
+	switch f.rng.IntN(4) {
+	case 0:
+		f.deciders = []*scheduler.Scheduler{f.newDecider()}
+	case 1:
+		f.deciders = []*scheduler.Scheduler{f.newDecider(), f.newDecider()}
+	}
+}
