Ledger: the same quarantine recorded by several instances changes nothing

Each instance that has sent such prompts finds the parts itself and records them; a late record could have widened the set again, and each sent the row to all instances anew. Parts that one has taken out stay out.

--- a/internal/control/ledger/quarantines.go
+++ b/internal/control/ledger/quarantines.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -33,7 +34,8 @@
 }
 
 // quarantine adds, changes or releases a quarantine. The row of a released one stays, so
-// that routers receive the release.
+// that routers receive the release. Several instances may record the same one, also with
+// parts that another has taken out.
 func (l *Ledger) quarantine(index uint64, q *pb.Quarantine) *pb.Result {
 	key := quarantineKeyOf(q)
 	old := l.quarantines[key]
@@ -44,8 +46,12 @@
 	if q.GetReleased() {
 		row.Parts = old.GetParts()
 	}
-	if !old.GetReleased() {
+	if old != nil && !old.GetReleased() {
 		row.FailedTrials = max(row.GetFailedTrials(), old.GetFailedTrials())
+		row.Parts = commonParts(old.GetParts(), row.GetParts())
+		if !q.GetReleased() && row.GetFailedTrials() == old.GetFailedTrials() && slices.Equal(row.GetParts(), old.GetParts()) {
+			return &pb.Result{}
+		}
 	}
 	row.ChangedIndex = index
 	l.rowsIndex = index
@@ -54,6 +60,15 @@
 	return &pb.Result{}
 }
 
+// commonParts returns the parts that are in both lists, or the new ones if none is.
+func commonParts(old, parts []uint64) []uint64 {
+	common := slices.DeleteFunc(slices.Clone(old), func(p uint64) bool { return !slices.Contains(parts, p) })
+	if len(common) == 0 {
+		return parts
+	}
+	return common
+}
+
 func (l *Ledger) trimQuarantines() {
 	for len(l.quarantines) > maxQuarantines {
 		var first *pb.Quarantine
--- a/internal/control/ledger/quarantines_test.go
+++ b/internal/control/ledger/quarantines_test.go
@@ -30,6 +30,8 @@
 	l := &Ledger{}
 	require.Empty(t, l.Apply(1, quarantineCommand(7, false, 1, 2)).GetFailure())
 	require.Empty(t, l.Apply(2, quarantineCommand(7, false, 2)).GetFailure())
+	require.Empty(t, l.Apply(3, quarantineCommand(7, false, 1, 2)).GetFailure(), "another instance is late")
+	require.Empty(t, l.Changes(2).Quarantines, "nothing has changed")
 	b, err := l.Encode()
 	require.NoError(t, err)
 	restored := &Ledger{}
@@ -37,12 +39,12 @@
 	rows := restored.Changes(0).Quarantines
 	require.Len(t, rows, 1)
 	require.Equal(t, []uint64{2}, rows[0].GetParts())
-	require.Empty(t, restored.Apply(3, quarantineCommand(7, true)).GetFailure())
-	rows = restored.Changes(2).Quarantines
+	require.Empty(t, restored.Apply(4, quarantineCommand(7, true)).GetFailure())
+	rows = restored.Changes(3).Quarantines
 	require.Len(t, rows, 1)
 	require.True(t, rows[0].GetReleased())
-	require.Equal(t, fault.UnknownQuarantine, restored.Apply(4, quarantineCommand(7, true)).GetFailure())
-	require.Equal(t, fault.UnknownQuarantine, restored.Apply(5, quarantineCommand(8, true)).GetFailure())
+	require.Equal(t, fault.UnknownQuarantine, restored.Apply(5, quarantineCommand(7, true)).GetFailure())
+	require.Equal(t, fault.UnknownQuarantine, restored.Apply(6, quarantineCommand(8, true)).GetFailure())
 }
 
 // TestQuarantinesAreBounded: the table keeps the latest quarantines, and drops those that
