--- a/internal/routing/scheduler/limit.go
+++ b/internal/routing/scheduler/limit.go
@@ -36,6 +36,12 @@
 	return s.limit
 }
 
+// limitAmongHealthy returns the load limit that follows from the servers that are not
+// ejected.
+func (s *Scheduler) limitAmongHealthy(now time.Duration) float64 {
+	return s.limitOver(now, func(sv *server) bool { return !sv.ejected(now) }).requests
+}
+
 // limitAmongAvailable returns a load limit derived from the mean load of the servers that
 // are not ejected and may take req. It keeps their loads even while the others reject
 // requests.
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -162,14 +162,14 @@
 	}
 	for _, step := range []struct {
 		servers serverSet
-		limit   float64
+		limit   func() float64
 	}{
-		{healthyServers, limit},
-		{probedServers, limit},
-		{healthyServers, s.limitOver(now, func(sv *server) bool { return !sv.ejected(now) }).requests},
-		{healthyServers, s.limitAmongAvailable(now, req)},
+		{healthyServers, func() float64 { return limit }},
+		{probedServers, func() float64 { return limit }},
+		{healthyServers, func() float64 { return s.limitAmongHealthy(now) }},
+		{healthyServers, func() float64 { return s.limitAmongAvailable(now, req) }},
 	} {
-		if sv := s.chooseFrom(now, req, s.listedServers, step.servers, step.limit); sv != nil {
+		if sv := s.chooseFrom(now, req, s.listedServers, step.servers, step.limit()); sv != nil {
 			return sv
 		}
 	}
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -263,7 +263,7 @@
 		sv.eject(now, max(minProbeInterval, probePause*r.Elapsed))
 	case Down:
 		sv.recordOutcome(now, true)
-		// All requests that ran there report the same end of the server.
+		// All requests that ran there report the same crash.
 		if !sv.unresponsive {
 			sv.eject(now, minProbeInterval)
 		}
