--- a/review/standin/case_leaving.go
+++ b/review/standin/case_unreadable.go
@@ -11,11 +11,13 @@
 	lingers = 3 * time.Second
 	// bookingWork is how long a booking takes, so that some are at work when the server ends.
 	bookingWork = 500 * time.Millisecond
+	// unreadable is what another writer has put into the list.
+	unreadable = "\x00\x17torn write\xff"
 )
 
-// leavingHeader: a server leaves and says so in all its answers, while the platform's list cannot
-// be read. Requests still reach it later than drainMs after a machine has passed on such an answer.
-func leavingHeader(env *Env) (bool, error) {
+// unreadableEntry: the platform's list has one entry of another writer that is bytes which can't
+// be read. The other entries no longer hold: a server that leaves keeps getting requests.
+func unreadableEntry(env *Env) (bool, error) {
 	s, err := startSite(env, 3, 1, 1, 3)
 	if err != nil {
 		return false, err
@@ -42,32 +44,29 @@
 			time.Sleep(60 * time.Millisecond)
 		}
 	}
+	list := func() {
+		var out []any
+		for _, sv := range append(append([]*Server(nil), s.Engines...), s.Apps...) {
+			out = append(out, sv.Entry())
+		}
+		if env.Trouble {
+			out = append(out, []byte(unreadable))
+		}
+		s.Platform.SetRaw(out)
+	}
+	list()
 	send(4 * time.Second)
 	leaver := s.Apps[0]
-	if env.Trouble {
-		s.Platform.SetDown(true)
-	}
 	leaver.Leave()
-	s.List()
+	list()
+	shown := env.Now() + listLag
 	send(drainTime + lingers)
 	wg.Go(leaver.Stop)
-	send(3 * time.Second)
-	s.Platform.SetDown(false)
+	send(2 * time.Second)
 	wg.Wait()
-	// When each machine first passed on an answer that says the server leaves.
-	told := make(map[string]time.Duration)
-	for _, a := range all {
-		if a.Header.Get("Server-Leaving") == "" {
-			continue
-		}
-		if at, ok := told[a.Address]; !ok || a.Ended < at {
-			told[a.Address] = a.Ended
-		}
-	}
 	late, lost := 0, 0
 	for _, a := range all {
-		at, ok := told[a.Address]
-		if !ok || a.Sent <= at+drainTime {
+		if a.Sent <= shown+drainTime {
 			continue
 		}
 		for _, r := range find(a.Request.ID, leaver) {
@@ -75,9 +74,9 @@
 			if !a.Complete() {
 				lost++
 			}
-			env.Log("judged", "id", a.Request.ID, "machine", a.Address, "sentAfterAnswer", a.Sent-at, "reached", r.Server, "status", a.Status)
+			env.Log("judged", "id", a.Request.ID, "sentAfterListed", a.Sent-shown, "arrivedAfterListed", r.Arrived-shown, "status", a.Status)
 		}
 	}
-	env.Log("result", "machinesTold", len(told), "reachedTheLeavingServer", late, "ofTheseLost", lost)
+	env.Log("result", "reachedTheLeavingServer", late, "ofTheseLost", lost)
 	return late > 0, nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,7 +30,7 @@
 	"odd-entry":         oddEntry,
 	"drain-long-stream": drainLongStream,
 	"cut-in-event":      cutInEvent,
-	"leaving-header":    leavingHeader,
+	"unreadable-entry":  unreadableEntry,
 }
 
 func main() {
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -31,7 +31,6 @@
 
 	mu      sync.Mutex
 	current []any
-	down    bool
 }
 
 func newPlatform(env *Env) (*Platform, error) {
@@ -65,20 +64,12 @@
 	})
 }
 
-// SetDown makes the list unavailable or available again.
-func (p *Platform) SetDown(down bool) {
-	p.env.Log("platform", "down", down)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.down = down
-}
-
 func (p *Platform) serve(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
-	entries, down := p.current, p.down
+	entries := p.current
 	p.mu.Unlock()
-	if down || r.URL.Path != "/instances" {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if r.URL.Path != "/instances" {
+		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	var page bytes.Buffer
