--- a/review/standin/case_grey.go
+++ b/review/standin/case_grey.go
@@ -32,7 +32,7 @@
 	}
 	if env.Trouble {
 		var n atomic.Uint64
-		s.Apps[0].Answer = func(w http.ResponseWriter, r *http.Request, run *Run) bool {
+		s.Apps[0].Answer = func(w http.ResponseWriter, _ *http.Request, run *Run) bool {
 			if n.Add(1)%greyEvery >= greyFails {
 				return false
 			}
