A further SIGTERM no longer cuts a planned stop short

Cause: after the first signal the default handling was restored, on purpose, so that a second one would terminate the process. Planned stops come in series and overlap, and whoever stops processes may send SIGTERM again while one drains; the process then died at once.

TestSecondTermCutsNoPlannedStop failed before: 'signal: terminated' after 0.3 s.

Why it works: SIGTERM stays handled for the life of the process and only starts the one stop that there is. An interrupt from a terminal still ends it at once. The grace period itself is kept by the platform with SIGKILL.

--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -53,9 +53,10 @@
 		fmt.Println("camphord", version.String())
 		return 0
 	}
-	// The first signal starts a graceful shutdown. Then the default handling is
-	// restored, so that a second signal terminates the process at once.
-	context.AfterFunc(ctx, stop)
+	// The first signal starts a graceful shutdown. A further SIGTERM changes nothing, since
+	// whoever stops processes may send it more than once; an interrupt from a terminal then
+	// terminates the process at once.
+	context.AfterFunc(ctx, func() { signal.Reset(syscall.SIGINT) })
 	log, flush := logging.New(os.Stdout, set.LogLevel, set.Instance)
 	defer flush()
 	adapters := platformAdapters(set, log)
