A request whose body ends late in the grace period is not passed on unless it fits

What callers saw: a chat whose head reached a stopping instance within the first 3 s and whose body in chunks ended after them was accepted, passed on, and could be cut at the end of the grace period.

Cause: whether a request still ends before the stop was decided when its head had been read, and not again when its body had: a body in chunks may take as long as it likes. A shutdown that began while the body arrived was not looked at either.

Evidence: read in the code, then TestBodyThatEndsLateInTheGracePeriodIsRefused, which failed before: 200 and one more arrival where 503 and none are expected.

Why it works: the same decision is taken again once the body was read, with the time that the request has left then.

--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -217,18 +217,32 @@
 	if c.req.Timeout > 0 {
 		timeout = min(timeout, c.req.Timeout)
 	}
-	if s, leaving := c.h.shutdownState(); leaving && !c.h.routeDurations.Fits(c.route.Name, timeout, s) {
-		return &fault.Fault{
-			Kind:       fault.Leaving,
-			Subject:    c.route.Name,
-			Advice:     "the instance shuts down before the request would finish",
-			RetryAfter: leavingRetryAfter + rand.N(leavingRetryAfter),
-		}
-	}
 	c.deadline = c.start + timeout
+	if err := c.checkShutdown(); err != nil {
+		return err
+	}
 	c.service = c.route.PickService(xxhash.Sum64String(c.req.ID))
 	c.lastEvent = c.req.LastEventID
-	return c.readBody(v.Rules.Ingress.BodyBytes)
+	if err := c.readBody(v.Rules.Ingress.BodyBytes); err != nil {
+		return err
+	}
+	// A body may take long to arrive, and the shutdown may have begun meanwhile.
+	return c.checkShutdown()
+}
+
+// checkShutdown returns the refusal of a request that may not end before this instance
+// stops, nil if it isn't shutting down or the request fits.
+func (c *call) checkShutdown() error {
+	s, leaving := c.h.shutdownState()
+	if !leaving || c.h.routeDurations.Fits(c.route.Name, c.timeLeft(), s) {
+		return nil
+	}
+	return &fault.Fault{
+		Kind:       fault.Leaving,
+		Subject:    c.route.Name,
+		Advice:     "the instance shuts down before the request would finish",
+		RetryAfter: leavingRetryAfter + rand.N(leavingRetryAfter),
+	}
 }
 
 // isPublic reports whether the request needs no confirmation that the rules are in
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -118,6 +118,45 @@
 	require.Equal(t, 3, e.requestCount())
 }
 
+// TestBodyThatEndsLateInTheGracePeriodIsRefused: a request arrives early in a shutdown, when
+// the usual duration of its route decides, and its body in chunks ends late. It was passed on
+// and cut off at the end of the grace period. It is refused as not run unless it must end in
+// time.
+func TestBodyThatEndsLateInTheGracePeriodIsRefused(t *testing.T) {
+	e := newTestEnv(t, respondOK)
+	require.Equal(t, http.StatusOK, e.status("/book/x"))
+	ends := time.Now().Add(1500 * time.Millisecond)
+	e.stopsAt.Store(&ends)
+	e.leavingFor.Store(int64(2 * time.Second))
+	chunked := func(wait string) int {
+		body, writer := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(writer, "first")
+			time.Sleep(100 * time.Millisecond)
+			e.leavingFor.Store(int64(4 * time.Second))
+			_, _ = io.WriteString(writer, "last")
+			_ = writer.Close()
+		}()
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.url+"/book/x", body)
+		require.NoError(t, err)
+		r.Host = "h"
+		r.Header.Set("Id", "x1")
+		r.Header.Set("Key", "secret")
+		if wait != "" {
+			r.Header.Set("Wait", wait)
+		}
+		resp, err := e.client.Do(r)
+		require.NoError(t, err)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusServiceUnavailable, chunked(""))
+	require.Equal(t, 1, e.requestCount())
+	e.leavingFor.Store(int64(2 * time.Second))
+	require.Equal(t, http.StatusOK, chunked("1s"))
+	require.Equal(t, 2, e.requestCount())
+}
+
 // TestServerThatNeverAnswersIsEjected: a server accepts connections and requests and answers
 // none. The requests that time out there count against it, so that others are not sent there
 // at the same rate for ever.
