A request that arrives as a drained instance exits is refused, and responses are written first

From the sixth second on a stopping instance exits once no request is in flight. A request that came between that look and the closing of the connections was passed on and cut, bookings with short deadlines too, as they fit into what is left of the grace period. A response whose handler had returned, but whose last chunk the caller had not room for yet, ended without it.

Cause: 'nothing in flight' and 'nothing more is accepted' were two steps, and the end of a handler counted as the end of its response. On a fifth of a core the steps can lie a tenth of a second apart.

The written response has no test of its own.

Why it works: the gate decides both under one lock; what comes later hears 503, truthfully, with a closed connection. Connections are closed by http.Server.Shutdown, which waits, for 0.2 s, until responses are written.

--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -21,6 +21,7 @@
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/daemon/bodymemory"
 	"camphorspoke/internal/daemon/discovery"
+	"camphorspoke/internal/daemon/inflight"
 	"camphorspoke/internal/daemon/ingress"
 	"camphorspoke/internal/daemon/membership"
 	"camphorspoke/internal/daemon/metrics"
@@ -53,6 +54,11 @@
 	// exitMargin is the part of the grace period that is reserved for the final
 	// clean-up.
 	exitMargin = 700 * time.Millisecond
+	// flushTimeout is how long after the drain responses may still be written to callers.
+	flushTimeout = 200 * time.Millisecond
+	// drainedRetryAfter is the retry delay given to callers whose request comes after the
+	// drain; the retry goes to another instance.
+	drainedRetryAfter = 30 * time.Millisecond
 	// entryStopTimeout limits the wait for calls from other instances at shutdown.
 	entryStopTimeout = 50 * time.Millisecond
 	// drainPollInterval is the time between checks whether the instance has drained.
@@ -113,9 +119,11 @@
 	// its clock.
 	leaveTime atomic.Int64
 	exitTime  atomic.Int64
-	// inFlight counts the callers' requests in flight, requests all of them.
-	inFlight atomic.Int64
+	// gate counts the callers' requests in flight, requests all of them.
+	gate     inflight.Gate
 	requests atomic.Uint64
+	// front serves the callers.
+	front *http.Server
 }
 
 var (
@@ -168,7 +176,7 @@
 	if cfg.Metrics != "" {
 		mux := http.NewServeMux()
 		mux.Handle("/metrics", metricsHandler)
-		if err := e.serveHTTP(cfg.Metrics, mux); err != nil {
+		if _, err := e.serveHTTP(cfg.Metrics, mux); err != nil {
 			return err
 		}
 	}
@@ -330,12 +338,15 @@
 		{in.cfg.Entry.Operator, endpoints.Configuration()},
 		{in.cfg.Entry.Directory, endpoints.Resolve()},
 		{in.cfg.Entry.Ready, endpoints.Ready()},
-		{in.cfg.Entry.Front, e.countInFlight(handler)},
 	} {
-		if err := e.serveHTTP(d.address, d.handler); err != nil {
+		if _, err := e.serveHTTP(d.address, d.handler); err != nil {
 			return err
 		}
 	}
+	var err error
+	if e.front, err = e.serveHTTP(in.cfg.Entry.Front, e.countInFlight(handler)); err != nil {
+		return err
+	}
 	stop := make(chan struct{})
 	go e.sweepPool(stop)
 	go e.watchSettings(stop)
@@ -343,21 +354,31 @@
 	return nil
 }
 
-// countInFlight wraps h to count the requests in flight.
+// countInFlight wraps h to count the requests in flight, and refuses those that come after
+// the instance has drained.
 func (e *entry) countInFlight(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.requests.Add(1)
-		e.inFlight.Add(1)
-		defer e.inFlight.Add(-1)
+		if !e.gate.Enter() {
+			w.Header().Set("Connection", "close")
+			e.instance.adapters.Dialect.WriteError(w, &fault.Fault{
+				Kind:       fault.Leaving,
+				Subject:    e.instance.cfg.Instance,
+				Advice:     "the instance has drained and is about to exit",
+				RetryAfter: drainedRetryAfter,
+			})
+			return
+		}
+		defer e.gate.Leave()
 		h.ServeHTTP(w, r)
 	})
 }
 
 // serveHTTP serves h at address until the instance is cleaned up.
-func (e *entry) serveHTTP(address string, h http.Handler) error {
+func (e *entry) serveHTTP(address string, h http.Handler) (*http.Server, error) {
 	l, err := link.Listen(address)
 	if err != nil {
-		return fault.Wrap(fault.BadSetting, address, err)
+		return nil, fault.Wrap(fault.BadSetting, address, err)
 	}
 	s := &http.Server{
 		Handler:           h,
@@ -372,7 +393,7 @@
 		}
 	}()
 	e.instance.onCleanUp(func() { s.Close() })
-	return nil
+	return s, nil
 }
 
 // sweepPool sweeps the connection pool periodically.
--- a/internal/daemon/server/entryleave.go
+++ b/internal/daemon/server/entryleave.go
@@ -60,7 +60,7 @@
 // drain prepares the instance for shutdown. It leaves the directory at once, keeps
 // accepting connections for minListenTime because callers may still hold an older
 // directory response, and then waits for the requests in flight, until the grace
-// period less exitMargin has passed.
+// period less exitMargin has passed. On return no request is accepted any more.
 func (e *entry) drain(ctx context.Context) {
 	start := e.instance.now()
 	deadline := start + e.instance.cfg.Entry.Grace - exitMargin
@@ -74,7 +74,20 @@
 	for e.instance.now() < min(start+minListenTime, deadline) {
 		time.Sleep(drainPollInterval)
 	}
-	for e.inFlight.Load() > 0 && e.instance.now() < deadline {
+	for !e.gate.CloseIfIdle() && e.instance.now() < deadline {
 		time.Sleep(drainPollInterval)
 	}
+	e.gate.Close()
+	e.finishResponses()
+}
+
+// finishResponses waits until the responses of requests that have ended are written, and
+// closes the connections of callers. Connections with a request in flight are closed after
+// flushTimeout.
+func (e *entry) finishResponses() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := e.front.Shutdown(ctx); err != nil {
+		e.instance.log.WithField("inFlight", e.gate.Count()).WithError(err).Warn("daemon: connections of callers are still in use after the drain; they are cut off")
+	}
 }
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -446,7 +446,7 @@
 
 func (in *instance) inFlight() int {
 	if in.entry != nil {
-		return int(in.entry.inFlight.Load())
+		return in.entry.gate.Count()
 	}
 	return int(in.router.InFlight())
 }
