--- a/cmd/camphor-soak/main.go
+++ b/cmd/camphor-soak/main.go
@@ -28,6 +28,7 @@
 	callers := fs.Int("callers", 12, "number of concurrent callers")
 	chats := fs.Int("chats", 12, "number of concurrent callers that hold long chats")
 	planned := fs.Bool("planned", false, "inject planned operations only")
+	failAll := fs.Bool("fail-all", false, "let all servers of a service fail half of their requests at times")
 	grace := fs.Duration("grace", 4*time.Second, "grace period of planned stops")
 	keep := fs.String("keep", "", "directory for the logs of failed seeds; if empty, logs are not kept")
 	verbose := fs.Bool("v", false, "print each injected fault")
@@ -47,6 +48,7 @@
 					Callers:       *callers,
 					ChatCallers:   *chats,
 					PlannedOnly:   *planned,
+					FailAll:       *failAll,
 					Grace:         *grace,
 				}
 				if *verbose {
--- a/internal/check/guarantee/guarantee.go
+++ b/internal/check/guarantee/guarantee.go
@@ -37,6 +37,8 @@
 	AtMostOnce bool
 	// Address is the daemon that the request was sent to.
 	Address string
+	// Service is the service of the request's route.
+	Service string
 	Sent    time.Time
 	// LastByteSent is when the last byte of the request was sent; zero if it was sent at
 	// once.
@@ -82,12 +84,16 @@
 	faultIntervals []faultInterval
 	pushback       pushbacks
 	stops          []plannedStop
+	// traffic holds the requests and repeats of each service, arrivals how often each
+	// request arrived.
+	traffic  map[string]*traffic
+	arrivals map[string]int
 	// executionEnds holds, by request, when its latest execution ended.
 	executionEnds map[string]time.Time
-	acked          uint64
-	ackedAt        map[uint64]time.Time
-	violations     []string
-	counts         map[string]int
+	acked         uint64
+	ackedAt       map[uint64]time.Time
+	violations    []string
+	counts        map[string]int
 }
 
 func (c *Checker) init() {
@@ -102,6 +108,8 @@
 	c.ackedAt = make(map[uint64]time.Time)
 	c.counts = make(map[string]int)
 	c.executionEnds = make(map[string]time.Time)
+	c.traffic = make(map[string]*traffic)
+	c.arrivals = make(map[string]int)
 }
 
 // lock locks the checker, initialises it if needed, and returns the function that
@@ -127,6 +135,8 @@
 func (c *Checker) Sent(a Attempt) {
 	defer c.lock()()
 	c.attempts[a.ID] = a
+	t := c.trafficOf(a.Service)
+	t.sent = append(t.sent, a.Sent)
 }
 
 // Executed records that a backend server began to execute a request.
--- a/internal/check/soak/callers.go
+++ b/internal/check/soak/callers.go
@@ -103,8 +103,12 @@
 		Key:        key,
 		AtMostOnce: path == "/book/x",
 		Address:    address,
+		Service:    "app",
 		Sent:       time.Now(),
 	}
+	if path == "/chat/x" {
+		a.Service = "llm"
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
 	defer cancel()
 	if c.rng.IntN(40) == 0 {
--- a/internal/check/soak/faults.go
+++ b/internal/check/soak/faults.go
@@ -16,6 +16,8 @@
 const (
 	// maxFaultPause is the longest pause between two faults of one injector.
 	maxFaultPause = 2 * time.Second
+	// responseFlushTime is how long the end of a response may take to be written.
+	responseFlushTime = 200 * time.Millisecond
 	// injectorCount is the number of injectors that run concurrently.
 	injectorCount = 2
 	// minDiskLossInterval is the least time between two losses of a disk: the
@@ -27,9 +29,10 @@
 type injector struct {
 	s   *Soak
 	rng *rand.Rand
-	// pushesBack is true for an injector of pushBackKind only. It has a sequence of its
-	// own, so that each seed keeps the sequences of the other kinds.
-	pushesBack bool
+	// only is the one kind that it injects; nil for a random one of faultKinds each time.
+	// It then has a sequence of its own, so that each seed keeps the sequences of the
+	// other kinds.
+	only *faultKind
 }
 
 // faultKind is a kind of fault.
@@ -64,6 +67,10 @@
 // pause. It breaks no guarantee of the others.
 var pushBackKind = faultKind{name: "pushBack", planned: true, inject: (*injector).pushBack}
 
+// failAllKind is the kind of fault in which all servers of a service fail about half of their
+// requests, so that retries may exceed their budget.
+var failAllKind = faultKind{name: "failAll", inject: (*injector).failAll}
+
 // pick returns a random kind of fault, each with a probability proportional to its
 // weight.
 func (f *injector) pick() faultKind {
@@ -86,8 +93,10 @@
 
 func (f *injector) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		k := pushBackKind
-		if !f.pushesBack {
+		var k faultKind
+		if f.only != nil {
+			k = *f.only
+		} else {
 			k = f.pick()
 		}
 		f.s.log("fault", k.name)
@@ -195,6 +204,24 @@
 	return nil
 }
 
+// failAll makes all servers of a random service fail about half of their requests for a
+// while.
+func (f *injector) failAll() error {
+	service := f.randomBackend().service
+	var servers []*backend
+	for _, b := range f.s.serverList.all() {
+		if b.service == service {
+			servers = append(servers, b)
+			b.partlyFailing.Store(true)
+		}
+	}
+	time.Sleep(f.randomDuration(4 * time.Second))
+	for _, b := range servers {
+		b.partlyFailing.Store(false)
+	}
+	return nil
+}
+
 // pushBack makes one backend server, or all of its service, refuse all requests for a while
 // and ask for pauses of up to three seconds.
 func (f *injector) pushBack() error {
@@ -243,8 +270,9 @@
 	time.Sleep(2 * f.s.checker.Bounds.Drain)
 	f.s.serverList.remove(old)
 	time.Sleep(time.Second)
-	// A server that leaves finishes its requests.
+	// A server that leaves finishes its requests, and writes the ends of its responses.
 	old.executing.Wait()
+	time.Sleep(responseFlushTime)
 	old.close()
 	return nil
 }
--- a/internal/check/soak/soak.go
+++ b/internal/check/soak/soak.go
@@ -32,8 +32,13 @@
 	// recoveryTimeout is how long the daemons have after the last fault to return
 	// the newest acknowledged configuration.
 	recoveryTimeout = 15 * time.Second
-	// pushBackSequence selects the random sequence of the injector of pushBackKind.
-	pushBackSequence = 20
+	// separateSequence selects the random sequence of the first kind of fault that has an
+	// injector of its own.
+	separateSequence = 20
+	// retryRatio, retrySlack and retryWindow are the retry budget of each service.
+	retryRatio  = 0.2
+	retrySlack  = 60
+	retryWindow = 10 * time.Second
 )
 
 // Config holds the settings of a soak.
@@ -53,6 +58,8 @@
 	ChatCallers int
 	// PlannedOnly injects planned operations only.
 	PlannedOnly bool
+	// FailAll lets all servers of a service fail half of their requests at times.
+	FailAll bool
 	// Grace is the grace period of a planned stop; zero is defaultGrace.
 	Grace time.Duration
 	// Log receives a line for each fault; it may be nil.
@@ -210,18 +217,25 @@
 		}
 		workers.Go(func() { f.run(faultCtx) })
 	}
-	pushBack := &injector{
-		s:          s,
-		rng:        rand.New(rand.NewPCG(s.cfg.Seed, pushBackSequence)),
-		pushesBack: true,
+	for i, k := range s.separateKinds() {
+		f := &injector{
+			s:    s,
+			rng:  rand.New(rand.NewPCG(s.cfg.Seed, uint64(separateSequence+i))),
+			only: &k,
+		}
+		workers.Go(func() { f.run(faultCtx) })
 	}
-	workers.Go(func() { pushBack.run(faultCtx) })
 	workers.Wait()
 	stopFaults()
 	s.log("faults", "ended")
 	s.awaitRecovery(ctx)
 	stopLoad()
 	callers.Wait()
+	s.checker.CheckBudget(guarantee.Budget{
+		Window: retryWindow,
+		Ratio:  retryRatio,
+		Slack:  retrySlack,
+	})
 	for _, d := range s.daemons {
 		if ended, err := d.process.Exited(); ended {
 			s.checker.AddViolation("processes do not exit unexpectedly", fmt.Sprintf("%s: %v", d.name, err))
@@ -229,6 +243,15 @@
 	}
 }
 
+// separateKinds returns the kinds of faults that have an injector each.
+func (s *Soak) separateKinds() []faultKind {
+	kinds := []faultKind{pushBackKind}
+	if s.cfg.FailAll {
+		kinds = append(kinds, failAllKind)
+	}
+	return kinds
+}
+
 // awaitRecovery checks that every daemon returns the newest acknowledged
 // configuration in time, and that callers are served after that.
 func (s *Soak) awaitRecovery(ctx context.Context) {
--- a/internal/check/soak/soak_test.go
+++ b/internal/check/soak/soak_test.go
@@ -38,30 +38,48 @@
 
 // TestSoak injects faults for a few seconds with each seed.
 func TestSoak(t *testing.T) {
-	for name, seed := range map[string]uint64{
-		"kill all, lost disk, links": 1,
+	for name, cfg := range map[string]soak.Config{
+		"kill all, lost disk, links": {
+			Seed:        1,
+			Callers:     6,
+			ChatCallers: 3,
+		},
 		// Three of the seeds 1 to 7 and 101 to 107 failed when camphord installed its
 		// signal handlers too late, because SIGHUP or SIGTERM right after a start then
 		// ended the process at once.
-		"signals right after a start": 101,
+		"signals right after a start": {
+			Seed:    101,
+			Callers: 6,
+		},
+		// Failed when a second SIGTERM ended a process that was finishing its requests.
+		"signals in series during planned stops": {
+			Seed:        2,
+			Callers:     2,
+			ChatCallers: 8,
+			PlannedOnly: true,
+			Grace:       8 * time.Second,
+		},
+		// All servers of a service fail half of their requests: retries keep their budget.
+		"servers fail together": {
+			Seed:    3,
+			Callers: 10,
+			FailAll: true,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			report, err := soak.Run(context.Background(), soak.Config{
-				Bin:           binDir,
-				Dir:           t.TempDir(),
-				Seed:          seed,
-				FaultDuration: 8 * time.Second,
-				Daemons:       4,
-				Replicas:      3,
-				Callers:       6,
-			})
+			cfg.Bin = binDir
+			cfg.Dir = t.TempDir()
+			cfg.FaultDuration = 8 * time.Second
+			cfg.Daemons = 4
+			cfg.Replicas = 3
+			report, err := soak.Run(context.Background(), cfg)
 			require.NoError(t, err)
 			var out strings.Builder
 			report.Print(&out)
 			t.Log(out.String())
 			require.Empty(t, report.Violations)
-			require.NotZero(t, report.Counts["served"])
+			require.NotZero(t, report.Counts["served"]+report.Counts["chats served"])
 		})
 	}
 }
