A body in chunks holds the memory that it takes, not that of the largest one

What callers saw: a request whose body came in chunks and had more than 64 KB held 4 MB of the memory for bodies until it had ended. Of one account six such requests at an instance with 64 MB for bodies (a stream lasts seconds) kept the seventh waiting for 0.3 s and refused it as overloaded.

Cause: the length of such a body is not known, so the largest allowed one is reserved; what was not needed was never given back.

Why it works: once the body is read the reservation is reduced to the buffer that holds it.

--- a/internal/daemon/bodymemory/bodymemory.go
+++ b/internal/daemon/bodymemory/bodymemory.go
@@ -46,17 +46,23 @@
 }
 
 // Reserve reserves the memory for a body of an account, and returns the function that
-// releases it. It waits for a short time, then fails with a fault of kind Overloaded.
-func (b *Budget) Reserve(ctx context.Context, account string, bytes int) (release func(), err error) {
+// reduces the reservation to a number of bytes; with zero it releases all of it. It waits
+// for a short time, then fails with a fault of kind Overloaded.
+func (b *Budget) Reserve(ctx context.Context, account string, bytes int) (reduce func(bytes int), err error) {
 	if b == nil || b.Bytes == 0 || bytes == 0 {
-		return func() {}, nil
+		return func(int) {}, nil
 	}
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	for {
 		taken, changed := b.tryReserve(account, bytes)
 		if taken {
-			return sync.OnceFunc(func() { b.release(account, bytes) }), nil
+			r := &reservation{
+				account: account,
+				large:   bytes > SmallBody,
+				bytes:   bytes,
+			}
+			return func(bytes int) { b.reduce(r, bytes) }, nil
 		}
 		select {
 		case <-changed:
@@ -102,15 +108,29 @@
 	return true, nil
 }
 
-func (b *Budget) release(account string, bytes int) {
+// reservation is the memory that one body holds, counted as that of a large one or of a
+// small one.
+type reservation struct {
+	account string
+	large   bool
+	bytes   int
+}
+
+// reduce reduces a reservation to a number of bytes.
+func (b *Budget) reduce(r *reservation, bytes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if bytes <= SmallBody {
-		b.small -= bytes
+	freed := r.bytes - bytes
+	if freed <= 0 {
+		return
+	}
+	r.bytes = bytes
+	if !r.large {
+		b.small -= freed
 	} else {
-		b.large -= bytes
-		if b.byAccount[account] -= bytes; b.byAccount[account] == 0 {
-			delete(b.byAccount, account)
+		b.large -= freed
+		if b.byAccount[r.account] -= freed; b.byAccount[r.account] == 0 {
+			delete(b.byAccount, r.account)
 		}
 	}
 	close(b.released)
--- a/internal/daemon/bodymemory/bodymemory_test.go
+++ b/internal/daemon/bodymemory/bodymemory_test.go
@@ -43,7 +43,7 @@
 					refused.Add(1)
 					return
 				}
-				defer release()
+				defer release(0)
 				hold(4 * megabyte)
 				time.Sleep(100 * time.Millisecond)
 				hold(-4 * megabyte)
@@ -53,7 +53,7 @@
 				if err == nil {
 					small.Add(1)
 					time.Sleep(100 * time.Millisecond)
-					release()
+					release(0)
 				}
 			})
 		}
@@ -71,7 +71,7 @@
 		b := &bodymemory.Budget{
 			Bytes: 64 * megabyte,
 		}
-		var releases []func()
+		var releases []func(int)
 		for {
 			release, err := b.Reserve(t.Context(), "greedy", 4*megabyte)
 			if err != nil {
@@ -81,10 +81,10 @@
 		}
 		release, err := b.Reserve(t.Context(), "other", 4*megabyte)
 		require.NoError(t, err)
-		release()
+		release(0)
 		for _, release := range releases {
-			release()
-			release()
+			release(0)
+			release(0)
 		}
 		for range releases {
 			_, err := b.Reserve(t.Context(), "greedy", 4*megabyte)
@@ -100,7 +100,7 @@
 	}
 	release, err := b.Reserve(t.Context(), "a", 4*megabyte)
 	require.NoError(t, err)
-	release()
+	release(0)
 	var unlimited bodymemory.Budget
 	_, err = unlimited.Reserve(t.Context(), "a", 1<<40)
 	require.NoError(t, err)
--- a/internal/daemon/ingress/body.go
+++ b/internal/daemon/ingress/body.go
@@ -61,20 +61,22 @@
 		return nil, err
 	}
 	rest, err := io.ReadAll(r)
-	return append(body, rest...), err
+	body = append(body, rest...)
+	c.reservations[len(c.reservations)-1](cap(body))
+	return body, err
 }
 
 // reserve reserves memory for the body until the request ends.
 func (c *call) reserve(bytes int) error {
-	release, err := c.h.Bodies.Reserve(c.r.Context(), c.account, bytes)
+	reduce, err := c.h.Bodies.Reserve(c.r.Context(), c.account, bytes)
 	if err == nil {
-		c.releases = append(c.releases, release)
+		c.reservations = append(c.reservations, reduce)
 	}
 	return err
 }
 
 func (c *call) releaseBody() {
-	for _, release := range c.releases {
-		release()
+	for _, reduce := range c.reservations {
+		reduce(0)
 	}
 }
--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -23,6 +23,7 @@
 
 	"camphorspoke/internal/base/boottime"
 	"camphorspoke/internal/base/fault"
+	"camphorspoke/internal/daemon/bodymemory"
 	"camphorspoke/internal/daemon/ingress"
 	"camphorspoke/internal/daemon/placer"
 	"camphorspoke/internal/edge"
@@ -34,6 +35,9 @@
 	"camphorspoke/internal/rules/ruleset"
 )
 
+// bodyBudget is the memory for bodies, in bytes.
+const bodyBudget = 64 << 20
+
 // testDialect is a minimal dialect with one header per field.
 type testDialect struct{}
 
@@ -222,6 +226,9 @@
 		Logger:        log,
 		Now:           clock.Now,
 		ShutdownState: e.shutdownState,
+		Bodies: &bodymemory.Budget{
+			Bytes: bodyBudget,
+		},
 	})
 	t.Cleanup(s.Close)
 	e.url = s.URL
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -109,10 +109,11 @@
 	urgency int
 	// engineUrgency is the urgency passed on to engines, 0 to maxUrgency, 0 first.
 	engineUrgency int
-	// body is the request's body; releases gives back the memory reserved for it.
-	body     []byte
-	releases []func()
-	start    time.Duration
+	// body is the request's body; reservations holds, for each part of the memory reserved
+	// for it, the function that reduces it.
+	body         []byte
+	reservations []func(bytes int)
+	start        time.Duration
 	// deadline is when the request times out, on the clock of Now.
 	deadline time.Duration
 	// requiresKey is true when the route is not public and the request was admitted
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -157,6 +157,49 @@
 	require.Equal(t, 2, e.requestCount())
 }
 
+// TestChunkedBodiesHoldWhatTheyTake: each body in chunks of more than 64 KB held the memory of
+// the largest allowed body until its request had ended, so that seven of one account refused
+// all others.
+func TestChunkedBodiesHoldWhatTheyTake(t *testing.T) {
+	release := make(chan struct{})
+	hold := func(c net.Conn, r *http.Request) {
+		<-release
+		respondOK(c, r)
+	}
+	e := newTestEnv(t, hold, hold, hold, hold)
+	const callers = 12
+	statuses := make(chan int, callers)
+	for range callers {
+		go func() {
+			// The type of the reader hides the length, so that the body is sent in chunks.
+			body := io.MultiReader(strings.NewReader(strings.Repeat("x", 100<<10)))
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.url+"/read/x", body)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			r.Host = "h"
+			r.Header.Set("Id", "x1")
+			r.Header.Set("Key", "secret")
+			resp, err := e.client.Do(r)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			resp.Body.Close()
+			statuses <- resp.StatusCode
+		}()
+	}
+	time.AfterFunc(time.Second, func() { close(release) })
+	overloaded := 0
+	for range callers {
+		if <-statuses != http.StatusOK {
+			overloaded++
+		}
+	}
+	require.Zero(t, overloaded)
+}
+
 // TestServerThatNeverAnswersIsEjected: a server accepts connections and requests and answers
 // none. The requests that time out there count against it, so that others are not sent there
 // at the same rate for ever.
