--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -9,7 +9,7 @@
 // lease: while two instances both act as decider, placement is less accurate, but
 // still correct.
 //
-// A decider that does not answer within answerTimeout is skipped for a while. The
+// A decider that does not answer within Config.AnswerTimeout is skipped for a while. The
 // next instance in the order, its standby, is queried instead, and finally the instance
 // falls back to its own schedulers. Whoever decides tells the other one of the first
 // two in the order what it has placed, so that the next decider does not start with an
@@ -40,8 +40,8 @@
 const (
 	// tickInterval is how often the queues of waiting requests are processed.
 	tickInterval = 20 * time.Millisecond
-	// answerTimeout is how long to wait for the decider's first response.
-	answerTimeout = 60 * time.Millisecond
+	// defaultAnswerTimeout is how long to wait for the decider's first response.
+	defaultAnswerTimeout = 60 * time.Millisecond
 	// minSkipPeriod and maxSkipPeriod bound how long a decider that did not answer is
 	// skipped. A decider that is only slow for a moment is soon asked again, since
 	// two instances that decide at a time place less well than one.
@@ -75,6 +75,8 @@
 	// Instance is the name of this instance.
 	Instance string
 	Peers    StreamOpener
+	// AnswerTimeout is how long to wait for the decider's first response; zero is 60 ms.
+	AnswerTimeout time.Duration
 	// Unresponsive reports whether an instance has not answered recently.
 	Unresponsive func(instance string) bool
 	// Leader returns the instance that leads the control group; it may be nil.
@@ -150,6 +152,9 @@
 
 // New returns a running placer and a function that stops it.
 func New(cfg Config) (*Placer, func()) {
+	if cfg.AnswerTimeout == 0 {
+		cfg.AnswerTimeout = defaultAnswerTimeout
+	}
 	p := &Placer{
 		cfg:        cfg,
 		schedulers: newSchedulers(cfg),
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -95,6 +95,12 @@
 	log.SetOutput(io.Discard)
 	f, err := parse.Rules("r", []byte("service llm type=engine slots=8 cache-tokens=100000 # t: t\n"))
 	require.NoError(t, err)
+	// A decider counts as unresponsive by its answers only in tests that have one. A busy
+	// machine keeps sound ones from answering within the default.
+	answerTimeout := 5 * time.Second
+	if unresponsive > 0 {
+		answerTimeout = 0
+	}
 	fleet := make(map[string]*instance)
 	var rows []*pb.Instance
 	var names []routing.Server
@@ -116,6 +122,8 @@
 			CacheReader: c,
 			Record:      record,
 			Logger:      log,
+
+			AnswerTimeout: answerTimeout,
 		})
 		s := grpc.NewServer()
 		pb.RegisterPeerServiceServer(s, in)
