An odd entry of an engine's cache costs that entry alone

One value that was no array among an engine's cached parts made its whole list unreadable, so that a new decider placed chats as if that engine had nothing; a size beyond the range of an int became whatever the processor's conversion gives, the largest number on arm64 and a negative one on x86-64.

The configuration is the operator's own and is refused as a whole, on purpose.

Evidence: TestOddCachedPartCostsItselfAlone failed before, on the second of 13 odd values.

Why it works: each entry is checked by itself, and needs a size of 1 to edge.MaxPartTokens.

--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,7 @@
 	go test ./internal/control/ledger -run xxx -fuzz FuzzRestore -fuzztime $(FUZZTIME)
 	go test ./platform/serverlist -run xxx -fuzz FuzzPage -fuzztime $(FUZZTIME)
 	go test ./platform/serverlist -run xxx -fuzz FuzzOddEntry -fuzztime $(FUZZTIME)
+	go test ./platform/engine -run xxx -fuzz FuzzOddCachedPart -fuzztime $(FUZZTIME)
 
 # Plays the cases of the review against the daemon as it is deployed; fails unless all
 # rules hold. Each case writes what it saw to its record.txt.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -86,6 +86,10 @@
 	Parts []Part
 }
 
+// MaxPartTokens is the largest number of tokens of a part of a prompt. Sums over the parts
+// of one prompt stay far below the range of an int.
+const MaxPartTokens = 1_000_000_000
+
 // Part is a part of a prompt that a prefix cache can hold; equal parts have the
 // same ID.
 type Part struct {
