--- a/internal/check/soak/daemon.go
+++ b/internal/check/soak/daemon.go
@@ -33,6 +33,8 @@
 	memoryMB  = 284
 	// startupTime is longer than a process takes from its start to its main function.
 	startupTime = 200 * time.Millisecond
+	// maxSeeds is the largest number of seeds.
+	maxSeeds = 3
 	// daemonSequence selects the random sequence of the first daemon.
 	daemonSequence = 1000
 )
@@ -70,7 +72,7 @@
 // Once faults are injected the caller must hold mu.
 func (d *daemon) start(firstStart bool) error {
 	seeds := ""
-	for i := range min(3, d.s.cfg.Replicas) {
+	for i := range min(maxSeeds, d.s.cfg.Replicas) {
 		if i > 0 {
 			seeds += ","
 		}
--- a/internal/check/soak/soak.go
+++ b/internal/check/soak/soak.go
@@ -35,6 +35,10 @@
 	// separateSequence selects the random sequence of the first kind of fault that has an
 	// injector of its own.
 	separateSequence = 20
+	// firstStartSequence selects the random sequence of the kill in the first start, and
+	// firstStartTime is the latest time of it.
+	firstStartSequence = 30
+	firstStartTime     = 300 * time.Millisecond
 	// retryRatio, retrySlack and retryWindow are the retry budget of each service.
 	retryRatio  = 0.2
 	retrySlack  = 60
@@ -60,6 +64,8 @@
 	PlannedOnly bool
 	// FailAll lets all servers of a service fail half of their requests at times.
 	FailAll bool
+	// KillFirstStart kills a seed while the group forms, and starts it again.
+	KillFirstStart bool
 	// Grace is the grace period of a planned stop; zero is defaultGrace.
 	Grace time.Duration
 	// Log receives a line for each fault; it may be nil.
@@ -163,12 +169,27 @@
 			return err
 		}
 	}
+	if s.cfg.KillFirstStart {
+		if err := s.killFirstStart(); err != nil {
+			return err
+		}
+	}
 	if !s.operator.applyChange(context.Background(), false) {
 		return fault.New(fault.NoQuorum, "soak", "the first configuration was not acknowledged")
 	}
 	return nil
 }
 
+// killFirstStart kills a seed shortly after its first start, and starts it again, which is
+// no first start.
+func (s *Soak) killFirstStart() error {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, firstStartSequence))
+	time.Sleep(time.Duration(rng.Int64N(int64(firstStartTime))))
+	d := s.daemons[rng.IntN(min(maxSeeds, s.cfg.Replicas))]
+	s.log("fault", "first start of "+d.name)
+	return d.crash(time.Duration(rng.Int64N(int64(2*time.Second))), nil)
+}
+
 func (s *Soak) addBackend(service string) (*backend, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/check/soak/soak_test.go
+++ b/internal/check/soak/soak_test.go
@@ -64,6 +64,8 @@
 			Seed:    3,
 			Callers: 10,
 			FailAll: true,
+
+			KillFirstStart: true,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
