A blank line after the last event does not break a stream off

Blank lines are part of no event. Whether it happened depended on how the bytes arrived: in one read with the event they were part of it.

Evidence: TestBlankLineAfterTheLastEvent failed before (unexpected EOF). TestAnswerCutAtAnyByteDoesNotLookWhole and TestFramedStreamThatEndsInsideAnEvent hold.

Why it works: only bytes other than line ends are a part of an event; blank lines are passed on, so that the body is the engine's.

--- a/internal/daemon/ingress/cut_test.go
+++ b/internal/daemon/ingress/cut_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -106,3 +107,24 @@
 		})
 	}
 }
+
+// TestBlankLineAfterTheLastEvent: an engine ends its stream with one more blank line, in a chunk of
+// its own. No event is cut by that: the stream was broken off at the caller, or resumed, as if
+// it had ended inside an event.
+func TestBlankLineAfterTheLastEvent(t *testing.T) {
+	for _, blank := range []string{"\n", "\r\n"} {
+		e := newTestEnv(t, func(c net.Conn, r *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+			for _, part := range []string{"id: 1\ndata: a\n\n", blank} {
+				fmt.Fprintf(c, "%x\r\n%s\r\n", len(part), part)
+				time.Sleep(50 * time.Millisecond)
+			}
+			io.WriteString(c, "0\r\n\r\n")
+		})
+		resp, body, err := e.do("/once/x")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, "id: 1\ndata: a\n\n"+blank, body)
+		require.Equal(t, 1, e.requestCount())
+	}
+}
--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -124,6 +124,9 @@
 	c.w.WriteHeader(resp.Status)
 }
 
+// lineEnds are the bytes of which the end of a line in a stream consists.
+const lineEnds = "\r\n"
+
 // relayStream forwards events as they arrive. Until the stream ends, it forwards only
 // complete events, so that a broken stream can be resumed after the last event that
 // the caller has received.
@@ -154,11 +157,15 @@
 			return broken, scheduler.Broken
 		}
 	}
-	if len(splitter.Rest()) > 0 {
+	rest := splitter.Rest()
+	if len(bytes.Trim(rest, lineEnds)) > 0 {
 		c.lastErr = fault.New(fault.ShortAnswer, c.service, "the stream ended inside an event")
 		return broken, scheduler.Broken
 	}
-	c.sendHeader(resp)
+	// Blank lines after the last event belong to the body, but to no event.
+	if !c.writeEvents(resp, rest) {
+		return c.endCallerLost()
+	}
 	return ended, scheduler.Done
 }
 
