--- a/Makefile
+++ b/Makefile
@@ -74,6 +74,8 @@
 	go test ./platform/serverlist -run xxx -fuzz FuzzPage -fuzztime $(FUZZTIME)
 	go test ./platform/serverlist -run xxx -fuzz FuzzOddEntry -fuzztime $(FUZZTIME)
 	go test ./platform/engine -run xxx -fuzz FuzzOddCachedPart -fuzztime $(FUZZTIME)
+	go test ./platform/operatorconfig -run xxx -fuzz FuzzConfiguration -fuzztime $(FUZZTIME)
+	go test ./platform/dialect -run xxx -fuzz FuzzParseRequest -fuzztime $(FUZZTIME)
 
 # Plays the cases of the review against the daemon as it is deployed; fails unless all
 # rules hold. Each case writes what it saw to its record.txt.
