Package invariant moves to internal/base, as the product imports it

No behaviour changes. Nothing of the product imports internal/check any more, but for the command line's replay, the demo and the measurements, which are tools.

--- a/internal/check/replay/replay.go
+++ b/internal/check/replay/replay.go
@@ -20,7 +20,7 @@
 	"time"
 
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control/ledger"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing"
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -19,7 +19,7 @@
 
 	"camphorspoke/internal/base/compress"
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 )
 
--- a/internal/control/manager/machine_test.go
+++ b/internal/control/manager/machine_test.go
@@ -17,7 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 )
 
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -24,7 +24,7 @@
 	"github.com/sirupsen/logrus"
 
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control/lease"
 	"camphorspoke/internal/control/replica"
 	"camphorspoke/internal/edge"
--- a/internal/control/manager/simulation_test.go
+++ b/internal/control/manager/simulation_test.go
@@ -16,7 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/control/manager"
 	"camphorspoke/internal/control/replica"
--- a/internal/control/manager/startup_test.go
+++ b/internal/control/manager/startup_test.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/control/tables"
 	"camphorspoke/internal/daemon/membership"
--- a/internal/control/raftlog/raftlog.go
+++ b/internal/control/raftlog/raftlog.go
@@ -40,7 +40,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 )
 
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -19,7 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"camphorspoke/internal/base/boottime"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/control/ledger"
 	"camphorspoke/internal/control/raftlog"
--- a/internal/control/replica/replica_test.go
+++ b/internal/control/replica/replica_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 )
--- a/internal/control/replica/seeds_test.go
+++ b/internal/control/replica/seeds_test.go
@@ -20,7 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/control/raftlog"
 	"camphorspoke/internal/control/wal"
--- a/internal/daemon/membership/await_test.go
+++ b/internal/daemon/membership/await_test.go
@@ -14,7 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/daemon/membership"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -25,7 +25,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/daemon"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -28,7 +28,7 @@
 
 	"camphorspoke/internal/base/chat"
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/daemon"
 	"camphorspoke/internal/daemon/membership"
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -28,7 +28,7 @@
 
 	"camphorspoke/internal/base/boottime"
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control/manager"
 	"camphorspoke/internal/control/raftlog"
 	"camphorspoke/internal/control/replica"
--- a/internal/daemon/serverstate/serverstate.go
+++ b/internal/daemon/serverstate/serverstate.go
@@ -17,7 +17,7 @@
 	"sync/atomic"
 	"time"
 
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing"
 	"camphorspoke/internal/routing/admission"
--- a/internal/edge/controlserver/controlserver_test.go
+++ b/internal/edge/controlserver/controlserver_test.go
@@ -11,7 +11,7 @@
 
 	"camphorspoke/internal/base/boottime"
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/control/manager"
 	"camphorspoke/internal/control/replica"
--- a/internal/measure/trial/trial.go
+++ b/internal/measure/trial/trial.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/measure"
 	"camphorspoke/internal/routing"
 	"camphorspoke/internal/routing/admission"
--- a/internal/routing/admission/admission.go
+++ b/internal/routing/admission/admission.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/routing"
 	"camphorspoke/internal/routing/fairqueue"
 	"camphorspoke/internal/routing/loadbound"
--- a/internal/routing/admission/machine_test.go
+++ b/internal/routing/admission/machine_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"camphorspoke/internal/base/fault"
-	"camphorspoke/internal/check/invariant"
+	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/routing"
 )
 
