Soak: servers that announce in their responses that they leave, before the list shows it

The checker records to which daemon a server said so and when, and reports requests of that daemon that were sent later than the drain time after it, unless the daemon was disturbed since.

--- a/internal/check/guarantee/guarantee.go
+++ b/internal/check/guarantee/guarantee.go
@@ -84,6 +84,9 @@
 	faultIntervals []faultInterval
 	pushback       pushbacks
 	stops          []plannedStop
+	// departures holds, by backend server and daemon, when the first response that
+	// announces the server's departure was sent to the daemon.
+	departures map[departure]time.Time
 	// traffic holds the requests and repeats of each service, arrivals how often each
 	// request arrived.
 	traffic  map[string]*traffic
@@ -108,6 +111,7 @@
 	c.ackedAt = make(map[uint64]time.Time)
 	c.counts = make(map[string]int)
 	c.executionEnds = make(map[string]time.Time)
+	c.departures = make(map[departure]time.Time)
 	c.traffic = make(map[string]*traffic)
 	c.arrivals = make(map[string]int)
 }
--- a/internal/check/soak/faults.go
+++ b/internal/check/soak/faults.go
@@ -33,6 +33,8 @@
 	// It then has a sequence of its own, so that each seed keeps the sequences of the
 	// other kinds.
 	only *faultKind
+	// announces is true for an injector whose backend servers announce their departure.
+	announces bool
 }
 
 // faultKind is a kind of fault.
@@ -67,6 +69,10 @@
 // pause. It breaks no guarantee of the others.
 var pushBackKind = faultKind{name: "pushBack", planned: true, inject: (*injector).pushBack}
 
+// announceKind is the kind of planned operation in which a backend server announces in its
+// responses that it leaves.
+var announceKind = faultKind{name: "announce", planned: true, inject: (*injector).announceDeparture}
+
 // failAllKind is the kind of fault in which all servers of a service fail about half of their
 // requests, so that retries may exceed their budget.
 var failAllKind = faultKind{name: "failAll", inject: (*injector).failAll}
@@ -252,11 +258,18 @@
 	return nil
 }
 
+// announceDeparture replaces a backend server that announces its departure in its responses,
+// before the list shows it.
+func (f *injector) announceDeparture() error {
+	f.announces = true
+	return f.replaceBackend()
+}
+
 // replaceBackend adds a backend server to the list, and drains and removes another
 // one of the same service.
 func (f *injector) replaceBackend() error {
 	old := f.randomBackend()
-	if old.draining.Load() {
+	if !old.replaced.CompareAndSwap(false, true) {
 		return nil // another injector is replacing it
 	}
 	next, err := f.s.addBackend(old.service)
@@ -265,6 +278,10 @@
 	}
 	f.s.serverList.add(next)
 	time.Sleep(f.randomDuration(time.Second))
+	if f.announces {
+		old.leaving.Store(true)
+		time.Sleep(f.randomDuration(2 * f.s.checker.Bounds.Drain))
+	}
 	old.draining.Store(true)
 	f.s.checker.Draining(old.id, time.Now())
 	time.Sleep(2 * f.s.checker.Bounds.Drain)
--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -42,6 +42,10 @@
 	// status 500, with a status of a refusal, or with a response that breaks off.
 	partlyFailing atomic.Bool
 	draining      atomic.Bool
+	// replaced is true once it is being replaced by another.
+	replaced atomic.Bool
+	// leaving is true while it announces in its responses that it leaves.
+	leaving atomic.Bool
 	// pauseMs is the pause, in milliseconds, with which it refuses all requests; zero if
 	// it refuses none.
 	pauseMs atomic.Int64
@@ -94,6 +98,10 @@
 	}
 	now := time.Now()
 	b.checker.Arrived(id, b.id, now)
+	if b.leaving.Load() {
+		w.Header().Set(wireformat.LeavingHeader, "1")
+		b.checker.Announced(id, b.id, now)
+	}
 	if pause := time.Duration(b.pauseMs.Load()) * time.Millisecond; pause > 0 {
 		b.checker.PushedBack(id, b.id, now, pause)
 		w.Header().Set(wireformat.NotRunHeader, "1")
--- a/internal/check/soak/soak.go
+++ b/internal/check/soak/soak.go
@@ -266,7 +266,7 @@
 
 // separateKinds returns the kinds of faults that have an injector each.
 func (s *Soak) separateKinds() []faultKind {
-	kinds := []faultKind{pushBackKind}
+	kinds := []faultKind{pushBackKind, announceKind}
 	if s.cfg.FailAll {
 		kinds = append(kinds, failAllKind)
 	}
