--- a/internal/daemon/server/drain_test.go
+++ b/internal/daemon/server/drain_test.go
@@ -1,10 +1,12 @@
 package server
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"camphorspoke/internal/daemon/settings"
@@ -15,9 +17,12 @@
 // that arrived before its connections were closed was passed on and cut off. It must be
 // refused as not run.
 func TestRequestAfterTheDrainIsRefused(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
 	e := &entry{
 		instance: &instance{
 			cfg: &settings.Settings{},
+			log: log,
 			adapters: PlatformAdapters{
 				Dialect: dialect.Dialect{},
 			},
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -360,13 +360,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.requests.Add(1)
 		if !e.gate.Enter() {
-			w.Header().Set("Connection", "close")
-			e.instance.adapters.Dialect.WriteError(w, &fault.Fault{
-				Kind:       fault.Leaving,
-				Subject:    e.instance.cfg.Instance,
-				Advice:     "the instance has drained and is about to exit",
-				RetryAfter: drainedRetryAfter,
-			})
+			e.refuseDrained(w, r)
 			return
 		}
 		defer e.gate.Leave()
@@ -374,6 +368,25 @@
 	})
 }
 
+// refuseDrained refuses a request that comes after the instance has drained.
+func (e *entry) refuseDrained(w http.ResponseWriter, r *http.Request) {
+	f := &fault.Fault{
+		Kind:       fault.Leaving,
+		Subject:    e.instance.cfg.Instance,
+		Advice:     "the instance has drained and is about to exit",
+		RetryAfter: drainedRetryAfter,
+	}
+	log := e.instance.log.WithField("outcome", f.Kind)
+	if req, err := e.instance.adapters.Dialect.ParseRequest(r); err != nil {
+		log = log.WithError(err)
+	} else {
+		log = log.WithField("request", req.ID)
+	}
+	log.Info("daemon: refused a request that came after the drain")
+	w.Header().Set("Connection", "close")
+	e.instance.adapters.Dialect.WriteError(w, f)
+}
+
 // serveHTTP serves h at address until the instance is cleaned up.
 func (e *entry) serveHTTP(address string, h http.Handler) (*http.Server, error) {
 	l, err := link.Listen(address)
