--- a/internal/control/manager/listpace.go
+++ b/internal/control/manager/listpace.go
@@ -9,7 +9,7 @@
 	// billedListInterval and quietListInterval replace listInterval where each read
 	// of the list is billed. Servers leave and join in series, so the list is read
 	// more often for quietAfter from each change. Both leave enough of the time in
-	// which a leaving server must get no more requests to tell every instance.
+	// which a leaving server must get no more requests to notify every instance.
 	billedListInterval = 500 * time.Millisecond
 	quietListInterval  = time.Second
 	quietAfter         = 6 * time.Second
--- a/internal/control/manager/registration.go
+++ b/internal/control/manager/registration.go
@@ -32,7 +32,7 @@
 	})
 }
 
-// sameListing reports whether a stored row tells other instances the same as a
+// sameListing reports whether a stored row states the same to other instances as a
 // registration would.
 func sameListing(old *pb.Instance, req *pb.HeartbeatRequest) bool {
 	return old.GetLeaving() == req.GetLeaving() && old.GetCallerAddress() == req.GetCallerAddress() &&
--- a/internal/control/replica/reopen.go
+++ b/internal/control/replica/reopen.go
@@ -6,7 +6,7 @@
 // not acknowledge anything based on it. It discards its state in memory and
 // reloads it from the data folder, as after a crash: everything acknowledged is
 // there, and what is not there was never acknowledged. It then writes and syncs
-// the loaded state once more before using it, since a failed sync may have left
+// the loaded state again before using it, since a failed sync may have left
 // data that is readable but only in the page cache.
 
 import (
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -117,7 +117,7 @@
 	}
 }
 
-// mayRetry reports whether the request may be sent once more.
+// mayRetry reports whether the request may be sent again.
 func (c *call) mayRetry(result exchangeResult, unreachable int) bool {
 	if c.ctx.Err() != nil {
 		return false
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -54,7 +54,7 @@
 	// standbys holds what is sent to the standby of each service.
 	standbys map[string]*standby
 	// decidedAt holds when this instance last decided for a service on behalf of all
-	// instances, fedAt when another instance last told it of its decisions.
+	// instances, fedAt when another instance last reported its decisions.
 	decidedAt map[string]time.Duration
 	fedAt     map[string]time.Duration
 	// complete holds the services for which this instance, as their decider, knows
--- a/internal/daemon/placer/standby.go
+++ b/internal/daemon/placer/standby.go
@@ -4,8 +4,8 @@
 //
 // Load pattern: the decider of a large service is lost. If the next instance in the
 // order knew nothing of the engines' caches, prompts would be read again all over the
-// service; if every instance told it then, their messages would keep its link busy
-// while requests wait for decisions. So whoever decides tells the other one of
+// service; if every instance notified it then, their messages would keep its link busy
+// while requests wait for decisions. So whoever decides notifies the other one of
 // the first two in the order, as it goes, which prompts it has placed where.
 
 import (
@@ -133,7 +133,7 @@
 	}
 }
 
-// fed records that an informed decider of a service has told this instance of its
+// fed records that an informed decider of a service has notified this instance of its
 // placements.
 func (d *Schedulers) fed(service string) {
 	d.mu.Lock()
--- a/internal/daemon/placer/unavailable.go
+++ b/internal/daemon/placer/unavailable.go
@@ -1,6 +1,6 @@
 package placer
 
-// This file defines how an instance keeps what servers have told it of themselves: that it
+// This file defines how an instance records what servers have announced of themselves: that it
 // is to send them nothing for a while, or that they leave. It holds whoever decides, as it
 // is looked at between the decision and the send.
 
--- a/internal/routing/prefixcache/prefixcache.go
+++ b/internal/routing/prefixcache/prefixcache.go
@@ -29,7 +29,7 @@
 	return strings.Join(out, ",")
 }
 
-// Observer is told which parts a Cache has cached and evicted.
+// Observer is notified which parts a Cache has cached and evicted.
 type Observer interface {
 	Cached(id uint64)
 	Evicted(id uint64)
@@ -40,7 +40,7 @@
 type Cache struct {
 	// Capacity is the size of the cache in tokens; a lower one takes effect at the next Use.
 	Capacity int
-	// Observer, if not nil, is told of every change of the cached parts.
+	// Observer, if not nil, is notified of every change of the cached parts.
 	Observer Observer
 
 	// used is the number of cached tokens.
--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -17,7 +17,7 @@
 //   - A part is blamed again only by a request that was granted after the previous server
 //     crashed. Servers that crash together, for a reason of their own, are thus one
 //     piece of evidence.
-//   - Parts that are blamed for the same servers cannot be told apart. They are
+//   - Parts that are blamed for the same servers cannot be distinguished. They are
 //     quarantined together: only a request with all of them is refused, and those that
 //     are cleared later are taken out.
 //   - Where a quarantine explains the crash of a server, no other part is blamed for it.
@@ -61,7 +61,7 @@
 	Released bool
 }
 
-// Refusal tells why a request is refused.
+// Refusal states why a request is refused.
 type Refusal struct {
 	// ID is that of the quarantine.
 	ID         uint64
--- a/internal/routing/scheduler/pauses.go
+++ b/internal/routing/scheduler/pauses.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// pauseSpread is how much longer than the pause, as a fraction of it, callers are told to
+// pauseSpread is how much longer than the pause, as a fraction of it, callers are asked to
 // wait at most, so that they do not return at the same time.
 const pauseSpread = 0.5
 
--- a/internal/routing/scheduler/reuse.go
+++ b/internal/routing/scheduler/reuse.go
@@ -1,6 +1,6 @@
 package scheduler
 
-// This file defines how a decision tells what happens to the cached prefix of a
+// This file defines how a decision states what happens to the cached prefix of a
 // prompt: whether the chosen server has it, fetches it, or reads it although another
 // server has it.
 
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -116,7 +116,7 @@
 	// length of that prefix.
 	FetchFrom     string
 	FetchedTokens int
-	// PromptTokens is the length of the prompt. Reuse tells what happens to its cached
+	// PromptTokens is the length of the prompt. Reuse states what happens to its cached
 	// prefix, and RereadTokens how many tokens of it the server reads although
 	// another one has them.
 	PromptTokens int
