--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -11,7 +11,7 @@
 //
 // A decider that does not answer within Config.AnswerTimeout is skipped for a while. The
 // next instance in the order, its standby, is queried instead, and finally the instance
-// falls back to its own schedulers. Whoever decides notifies the other one of the first
+// falls back to its own schedulers. Whoever decides reports to the other one of the first
 // two in the order what it has placed, so that the next decider does not start with an
 // empty model of the caches.
 package placer
--- a/internal/daemon/placer/standby.go
+++ b/internal/daemon/placer/standby.go
@@ -26,7 +26,7 @@
 	// instance that has become the standby.
 	modelServersPerFlush = 4
 	// fedFor is how long an instance counts as informed after an informed decider has
-	// told it of a placement.
+	// reported a placement to it.
 	fedFor = 2 * time.Second
 	// decidedFor is how long an instance counts as the decider after a decision.
 	decidedFor = time.Minute
