The gate of a stopping instance stands where requests are admitted

On reading the change: the refusal after the drain was written a second time beside the one of the ingress, with a retry delay that was not spread, a log line of its own and no count in the metrics. It now goes the way of every refusal ('ingress: request ended', outcome=leaving). The test moves along, from the handler alone to a request over a connection, and checks the same and that nothing stays counted; with the check taken out it fails (200 for 503).

--- a/internal/daemon/inflight/inflight.go
+++ b/internal/daemon/inflight/inflight.go
@@ -45,12 +45,11 @@
 	return g.closed
 }
 
-// Close closes the gate and returns the number of requests in flight.
-func (g *Gate) Close() int {
+// Close closes the gate, also with requests in flight.
+func (g *Gate) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.closed = true
-	return g.count
 }
 
 // Count returns the number of requests in flight.
--- a/internal/daemon/inflight/inflight_test.go
+++ b/internal/daemon/inflight/inflight_test.go
@@ -40,13 +40,14 @@
 	}
 }
 
-// TestCloseReturnsWhatIsCut: at the end of the grace period the gate closes with requests in
+// TestCloseCountsWhatIsCut: at the end of the grace period the gate closes with requests in
 // flight, and those are counted until they leave.
-func TestCloseReturnsWhatIsCut(t *testing.T) {
+func TestCloseCountsWhatIsCut(t *testing.T) {
 	var g inflight.Gate
 	require.True(t, g.Enter())
 	require.False(t, g.CloseIfIdle())
-	require.Equal(t, 1, g.Close())
+	g.Close()
+	require.Equal(t, 1, g.Count())
 	require.False(t, g.Enter())
 	g.Leave()
 	require.Zero(t, g.Count())
--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -133,6 +133,7 @@
 type testEnv struct {
 	t          *testing.T
 	membership *fakeMembership
+	handler    *ingress.Handler
 	url        string
 	mu         sync.Mutex
 	// received holds, for each request that reached a server, the server's name.
@@ -218,7 +219,7 @@
 		Now: clock.Now,
 	}
 	t.Cleanup(pool.Close)
-	s := httptest.NewServer(&ingress.Handler{
+	e.handler = &ingress.Handler{
 		Membership:    e.membership,
 		Dialect:       testDialect{},
 		Placer:        p,
@@ -229,7 +230,8 @@
 		Bodies: &bodymemory.Budget{
 			Bytes: bodyBudget,
 		},
-	})
+	}
+	s := httptest.NewServer(e.handler)
 	t.Cleanup(s.Close)
 	e.url = s.URL
 	return e
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -25,6 +25,7 @@
 
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/daemon/bodymemory"
+	"camphorspoke/internal/daemon/inflight"
 	"camphorspoke/internal/daemon/metrics"
 	"camphorspoke/internal/daemon/placer"
 	"camphorspoke/internal/edge"
@@ -85,6 +86,8 @@
 	// should connect to another one, and since when and for how long. If it is nil, the
 	// instance never reports a shutdown.
 	ShutdownState func() (s durations.Shutdown, leaving bool)
+	// Gate counts the requests in flight; once it is closed no other is accepted.
+	Gate inflight.Gate
 	// Bodies limits the memory for the bodies of requests; nil is no limit.
 	Bodies *bodymemory.Budget
 
@@ -141,6 +144,8 @@
 	lastErr error
 	// grant is the last placement of the request.
 	grant *placer.Grant
+	// entered is true once the request is counted by the gate.
+	entered bool
 	// mustAbort is true when the connection to the caller must be aborted: the caller
 	// has disconnected, or its response was truncated and must not look complete.
 	mustAbort bool
@@ -158,6 +163,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer c.releaseBody()
+	defer c.leave()
 	if err := c.admit(); err != nil {
 		c.refuse(err)
 		c.abortIfRequired()
@@ -198,6 +204,10 @@
 	if c.req, err = c.h.Dialect.ParseRequest(c.r); err != nil {
 		return err
 	}
+	if !c.h.Gate.Enter() {
+		return c.leavingFault("the instance has drained and is about to exit")
+	}
+	c.entered = true
 	v := c.h.Membership.View()
 	if !c.h.Membership.Fresh() && !c.isPublic(v) {
 		c.awaitFreshRules()
@@ -238,14 +248,26 @@
 	if !leaving || c.h.routeDurations.Fits(c.route.Name, c.timeLeft(), s) {
 		return nil
 	}
+	return c.leavingFault("the instance shuts down before the request would finish")
+}
+
+// leavingFault returns the refusal of a request by an instance that shuts down.
+func (c *call) leavingFault(reason string) error {
 	return &fault.Fault{
 		Kind:       fault.Leaving,
-		Subject:    c.route.Name,
-		Advice:     "the instance shuts down before the request would finish",
+		Subject:    c.req.ID,
+		Advice:     reason,
 		RetryAfter: leavingRetryAfter + rand.N(leavingRetryAfter),
 	}
 }
 
+// leave ends the count of the request by the gate.
+func (c *call) leave() {
+	if c.entered {
+		c.h.Gate.Leave()
+	}
+}
+
 // isPublic reports whether the request needs no confirmation that the rules are in
 // force, because its route is public.
 func (c *call) isPublic(v *view.View) bool {
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -200,6 +200,24 @@
 	require.Zero(t, overloaded)
 }
 
+// TestRequestAfterTheDrainIsRefused: a stopping instance found no request in flight, and one
+// that arrived before its connections were closed was passed on and cut off. It must be
+// refused as not run.
+func TestRequestAfterTheDrainIsRefused(t *testing.T) {
+	e := newTestEnv(t, respondOK)
+	require.Equal(t, http.StatusOK, e.status("/book/x"))
+	ends := time.Now().Add(time.Minute)
+	e.stopsAt.Store(&ends)
+	require.Eventually(t, e.handler.Gate.CloseIfIdle, time.Second, time.Millisecond)
+	resp, _, err := e.do("/book/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.True(t, resp.Close, "the caller must use another connection")
+	require.NotEmpty(t, resp.Header.Get("Retry"))
+	require.Equal(t, 1, e.requestCount())
+	require.Zero(t, e.handler.Gate.Count())
+}
+
 // TestServerThatNeverAnswersIsEjected: a server accepts connections and requests and answers
 // none. The requests that time out there count against it, so that others are not sent there
 // at the same rate for ever.
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -21,7 +21,6 @@
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/daemon/bodymemory"
 	"camphorspoke/internal/daemon/discovery"
-	"camphorspoke/internal/daemon/inflight"
 	"camphorspoke/internal/daemon/ingress"
 	"camphorspoke/internal/daemon/membership"
 	"camphorspoke/internal/daemon/metrics"
@@ -56,9 +55,6 @@
 	exitMargin = 700 * time.Millisecond
 	// flushTimeout is how long after the drain responses may still be written to callers.
 	flushTimeout = 200 * time.Millisecond
-	// drainedRetryAfter is the retry delay given to callers whose request comes after the
-	// drain; the retry goes to another instance.
-	drainedRetryAfter = 30 * time.Millisecond
 	// entryStopTimeout limits the wait for calls from other instances at shutdown.
 	entryStopTimeout = 50 * time.Millisecond
 	// drainPollInterval is the time between checks whether the instance has drained.
@@ -119,11 +115,11 @@
 	// its clock.
 	leaveTime atomic.Int64
 	exitTime  atomic.Int64
-	// gate counts the callers' requests in flight, requests all of them.
-	gate     inflight.Gate
+	// requests counts the callers' requests.
 	requests atomic.Uint64
-	// front serves the callers.
-	front *http.Server
+	// handler handles them, and front serves it.
+	handler *ingress.Handler
+	front   *http.Server
 }
 
 var (
@@ -317,7 +313,7 @@
 func (e *entry) serve(meters *metrics.Meters) error {
 	in := e.instance
 	endpoints := in.adapters.Endpoints(e, e)
-	handler := &ingress.Handler{
+	e.handler = &ingress.Handler{
 		Membership:    in.agent,
 		Dialect:       in.adapters.Dialect,
 		Placer:        e.placer,
@@ -344,7 +340,7 @@
 		}
 	}
 	var err error
-	if e.front, err = e.serveHTTP(in.cfg.Entry.Front, e.countInFlight(handler)); err != nil {
+	if e.front, err = e.serveHTTP(in.cfg.Entry.Front, e.countRequests(e.handler)); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
@@ -354,39 +350,14 @@
 	return nil
 }
 
-// countInFlight wraps h to count the requests in flight, and refuses those that come after
-// the instance has drained.
-func (e *entry) countInFlight(h http.Handler) http.Handler {
+// countRequests wraps h to count the requests of callers.
+func (e *entry) countRequests(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.requests.Add(1)
-		if !e.gate.Enter() {
-			e.refuseDrained(w, r)
-			return
-		}
-		defer e.gate.Leave()
 		h.ServeHTTP(w, r)
 	})
 }
 
-// refuseDrained refuses a request that comes after the instance has drained.
-func (e *entry) refuseDrained(w http.ResponseWriter, r *http.Request) {
-	f := &fault.Fault{
-		Kind:       fault.Leaving,
-		Subject:    e.instance.cfg.Instance,
-		Advice:     "the instance has drained and is about to exit",
-		RetryAfter: drainedRetryAfter,
-	}
-	log := e.instance.log.WithField("outcome", f.Kind)
-	if req, err := e.instance.adapters.Dialect.ParseRequest(r); err != nil {
-		log = log.WithError(err)
-	} else {
-		log = log.WithField("request", req.ID)
-	}
-	log.Info("daemon: refused a request that came after the drain")
-	w.Header().Set("Connection", "close")
-	e.instance.adapters.Dialect.WriteError(w, f)
-}
-
 // serveHTTP serves h at address until the instance is cleaned up.
 func (e *entry) serveHTTP(address string, h http.Handler) (*http.Server, error) {
 	l, err := link.Listen(address)
--- a/internal/daemon/server/entryleave.go
+++ b/internal/daemon/server/entryleave.go
@@ -74,10 +74,10 @@
 	for e.instance.now() < min(start+minListenTime, deadline) {
 		time.Sleep(drainPollInterval)
 	}
-	for !e.gate.CloseIfIdle() && e.instance.now() < deadline {
+	for !e.handler.Gate.CloseIfIdle() && e.instance.now() < deadline {
 		time.Sleep(drainPollInterval)
 	}
-	e.gate.Close()
+	e.handler.Gate.Close()
 	e.finishResponses()
 }
 
@@ -88,6 +88,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	if err := e.front.Shutdown(ctx); err != nil {
-		e.instance.log.WithField("inFlight", e.gate.Count()).WithError(err).Warn("daemon: connections of callers are still in use after the drain; they are cut off")
+		e.instance.log.WithField("inFlight", e.handler.Gate.Count()).WithError(err).Warn("daemon: connections of callers are still in use after the drain; they are cut off")
 	}
 }
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -446,7 +446,7 @@
 
 func (in *instance) inFlight() int {
 	if in.entry != nil {
-		return in.entry.gate.Count()
+		return in.entry.handler.Gate.Count()
 	}
 	return int(in.router.InFlight())
 }
