--- a/internal/daemon/ingress/body.go
+++ b/internal/daemon/ingress/body.go
@@ -62,7 +62,9 @@
 	}
 	rest, err := io.ReadAll(r)
 	body = append(body, rest...)
-	c.reservations[len(c.reservations)-1](cap(body))
+	// The reservation for the largest body, which is the last one, is reduced to this one.
+	reduce := c.reservations[len(c.reservations)-1]
+	reduce(cap(body))
 	return body, err
 }
 
