--- /dev/null
+++ b/internal/daemon/ingress/giveup_test.go
@@ -0,0 +1,161 @@
+package ingress_test
+
+// This file tests that a server learns when its attempt is given up, before another server
+// goes on with the request.
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// maxOverlap is how long a server may still be at work on a request after another
+	// server has gone on with it.
+	maxOverlap = 400 * time.Millisecond
+	// workTime is how long a server works on if nobody tells it to stop.
+	workTime = 1200 * time.Millisecond
+)
+
+// workLog records when servers ended their work on an attempt that was given up, and when
+// another server went on with the request.
+type workLog struct {
+	mu     sync.Mutex
+	ended  chan time.Time
+	wentOn time.Time
+}
+
+func newWorkLog() *workLog {
+	return &workLog{
+		ended: make(chan time.Time, 1),
+	}
+}
+
+// workUntilClosed works on after its response, as an engine does that generates on, until
+// the caller closes the connection.
+func (l *workLog) workUntilClosed(c net.Conn) {
+	_ = c.SetReadDeadline(time.Now().Add(workTime))
+	_, _ = c.Read(make([]byte, 1))
+	l.ended <- time.Now()
+}
+
+// goesOn returns a responder that records when it gets the request.
+func (l *workLog) goesOn(respond responder) responder {
+	return func(c net.Conn, r *http.Request) {
+		l.mu.Lock()
+		l.wentOn = time.Now()
+		l.mu.Unlock()
+		respond(c, r)
+	}
+}
+
+// overlap returns how long the first server was at work beside the second one.
+func (l *workLog) overlap() time.Duration {
+	ended := <-l.ended
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return ended.Sub(l.wentOn)
+}
+
+// brokenResponses are responses, by the way in which they break off, after which another
+// server has to go on; %s is the ID of the request. Their server keeps the connection open.
+var brokenResponses = map[string]struct {
+	path     string
+	response string
+}{
+	"stream in chunks ends inside an event": {
+		path:     "/chat/",
+		response: "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: e1\n\ni\r\n0\r\n\r\n",
+	},
+	"stream with a length ends inside an event": {
+		path:     "/chat/",
+		response: "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: 17\r\n\r\nid: 1\ndata: e1\n\ni",
+	},
+	"stream that is kept ends inside an event": {
+		path:     "/chat/",
+		response: "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nKeep-Alive: timeout=9\r\nContent-Length: 17\r\n\r\nid: 1\ndata: e1\n\ni",
+	},
+	"stream ends before its first event": {
+		path:     "/chat/",
+		response: "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nid",
+	},
+	"chunk without a length": {
+		path:     "/chat/",
+		response: "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: e1\n\ni\r\nzz\r\n",
+	},
+	"stream without a signature": {
+		path:     "/chat/",
+		response: "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nid",
+	},
+	"stream without a signature or a body": {
+		path:     "/chat/",
+		response: "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n",
+	},
+	"refusal of a stream without a statement": {
+		path:     "/chat/",
+		response: "HTTP/1.1 503 X\r\nId: %s\r\nContent-Length: 4\r\n\r\nbusy",
+	},
+	"server error in place of a stream": {
+		path:     "/chat/",
+		response: "HTTP/1.1 500 X\r\nId: %s\r\nSigned: 1\r\nContent-Length: 4\r\n\r\noops",
+	},
+	"server error for a safe request": {
+		path:     "/read/",
+		response: "HTTP/1.1 500 X\r\nId: %s\r\nSigned: 1\r\nContent-Length: 4\r\n\r\noops",
+	},
+	"server error without a body": {
+		path:     "/read/",
+		response: "HTTP/1.1 500 X\r\nId: %s\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n",
+	},
+	"refusal of a safe request without statement": {
+		path:     "/read/",
+		response: "HTTP/1.1 503 X\r\nId: %s\r\nContent-Length: 4\r\n\r\nbusy",
+	},
+	"success without a signature": {
+		path:     "/read/",
+		response: "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nno",
+	},
+	"no HTTP": {
+		path:     "/read/",
+		response: "nonsense\r\nId: %s\r\n\r\n",
+	},
+}
+
+// TestGivenUpAttemptEndsBeforeAnotherGoesOn: a server whose response was no whole answer
+// keeps working until it sees the connection close. While it works, no other server may go
+// on with the request.
+func TestGivenUpAttemptEndsBeforeAnotherGoesOn(t *testing.T) {
+	for name, broken := range brokenResponses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log := newWorkLog()
+			whole := respondOK
+			if broken.path == "/chat/" {
+				whole = stream(3, 0)
+			}
+			first := true
+			respond := func(c net.Conn, r *http.Request) {
+				log.mu.Lock()
+				breaksOff := first
+				first = false
+				log.mu.Unlock()
+				if !breaksOff {
+					log.goesOn(whole)(c, r)
+					return
+				}
+				fmt.Fprintf(c, broken.response, r.Header.Get("Id"))
+				log.workUntilClosed(c)
+			}
+			e := newTestEnv(t, respond, respond)
+			_, _, err := e.do(broken.path)
+			require.NoError(t, err)
+			require.Equal(t, 2, e.requestCount())
+			require.Less(t, log.overlap(), maxOverlap)
+		})
+	}
+}
