A line and a counter for each attempt that is given up

The log could not tell whether a server was told to stop, or told late: a line came only at the end of a request.

--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -77,6 +77,15 @@
 	failed
 )
 
+// resultNames are the names of the results in the log and in the metrics.
+var resultNames = map[exchangeResult]string{
+	ended:    "ended",
+	rejected: "rejected",
+	notSent:  "notSent",
+	broken:   "broken",
+	failed:   "failed",
+}
+
 // run sends the request to one backend server after another until it is answered or
 // fails.
 func (c *call) run() {
@@ -106,6 +115,7 @@
 		if result == ended {
 			return
 		}
+		c.logGivenUp(g, result)
 		c.tried = append(c.tried, g.Server)
 		if result == notSent {
 			unreachable++
@@ -180,8 +190,29 @@
 	})
 }
 
+// logGivenUp logs and counts an attempt that did not answer the request.
+func (c *call) logGivenUp(g *placer.Grant, result exchangeResult) {
+	connection := metrics.ConnectionClosed
+	if c.connectionKept {
+		connection = metrics.ConnectionKept
+	}
+	c.h.Meters.GivenUp(c.ctx, c.service, resultNames[result], connection)
+	c.h.Logger.WithFields(logrus.Fields{
+		"request":    c.req.ID,
+		"server":     g.Server,
+		"service":    c.service,
+		"result":     resultNames[result],
+		"connection": connection,
+		"sends":      c.sends,
+		"runs":       c.runs,
+		"lastEvent":  c.lastEvent,
+		"cause":      c.lastErr,
+	}).Info("ingress: an attempt was given up")
+}
+
 // exchange sends the request to one server and relays its response.
 func (c *call) exchange(g *placer.Grant) exchangeResult {
+	c.connectionKept = false
 	sent := c.h.Now()
 	resp, err := c.h.Pool.Send(c.ctx, g.Address, c.backendRequest(g))
 	if err != nil {
@@ -203,7 +234,10 @@
 		})
 		return broken
 	}
-	defer resp.Close()
+	defer func() {
+		resp.Close()
+		c.connectionKept = resp.Kept()
+	}()
 	c.sends++
 	info := c.h.Dialect.ParseResponse(resp.Status, resp.Header)
 	c.info = info
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -142,6 +142,8 @@
 	bytesRelayed int
 	// lastErr is the failure of the last exchange with a backend server.
 	lastErr error
+	// connectionKept is true if the connection of the last exchange returned to the pool.
+	connectionKept bool
 	// grant is the last placement of the request.
 	grant *placer.Grant
 	// entered is true once the request is counted by the gate.
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -63,6 +63,7 @@
 	sawStray      bool
 	serverCloses  bool
 	ended         bool
+	kept          bool
 }
 
 // Reused reports whether the response came over a reused connection.
@@ -267,6 +268,7 @@
 		r.conn.Close()
 		return
 	}
+	r.kept = true
 	r.pool.put(r.conn, keepAliveTimeout(r.Header.Get("Keep-Alive")))
 }
 
@@ -280,6 +282,9 @@
 	r.conn.Close()
 }
 
+// Kept reports whether the connection was returned to the pool.
+func (r *Response) Kept() bool { return r.kept }
+
 // SetReadDeadline sets the deadline of reads from the body.
 func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.SetReadDeadline(t) }
 
