An attempt that is given up ends at its server before another one goes on

Cause: at the end of a response's body its connection returned to the pool by itself. Whether the response was a whole answer was decided after that, and where it was not, nothing told the server to stop. The end of a framing was taken for the end of the work. Why this works: the connection goes back only by Keep, which the ingress calls after a whole answer or the statement that the request did not run. Everything else closes it, before the next decision and before the check whether the server is up. TestWholeAnswerKeepsTheConnection holds that whole answers still keep theirs. The tests of the pool call Keep where they relied on the end of the body; they check what they checked.

--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -60,7 +60,8 @@
 		}
 	}
 	c.sendHeader(resp)
-	if resp.Length >= 0 && int64(body.Len()) == resp.Length || !c.hasMore(resp) {
+	if resp.AtEnd() {
+		resp.Keep()
 		_, _ = c.w.Write(body.Bytes())
 		return ended, c.statusEvent(resp.Status)
 	}
@@ -75,9 +76,6 @@
 	return scheduler.Done
 }
 
-// hasMore reports whether the body continues after its buffered part.
-func (c *call) hasMore(resp *backend.Response) bool { return !resp.Ended() }
-
 // relayRemainder writes the buffered part of a large body, then copies the rest as it
 // arrives. If the rest does not arrive, the response to the caller is truncated.
 func (c *call) relayRemainder(resp *backend.Response, first []byte) (exchangeResult, scheduler.Event) {
@@ -92,6 +90,7 @@
 		c.mustAbort = true
 		return ended, scheduler.Broken
 	}
+	resp.Keep()
 	return ended, c.statusEvent(resp.Status)
 }
 
@@ -162,6 +161,7 @@
 		c.lastErr = fault.New(fault.ShortAnswer, c.service, "the stream ended inside an event")
 		return broken, scheduler.Broken
 	}
+	resp.Keep()
 	// Blank lines after the last event belong to the body, but to no event.
 	if !c.writeEvents(resp, rest) {
 		return c.endCallerLost()
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -234,10 +234,7 @@
 		})
 		return broken
 	}
-	defer func() {
-		resp.Close()
-		c.connectionKept = resp.Kept()
-	}()
+	defer resp.Close()
 	c.sends++
 	info := c.h.Dialect.ParseResponse(resp.Status, resp.Header)
 	c.info = info
@@ -251,6 +248,8 @@
 	}
 	if info.Execution == edge.NotRun {
 		_, _ = io.CopyN(io.Discard, resp, copyBufferSize)
+		resp.Keep()
+		c.connectionKept = resp.Kept()
 		report.Event = scheduler.Rejected
 		if info.OtherServer {
 			// The load is that of the other server.
@@ -268,6 +267,9 @@
 	g.Report(report)
 	relayed := c.bytesRelayed
 	result, event := c.relay(resp, info)
+	// The server has to stop before another one gets the request.
+	resp.Close()
+	c.connectionKept = resp.Kept()
 	relayed = c.bytesRelayed - relayed
 	if event == scheduler.Broken {
 		event = c.brokenEvent(g, relayed)
--- a/internal/daemon/ingress/giveup_test.go
+++ b/internal/daemon/ingress/giveup_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -159,3 +160,43 @@
 		})
 	}
 }
+
+// TestWholeAnswerKeepsTheConnection: a connection is reused after a whole answer, in each
+// way in which one is relayed, and after a server has stated that it did not run the request.
+func TestWholeAnswerKeepsTheConnection(t *testing.T) {
+	const bodyLength = 3 << 20
+	for name, c := range map[string]struct {
+		path    string
+		respond responder
+	}{
+		"stream":      {"/chat/", stream(3, 0)},
+		"short body":  {"/read/", respondOK},
+		"final error": {"/book/", respondServerError},
+		"not run": {"/book/", func(c net.Conn, r *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull", r.Header.Get("Id"))
+		}},
+		"long body": {"/read/", func(c net.Conn, r *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), bodyLength, strings.Repeat("x", bodyLength))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			connections := make(map[net.Conn]bool)
+			e := newTestEnv(t, func(conn net.Conn, r *http.Request) {
+				mu.Lock()
+				connections[conn] = true
+				mu.Unlock()
+				c.respond(conn, r)
+			})
+			for range 3 {
+				_, _, err := e.do(c.path)
+				require.NoError(t, err)
+			}
+			require.GreaterOrEqual(t, e.requestCount(), 3)
+			mu.Lock()
+			defer mu.Unlock()
+			require.Len(t, connections, 1)
+		})
+	}
+}
--- a/internal/edge/backend/backend_test.go
+++ b/internal/edge/backend/backend_test.go
@@ -88,6 +88,9 @@
 	}
 	defer r.Close()
 	b, err := io.ReadAll(r)
+	if err == nil {
+		r.Keep()
+	}
 	return string(b), err
 }
 
@@ -230,6 +233,7 @@
 		b, err := io.ReadAll(r)
 		require.NoError(t, err)
 		require.Equal(t, "early", string(b))
+		r.Keep()
 	}
 	require.EqualValues(t, 2, conns.Load())
 }
@@ -265,6 +269,30 @@
 	}
 }
 
+// TestCloseAfterTheEndOfTheBody: a response that is closed takes its connection with it, also
+// after its body was read to the end, so that its server stops.
+func TestCloseAfterTheEndOfTheBody(t *testing.T) {
+	closed := make(chan struct{})
+	address, _ := server(t, func(c net.Conn, _ int, r *http.Request) {
+		reply(c, r.Header.Get("X-Id"), "no whole answer", "")
+		c.Read(make([]byte, 1))
+		close(closed)
+	})
+	p := pool(t)
+	r, err := p.Send(t.Context(), address, request("1"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(r)
+	require.NoError(t, err)
+	r.Close()
+	r.Keep()
+	require.False(t, r.Kept())
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection is still open 5 s after the response was closed")
+	}
+}
+
 // TestKeepAliveTimeout: a connection that the server is about to close, by its
 // Keep-Alive timeout, is not reused.
 func TestKeepAliveTimeout(t *testing.T) {
@@ -300,6 +328,8 @@
 	require.Equal(t, http.StatusServiceUnavailable, first.Status)
 	_, err = io.ReadAll(first)
 	require.NoError(t, err)
+	first.Keep()
+	require.True(t, first.Kept())
 	second, err := p.Send(t.Context(), address, request("2"))
 	if err == nil {
 		require.NotEqual(t, http.StatusServiceUnavailable, second.Status)
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -46,8 +46,8 @@
 	EchoedID func(status int, h http.Header) string
 }
 
-// Response is the response of a backend server. The body must be read to its
-// end, or the response closed.
+// Response is the response of a backend server. Close must be called; it closes the
+// connection unless Keep has returned that to the pool.
 type Response struct {
 	Status int
 	Header http.Header
@@ -62,8 +62,11 @@
 	writeState    *atomic.Int32
 	sawStray      bool
 	serverCloses  bool
-	ended         bool
-	kept          bool
+	// atEnd is true once the body was read to its end, ended once the connection was
+	// closed or returned to the pool, kept if it was returned.
+	atEnd bool
+	ended bool
+	kept  bool
 }
 
 // Reused reports whether the response came over a reused connection.
@@ -242,11 +245,11 @@
 	return nil
 }
 
-// Read reads from the body. At its end the connection returns to the pool.
+// Read reads from the body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if errors.Is(err, io.EOF) {
-		r.release()
+		r.atEnd = true
 		return n, err
 	}
 	if err != nil {
@@ -256,15 +259,18 @@
 	return n, nil
 }
 
-// release returns the connection to the pool, or closes it if it can't be
-// reused: the request was cancelled, a stray response came, the server closes
-// the connection, or the request body is not fully written.
-func (r *Response) release() {
+// Keep returns the connection to the pool, so that another request may use it. It must be
+// called only once it is certain that the server no longer works on the request: after a
+// whole answer, or a statement that the request did not run. The end of a body proves
+// neither, and a server learns from the close that it has to stop. A connection that can't
+// be reused is closed: the body was not read to its end, the request was cancelled, a stray
+// response came, the server closes the connection, or the request body is not fully written.
+func (r *Response) Keep() {
 	if r.ended {
 		return
 	}
 	r.ended = true
-	if !r.stopAfterFunc() || r.sawStray || r.serverCloses || r.writeState.Load() != writeDone {
+	if !r.stopAfterFunc() || !r.atEnd || r.sawStray || r.serverCloses || r.writeState.Load() != writeDone {
 		r.conn.Close()
 		return
 	}
@@ -272,7 +278,7 @@
 	r.pool.put(r.conn, keepAliveTimeout(r.Header.Get("Keep-Alive")))
 }
 
-// Close closes the connection if the body was not read to its end.
+// Close closes the connection unless Keep was called before.
 func (r *Response) Close() {
 	if r.ended {
 		return
@@ -288,5 +294,5 @@
 // SetReadDeadline sets the deadline of reads from the body.
 func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.SetReadDeadline(t) }
 
-// Ended reports whether the body was read to its end or the response was closed.
-func (r *Response) Ended() bool { return r.ended }
+// AtEnd reports whether the body was read to its end.
+func (r *Response) AtEnd() bool { return r.atEnd }
