Soak: a request goes on at one server at a time; failing servers end streams inside an event

Servers that fail also end a stream inside an event in proper form and work on until their connection is closed, and the checker compares the executions of a request.

--- a/internal/check/guarantee/guarantee.go
+++ b/internal/check/guarantee/guarantee.go
@@ -56,10 +56,11 @@
 	return a.LastByteSent
 }
 
-// execution is one execution of a request at a backend server.
+// execution is one execution of a request at a backend server; ended is zero while it lasts.
 type execution struct {
 	server string
 	at     time.Time
+	ended  time.Time
 }
 
 // faultInterval is the interval in which a fault was active; until is zero while it
--- a/internal/check/guarantee/stops.go
+++ b/internal/check/guarantee/stops.go
@@ -35,9 +35,10 @@
 }
 
 // Ended records that a backend server has stopped to execute a request.
-func (c *Checker) Ended(id string, at time.Time) {
+func (c *Checker) Ended(id, server string, at time.Time) {
 	defer c.lock()()
 	c.executionEnds[id] = at
+	c.checkOverlap(id, server, at)
 }
 
 // stopBefore returns the latest stop of a daemon that counts at a time.
--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -26,7 +26,11 @@
 	executionTime = 12 * time.Millisecond
 	eventInterval = 4 * time.Millisecond
 	maxEvents     = 30
-	slots         = 8
+	chatPrefix    = "/chat/"
+	// maxWorkOn is how long a server works on after it has ended a stream inside an event, if
+	// the daemon does not close the connection.
+	maxWorkOn = 2 * time.Second
+	slots     = 8
 	// oddEntryMark stands in the list where an odd entry is put.
 	oddEntryMark = "oddEntry"
 )
@@ -112,13 +116,13 @@
 	b.checker.Executed(id, b.id, now)
 	b.executing.Add(1)
 	defer b.executing.Done()
-	defer func() { b.checker.Ended(id, time.Now()) }()
+	defer func() { b.checker.Ended(id, b.id, time.Now()) }()
 	w.Header().Set(wireformat.SignatureHeader, b.id)
 	if b.partlyFailing.Load() && rand.IntN(2) == 0 {
-		b.fail(w, id)
+		b.fail(w, req, id)
 		return
 	}
-	if strings.HasPrefix(req.URL.Path, "/chat/") {
+	if strings.HasPrefix(req.URL.Path, chatPrefix) {
 		b.serveStream(w, req, id, eventCount(id), eventInterval)
 		return
 	}
@@ -135,7 +139,11 @@
 }
 
 // fail fails a request that was executed. A refusal does not state that it was not.
-func (b *backend) fail(w http.ResponseWriter, id string) {
+func (b *backend) fail(w http.ResponseWriter, req *http.Request, id string) {
+	if isStream(req) && rand.IntN(2) == 0 {
+		b.endInsideEvent(w, req, id)
+		return
+	}
 	switch rand.IntN(3) {
 	case 0:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -166,6 +174,40 @@
 	}
 }
 
+// isStream reports whether the response to a request is a stream.
+func isStream(req *http.Request) bool {
+	return strings.HasPrefix(req.URL.Path, chatPrefix) || strings.HasPrefix(req.URL.Path, longPrefix)
+}
+
+// endInsideEvent ends the body of a stream inside an event, in a proper framing, and then
+// works on until the daemon closes the connection.
+func (b *backend) endInsideEvent(w http.ResponseWriter, req *http.Request, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		b.checker.Count("connection could not be taken over")
+		return
+	}
+	defer conn.Close()
+	part := formatEvent(id, lastEvent(req)+1)[:6]
+	framing := [...]string{
+		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(part), part),
+		fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(part), part),
+	}[rand.IntN(2)]
+	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s", wireformat.RequestIDHeader, id, wireformat.SignatureHeader, b.id, framing); err != nil {
+		b.checker.Count("response part not written")
+		return
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(maxWorkOn)); err != nil {
+		b.checker.Count("deadline not set")
+		return
+	}
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		b.checker.Count("worked on after the end of a stream until a reset or its own end")
+		return
+	}
+	b.checker.Count("worked on after the end of a stream until the close")
+}
+
 // responseBody returns the response body of a plain request.
 func responseBody(id string) string { return strings.Repeat(id+" ", 40) }
 
@@ -174,13 +216,18 @@
 
 func formatEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
 
-func (b *backend) serveStream(w http.ResponseWriter, req *http.Request, id string, events int, interval time.Duration) {
+// lastEvent returns the number of the last event that the caller has, zero if it has none.
+func lastEvent(req *http.Request) int {
 	last, err := strconv.Atoi(req.Header.Get(wireformat.LastEventHeader))
 	if err != nil {
-		last = 0 // not a resumed stream: the caller has no event yet
+		return 0 // not a resumed stream
 	}
+	return last
+}
+
+func (b *backend) serveStream(w http.ResponseWriter, req *http.Request, id string, events int, interval time.Duration) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := last + 1; n <= events; n++ {
+	for n := lastEvent(req) + 1; n <= events; n++ {
 		if req.Context().Err() != nil {
 			return
 		}
