A request that a router gives up is cancelled at its engine before another engine gets it

After a stream that ended early, and two more tries at the engine, the caller's router sent the request to another engine while the first one generated on. The router waits for the engine's answer, for 0.2 s at most, so that the cancellation does not reach a later resume of the same request at the same engine.

--- a/internal/daemon/router/dispatch.go
+++ b/internal/daemon/router/dispatch.go
@@ -7,6 +7,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"camphorspoke/internal/base/fault"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing"
@@ -16,8 +18,14 @@
 	"camphorspoke/internal/rules/ruleset"
 )
 
-// maxEngineResumes is how many times a broken stream is resumed at the same engine.
-const maxEngineResumes = 2
+const (
+	// maxEngineResumes is how many times a broken stream is resumed at the same engine.
+	maxEngineResumes = 2
+	// cancelTimeout bounds the cancellation of a request at its engine, and cancelWait how
+	// long the request waits for it before it goes on elsewhere.
+	cancelTimeout = time.Second
+	cancelWait    = 200 * time.Millisecond
+)
 
 // admissionParams returns the current limits for the admission of a request to a
 // server.
@@ -151,8 +159,9 @@
 			break
 		}
 	}
-	if ctx.Err() != nil {
-		r.cancelAtEngine(s, req.GetRequestId())
+	if err != nil {
+		// The engine runs on without its stream, and another one may get the request next.
+		r.endAtEngine(ctx, s, req.GetRequestId())
 	}
 	if err != nil && a.Next > req.GetResumeFrom() && fault.KindOf(err) == fault.LinkBroken {
 		// Part of the response was already sent, so the caller's router has to resume
@@ -217,14 +226,30 @@
 	return a.Close()
 }
 
-// cancelAtEngine cancels a request whose caller has disconnected, to free its slot at
-// the engine.
-func (r *Router) cancelAtEngine(s *pb.BackendServer, id string) {
-	r.cfg.Pool.Submit(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, time.Second)
+// endAtEngine cancels a request that this router gives up and waits until the engine has
+// confirmed that, for cancelWait at most. It does not wait if the caller has disconnected, as
+// no other engine gets the request then.
+func (r *Router) endAtEngine(ctx context.Context, s *pb.BackendServer, id string) {
+	log := r.cfg.Logger.WithFields(logrus.Fields{
+		"request": id,
+		"server":  s.GetName(),
+	})
+	confirmed := make(chan struct{})
+	submitted := r.cfg.Pool.Submit(func(jobCtx context.Context) {
+		defer close(confirmed)
+		jobCtx, cancel := context.WithTimeout(jobCtx, cancelTimeout)
 		defer cancel()
-		if err := r.cfg.Engine.Cancel(ctx, s.GetAddress(), id); err != nil {
-			r.cfg.Logger.WithError(err).Debug("router: cancelling a request at its engine failed")
+		if err := r.cfg.Engine.Cancel(jobCtx, s.GetAddress(), id); err != nil {
+			log.WithError(err).Info("router: cancelling a request at its engine failed")
 		}
 	})
+	if !submitted {
+		log.Warn("router: a request is not cancelled at its engine, as too many jobs are queued")
+		return
+	}
+	select {
+	case <-confirmed:
+	case <-ctx.Done():
+	case <-time.After(cancelWait):
+	}
 }
