--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -107,7 +107,7 @@
 
 // fakeMembership stands in for the membership agent.
 type fakeMembership struct {
-	view *view.View
+	view atomic.Pointer[view.View]
 	// stale is true while the rules are not confirmed to be in force.
 	stale atomic.Bool
 	// freshSoon is true when AwaitFresh should wait for the confirmation.
@@ -126,7 +126,7 @@
 	return m.Fresh()
 }
 
-func (m *fakeMembership) View() *view.View { return m.view }
+func (m *fakeMembership) View() *view.View { return m.view.Load() }
 func (m *fakeMembership) Fresh() bool      { return !m.stale.Load() }
 
 // testEnv is one instance with its backend servers and a caller.
@@ -200,7 +200,7 @@
 			Address: address,
 		})
 	}
-	e.membership.view = (&view.View{}).WithTables(1, true, servers, nil).WithRules(1, []byte(rules), f)
+	e.membership.view.Store((&view.View{}).WithTables(1, true, servers, nil).WithRules(1, []byte(rules), f))
 	clock := boottime.New()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -214,7 +214,7 @@
 		Logger:      log,
 	})
 	t.Cleanup(stop)
-	p.Update(e.membership.view)
+	p.Update(e.membership.View())
 	pool := &backend.Pool{
 		Now: clock.Now,
 	}
@@ -237,6 +237,17 @@
 	return e
 }
 
+// changeRules puts a text in the place of old in the rules in force.
+func (e *testEnv) changeRules(old, changed string) {
+	rules := strings.Replace(string(e.membership.View().RuleText), old, changed, 1)
+	f, err := parse.Rules("rules", []byte(rules))
+	if err != nil {
+		e.t.Errorf("the changed rules are invalid: %v", err)
+		return
+	}
+	e.membership.view.Store(e.membership.View().WithRules(2, []byte(rules), f))
+}
+
 func (e *testEnv) backend(name string, respond responder) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(e.t, err)
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -138,10 +138,20 @@
 	case rejected:
 		return c.sends < c.route.Attempts+extraSends
 	default:
-		return c.route.Repeatable() && c.runs < c.route.Attempts
+		return c.runs < c.route.Attempts && c.repeatable()
 	}
 }
 
+// repeatable reports whether the request may run more than once, by the rules that admitted
+// it and by those in force now.
+func (c *call) repeatable() bool {
+	if !c.route.Repeatable() {
+		return false
+	}
+	now := c.h.Membership.View().Rules.Match(host(c.r.Host), path(c.r.RequestURI))
+	return now == nil || now.Repeatable()
+}
+
 // finalFault returns the failure for the caller. It reports the request as not run
 // only if that is certain.
 func (c *call) finalFault(err error) error {
--- a/internal/daemon/ingress/giveup_test.go
+++ b/internal/daemon/ingress/giveup_test.go
@@ -200,3 +200,51 @@
 		})
 	}
 }
+
+// TestRuleChangeForbidsTheRepeat: a route is made one whose requests run once while a request
+// of it is at a server. What fails there is not sent to another server, by the rules that have
+// come into force meanwhile.
+func TestRuleChangeForbidsTheRepeat(t *testing.T) {
+	for name, c := range map[string]struct {
+		path     string
+		old      string
+		changed  string
+		arrivals int
+	}{
+		"safe becomes unsafe": {
+			path:     "/read/",
+			old:      "kind=safe to=s timeout=2s attempts=2",
+			changed:  "kind=unsafe to=s timeout=2s attempts=2",
+			arrivals: 1,
+		},
+		"no longer resumable": {
+			path:     "/chat/",
+			old:      "attempts=2 resume=yes",
+			changed:  "attempts=2",
+			arrivals: 1,
+		},
+		"another route changes": {
+			path:     "/read/",
+			old:      "attempts=2 resume=yes",
+			changed:  "attempts=2",
+			arrivals: 2,
+		},
+		"unsafe becomes safe": {
+			path:     "/book/",
+			old:      "kind=unsafe to=s timeout=2s attempts=1",
+			changed:  "kind=safe to=s timeout=2s attempts=2",
+			arrivals: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var e *testEnv
+			respond := func(conn net.Conn, _ *http.Request) {
+				e.changeRules(c.old, c.changed)
+				conn.Close()
+			}
+			e = newTestEnv(t, respond, respond)
+			_, _, _ = e.do(c.path)
+			require.Equal(t, c.arrivals, e.requestCount())
+		})
+	}
+}
