--- a/internal/daemon/ingress/giveup_test.go
+++ b/internal/daemon/ingress/giveup_test.go
@@ -248,3 +248,52 @@
 		})
 	}
 }
+
+// maxWorkAfterEnd is how long a server may still be at work after the caller has left or the
+// request has timed out.
+const maxWorkAfterEnd = 500 * time.Millisecond
+
+// TestServerStopsWithItsRequest: a server sees its connection close soon after the caller has
+// left or the deadline has passed, whatever part of its response it has sent.
+func TestServerStopsWithItsRequest(t *testing.T) {
+	const (
+		head  = "HTTP/1.1 200 OK\r\nId: x1\r\nSigned: 1\r\nContent-Length: 3000000\r\n\r\n"
+		event = "id: 1\ndata: e1\n\n"
+		stray = "HTTP/1.1 200 OK\r\nId: other\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nno"
+		after = 300 * time.Millisecond
+	)
+	for name, sent := range map[string]string{
+		"nothing":            "",
+		"half a head":        "HTTP/1.1 200 OK\r\nId: x1\r\n",
+		"stray response":     stray,
+		"head":               head,
+		"event":              head + event,
+		"event and a part":   head + event + "id: 2",
+		"more than a buffer": head + strings.Repeat("x", maxInBuffer),
+	} {
+		for _, path := range []string{"/chat/", "/read/", "/book/"} {
+			for _, leaves := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s %s leaves %t", name, path, leaves), func(t *testing.T) {
+					t.Parallel()
+					log := newWorkLog()
+					e := newTestEnv(t, func(c net.Conn, _ *http.Request) {
+						_, _ = c.Write([]byte(sent))
+						log.workUntilClosed(c)
+					})
+					wait := "1s"
+					if leaves {
+						e.client.Timeout = after
+					} else {
+						wait = after.String()
+					}
+					began := time.Now()
+					_, _, _ = e.do(path, "Wait", wait)
+					require.Less(t, (<-log.ended).Sub(began), after+maxWorkAfterEnd)
+				})
+			}
+		}
+	}
+}
+
+// maxInBuffer is more of a body than is read before its header is relayed, in bytes.
+const maxInBuffer = 2 << 20
