What unfinished responses hold stays within a part of the memory limit

What callers saw: nothing yet here; other operators saw an instance run out of memory, and with it the requests of all its callers, as a faulty server sent events or bodies without end. One response was limited to 1 MB, and nothing added up those of many connections. Now a response reserves what it holds beyond 16 KB from a tenth of the memory limit, one server half of that. A body that finds no memory is relayed as it arrives, which only loses the retry of a truncated one. A stream that finds none is given up like one with an event that is too large, and its server is blamed only if it holds its share itself. The buffer of events shrinks once a large event is complete. A server error that is retried is no longer read first.

--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -40,32 +40,56 @@
 	return failed, scheduler.Failed
 }
 
-// relayBuffered reads up to maxBufferedBody of the body before it writes the header,
-// so that a response truncated within that size can still be retried.
+// relayBuffered reads a part of the body before it writes the header, so that a response
+// truncated within that part can still be retried.
 func (c *call) relayBuffered(resp *backend.Response) (exchangeResult, scheduler.Event) {
 	if c.headerSent {
 		// The header was sent with status 200, so this response cannot continue the stream.
 		c.lastErr = fault.New(fault.WrongFrame, c.service, "the server answered the resumed stream with a status other than 200 or without a signature")
 		return broken, scheduler.Failed
 	}
-	var body bytes.Buffer
-	if _, err := io.Copy(&body, io.LimitReader(resp, maxBufferedBody)); err != nil {
-		c.lastErr = err
-		return broken, scheduler.Broken
-	}
 	if resp.Status >= http.StatusInternalServerError {
 		c.lastErr = fault.New(fault.InDoubt, c.service, "the backend server answered with a server error")
 		if c.mayRetry(failed, 0) && c.h.Now() < c.deadline {
 			return failed, scheduler.Failed
 		}
 	}
+	body, err := c.bufferBody(resp)
+	if err != nil {
+		c.lastErr = err
+		return broken, scheduler.Broken
+	}
 	c.sendHeader(resp)
 	if resp.AtEnd() {
 		resp.Keep()
-		_, _ = c.w.Write(body.Bytes())
+		_, _ = c.w.Write(body)
 		return ended, c.statusEvent(resp.Status)
 	}
-	return c.relayRemainder(resp, body.Bytes())
+	return c.relayRemainder(resp, body)
+}
+
+// bufferBody reads the body to its end, up to maxBufferedBody or as long as there is memory
+// for it.
+func (c *call) bufferBody(resp *backend.Response) ([]byte, error) {
+	var body bytes.Buffer
+	for !resp.AtEnd() && body.Len() < maxBufferedBody {
+		// The buffer takes up to twice the size of what is in it.
+		step := max(body.Len(), minBodyStep)
+		if err := c.hold(2 * (body.Len() + step)); err != nil {
+			break
+		}
+		if _, err := io.Copy(&body, io.LimitReader(resp, int64(step))); err != nil {
+			return nil, err
+		}
+	}
+	return body.Bytes(), nil
+}
+
+// releaseResponse releases the memory that was reserved for a response.
+func (c *call) releaseResponse() {
+	if err := c.hold(0); err != nil {
+		c.h.Logger.WithError(err).Error("ingress: memory for a response could not be released")
+	}
 }
 
 // statusEvent returns the event to report for a complete response.
@@ -148,6 +172,10 @@
 			c.lastErr = fault.New(fault.WrongFrame, c.service, "the stream has an event without end")
 			return broken, scheduler.Broken
 		}
+		if err := c.hold(splitter.Size()); err != nil {
+			c.lastErr = err
+			return broken, memoryEvent(err)
+		}
 		if errors.Is(err, io.EOF) {
 			break
 		}
@@ -169,6 +197,15 @@
 	return ended, scheduler.Done
 }
 
+// memoryEvent returns the event to report for a stream that found no memory: a failure of its
+// server only if that one's responses hold too much.
+func memoryEvent(err error) scheduler.Event {
+	if fault.KindOf(err) == fault.WrongFrame {
+		return scheduler.Broken
+	}
+	return scheduler.Cancelled
+}
+
 // writeEvents writes events to the caller and flushes them. It returns false if the
 // caller has disconnected.
 func (c *call) writeEvents(resp *backend.Response, b []byte) bool {
--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -26,6 +26,7 @@
 	"camphorspoke/internal/daemon/bodymemory"
 	"camphorspoke/internal/daemon/ingress"
 	"camphorspoke/internal/daemon/placer"
+	"camphorspoke/internal/daemon/responsememory"
 	"camphorspoke/internal/edge"
 	"camphorspoke/internal/edge/backend"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
@@ -38,6 +39,9 @@
 // bodyBudget is the memory for bodies, in bytes.
 const bodyBudget = 64 << 20
 
+// responseBudget is the memory for unfinished responses, in bytes.
+const responseBudget = 8 << 20
+
 // testDialect is a minimal dialect with one header per field.
 type testDialect struct{}
 
@@ -131,7 +135,9 @@
 
 // testEnv is one instance with its backend servers and a caller.
 type testEnv struct {
-	t          *testing.T
+	t *testing.T
+	// slots is the number of slots of each server.
+	slots      uint32
 	membership *fakeMembership
 	handler    *ingress.Handler
 	url        string
@@ -170,9 +176,16 @@
 `
 
 func newTestEnv(t *testing.T, responders ...responder) *testEnv {
+	t.Helper()
+	return newTestEnvWithSlots(t, 4, responders...)
+}
+
+// newTestEnvWithSlots is like newTestEnv, with the number of slots of each server.
+func newTestEnvWithSlots(t *testing.T, slots uint32, responders ...responder) *testEnv {
 	t.Helper()
 	e := &testEnv{
-		t: t,
+		t:     t,
+		slots: slots,
 	}
 	var addresses []string
 	for i, respond := range responders {
@@ -196,7 +209,7 @@
 		servers = append(servers, &pb.BackendServer{
 			Name:    fmt.Sprintf("b%d", i),
 			Service: "s",
-			Slots:   4,
+			Slots:   e.slots,
 			Address: address,
 		})
 	}
@@ -230,6 +243,9 @@
 		Bodies: &bodymemory.Budget{
 			Bytes: bodyBudget,
 		},
+		Responses: &responsememory.Budget{
+			Bytes: responseBudget,
+		},
 	}
 	s := httptest.NewServer(e.handler)
 	t.Cleanup(s.Close)
@@ -285,6 +301,14 @@
 }
 
 func (e *testEnv) do(path string, header ...string) (*http.Response, string, error) {
+	e.t.Helper()
+	var body strings.Builder
+	resp, err := e.doTo(&body, path, header...)
+	return resp, body.String(), err
+}
+
+// doTo is like do, and copies the body to w.
+func (e *testEnv) doTo(w io.Writer, path string, header ...string) (*http.Response, error) {
 	e.t.Helper()
 	r, err := http.NewRequestWithContext(e.t.Context(), http.MethodPost, e.url+path, strings.NewReader("body"))
 	require.NoError(e.t, err)
@@ -296,11 +320,11 @@
 	}
 	resp, err := e.client.Do(r)
 	if err != nil {
-		return nil, "", err
+		return nil, err
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	return resp, string(b), err
+	_, err = io.Copy(w, resp.Body)
+	return resp, err
 }
 
 func (e *testEnv) status(path string, header ...string) int {
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -48,7 +48,9 @@
 	// maxBufferedBody is how much of a response body is read before the response
 	// header is relayed.
 	maxBufferedBody = 1 << 20
-	copyBufferSize  = 16 << 10
+	// minBodyStep is the least of a body that is read at once, in bytes.
+	minBodyStep    = 4 << 10
+	copyBufferSize = 16 << 10
 	// maxEventBytes is the largest event of a stream, in bytes.
 	maxEventBytes = 1 << 20
 	// minSilence is the least time without any response after which a request that timed
@@ -245,6 +247,8 @@
 		return broken
 	}
 	defer resp.Close()
+	c.hold = c.h.Responses.Open(g.Server)
+	defer c.releaseResponse()
 	c.sends++
 	info := c.h.Dialect.ParseResponse(resp.Status, resp.Header)
 	c.info = info
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -28,6 +28,7 @@
 	"camphorspoke/internal/daemon/inflight"
 	"camphorspoke/internal/daemon/metrics"
 	"camphorspoke/internal/daemon/placer"
+	"camphorspoke/internal/daemon/responsememory"
 	"camphorspoke/internal/edge"
 	"camphorspoke/internal/edge/backend"
 	"camphorspoke/internal/routing/durations"
@@ -90,6 +91,8 @@
 	Gate inflight.Gate
 	// Bodies limits the memory for the bodies of requests; nil is no limit.
 	Bodies *bodymemory.Budget
+	// Responses limits the memory for unfinished responses; nil is no limit.
+	Responses *responsememory.Budget
 
 	// routeDurations holds how long recent requests of each route took.
 	routeDurations durations.Estimator
@@ -142,6 +145,9 @@
 	bytesRelayed int
 	// lastErr is the failure of the last exchange with a backend server.
 	lastErr error
+	// hold reserves the memory that the response of the exchange takes; with zero it releases
+	// it.
+	hold func(bytes int) error
 	// connectionKept is true if the connection of the last exchange returned to the pool.
 	connectionKept bool
 	// grant is the last placement of the request.
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -25,6 +25,7 @@
 	"camphorspoke/internal/daemon/membership"
 	"camphorspoke/internal/daemon/metrics"
 	"camphorspoke/internal/daemon/placer"
+	"camphorspoke/internal/daemon/responsememory"
 	"camphorspoke/internal/daemon/settings"
 	"camphorspoke/internal/edge"
 	"camphorspoke/internal/edge/backend"
@@ -42,6 +43,9 @@
 	// bodyMemoryShare is the fraction of the memory limit that the bodies of requests may
 	// take.
 	bodyMemoryShare = 0.4
+	// responseMemoryShare is the fraction of the memory limit that unfinished responses may
+	// take.
+	responseMemoryShare = 0.1
 	// ruleFreshnessShare is the fraction of the key revocation time for which a
 	// confirmation of the rules is valid. The rest allows for clock differences and
 	// requests in progress.
@@ -309,6 +313,11 @@
 	return out
 }
 
+// memoryBytes returns a fraction of the memory limit, in bytes; zero if there is no limit.
+func (in *instance) memoryBytes(share float64) int {
+	return int(share * float64(in.cfg.Entry.MemoryMB) * (1 << 20))
+}
+
 // serve opens the addresses for callers, the platform and the operator.
 func (e *entry) serve(meters *metrics.Meters) error {
 	in := e.instance
@@ -324,7 +333,10 @@
 		FailureDomain: in.cfg.FailureDomain,
 		ShutdownState: e.shutdownState,
 		Bodies: &bodymemory.Budget{
-			Bytes: int(bodyMemoryShare * float64(in.cfg.Entry.MemoryMB) * (1 << 20)),
+			Bytes: in.memoryBytes(bodyMemoryShare),
+		},
+		Responses: &responsememory.Budget{
+			Bytes: in.memoryBytes(responseMemoryShare),
 		},
 	}
 	for _, d := range []struct {
--- a/internal/routing/sse/sse.go
+++ b/internal/routing/sse/sse.go
@@ -11,17 +11,20 @@
 // Splitter buffers bytes and returns complete events. The zero value is ready
 // to use.
 type Splitter struct {
-	// buf holds the bytes after the last complete event.
 	// Limit is the largest incomplete event that is buffered, in bytes; zero means
 	// no limit.
 	Limit int
 
+	// buf holds the bytes after the last complete event.
 	buf        []byte
 	overflowed bool
 	// LastID is the id of the last returned event that has an id.
 	LastID string
 }
 
+// maxKeptBytes is the largest buffer that is kept when little is left in it.
+const maxKeptBytes = 16 << 10
+
 // An event ends with an empty line. Lines end with LF or with CR LF.
 var (
 	lfBoundary   = []byte("\n\n")
@@ -47,11 +50,23 @@
 		return nil
 	}
 	out := bytes.Clone(s.buf[:end])
-	s.buf = append(s.buf[:0], s.buf[end:]...)
+	s.keep(s.buf[end:])
 	s.recordLastID(out)
 	return out
 }
 
+// keep keeps only rest in the buffer, in a smaller one if this one is large.
+func (s *Splitter) keep(rest []byte) {
+	if cap(s.buf) > maxKeptBytes && len(rest) < cap(s.buf)/4 {
+		s.buf = bytes.Clone(rest)
+		return
+	}
+	s.buf = append(s.buf[:0], rest...)
+}
+
+// Size returns the memory that the buffer takes, in bytes.
+func (s *Splitter) Size() int { return cap(s.buf) }
+
 // lastEnd returns the offset at which the last complete event in the buffer
 // ends, zero if there is none. No event ends in the part before searched.
 func (s *Splitter) lastEnd(searched int) int {
