--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -7,7 +7,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -20,6 +19,7 @@
 	"camphorspoke/internal/daemon/settings"
 	"camphorspoke/internal/daemon/version"
 	"camphorspoke/internal/edge"
+	"camphorspoke/internal/edge/link"
 	"camphorspoke/platform/dialect"
 	"camphorspoke/platform/endpoints"
 	"camphorspoke/platform/engine"
@@ -92,12 +92,12 @@
 		Dialect: dialect.Dialect{},
 		List: &serverlist.Client{
 			Address: set.Entry.List,
-			HTTP:    http.DefaultClient,
+			HTTP:    link.HTTPClient(),
 			Logger:  log,
 			Limiter: listLimiter(set.Entry.ListRate),
 		},
 		CacheReader: &engine.Client{
-			HTTP: http.DefaultClient,
+			HTTP: link.HTTPClient(),
 		},
 		Endpoints: func(d edge.Directory, r edge.RuleStore) edge.Endpoints {
 			return &endpoints.Endpoints{
--- a/internal/daemon/traffic/traffic.go
+++ b/internal/daemon/traffic/traffic.go
@@ -90,8 +90,9 @@
 func (c *Counter) HTTPClient(kind string) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         c.dial(kind),
-			MaxIdleConnsPerHost: 2,
+			DialContext:            c.dial(kind),
+			MaxIdleConnsPerHost:    2,
+			MaxResponseHeaderBytes: link.MaxHeaderBytes,
 		},
 	}
 }
--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -15,6 +15,10 @@
 	"camphorspoke/internal/gen/camphorspoke/v1/camphorspokev1connect"
 )
 
+// maxMessageBytes is the largest message that is read of an engine. A faulty one may send a
+// message without end.
+const maxMessageBytes = 8 << 20
+
 // Client calls engines by address. The zero value is ready to use.
 type Client struct {
 	// HTTP sends the calls; if nil, http.DefaultClient is used.
@@ -34,7 +38,7 @@
 	if hc == nil {
 		hc = http.DefaultClient
 	}
-	v, _ := c.clients.LoadOrStore(address, camphorspokev1connect.NewEngineServiceClient(hc, "http://"+address))
+	v, _ := c.clients.LoadOrStore(address, camphorspokev1connect.NewEngineServiceClient(hc, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes)))
 	return v.(camphorspokev1connect.EngineServiceClient)
 }
 
--- a/internal/edge/link/link.go
+++ b/internal/edge/link/link.go
@@ -8,11 +8,13 @@
 // peer.
 package link
 
-// This file defines Dialer, Listen and the options of gRPC connections and servers.
+// This file defines Dialer, Listen, HTTPClient and the options of gRPC connections and
+// servers.
 
 import (
 	"context"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -71,6 +73,22 @@
 	}
 }
 
+// MaxHeaderBytes is the largest response head that is read from another system, in bytes. A
+// faulty one may send a head without end.
+const MaxHeaderBytes = 64 << 10
+
+// HTTPClient returns an HTTP client that limits the heads of responses to MaxHeaderBytes.
+func HTTPClient() *http.Client {
+	transport := &http.Transport{}
+	if t, ok := http.DefaultTransport.(*http.Transport); ok {
+		transport = t.Clone()
+	}
+	transport.MaxResponseHeaderBytes = MaxHeaderBytes
+	return &http.Client{
+		Transport: transport,
+	}
+}
+
 // Listen listens on a TCP address; accepted connections fail soon after the peer
 // stops responding.
 func Listen(address string) (net.Listener, error) {
--- a/internal/edge/plainservice/plainservice.go
+++ b/internal/edge/plainservice/plainservice.go
@@ -19,6 +19,7 @@
 
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/edge"
+	"camphorspoke/internal/edge/link"
 )
 
 const (
@@ -44,7 +45,8 @@
 	return &Client{
 		http: &http.Client{
 			Transport: &http.Transport{
-				DisableKeepAlives: true,
+				DisableKeepAlives:      true,
+				MaxResponseHeaderBytes: link.MaxHeaderBytes,
 			},
 		},
 	}
