A lost answer does not keep an ejected server out until its caller leaves

What callers saw: while many answers are lost, requests reach servers above the load bound although others that are up hold nothing. Cause: an ejected server gets one request at a time until it responds. One whose answer is lost silently stayed in progress until its caller left, and the server was tried no more. TestSilentProbeDoesNotKeepAServerOut and TestFaultsInSeriesSilentProbes failed before. Why it works: after 0.5 s, longer than an attempt to connect, the request has either failed or its server has it; the next one may be sent. TestEjectedServerGetsOneRequestAtATime still holds.

--- a/internal/routing/scheduler/loadbound_test.go
+++ b/internal/routing/scheduler/loadbound_test.go
@@ -430,11 +430,62 @@
 	}
 }
 
+// TestFaultsInSeriesSilentProbes holds the seeds of such series in which ejected servers, all
+// of them up, were kept out by single requests whose answers were lost silently.
+func TestFaultsInSeriesSilentProbes(t *testing.T) {
+	for _, seed := range []uint64{526, 549, 998, 1595} {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runFaultsInSeries(t, seed) })
+	}
+}
+
+// TestSilentProbeDoesNotKeepAServerOut: the first request to a server after its ejection gets
+// no answer, and its caller waits on. The server gets another one soon, rather than none until
+// that caller leaves.
+func TestSilentProbeDoesNotKeepAServerOut(t *testing.T) {
+	const (
+		ejected   = time.Second
+		perMoment = 6
+	)
+	s, _ := newEngineScheduler(2)
+	id := uint64(0)
+	// requests returns how many of some requests, which have not ended, went to a server.
+	requests := func(now time.Duration, server string) int {
+		n := 0
+		for range perMoment {
+			id++
+			d, ok := s.Schedule(now, scheduler.Request{
+				ID:    id,
+				Parts: prompt(id, 1000+id),
+			})
+			if ok && d.Server == server {
+				n++
+			}
+		}
+		return n
+	}
+	s.Schedule(0, scheduler.Request{
+		ID:    1000,
+		Parts: prompt(1000, 2000),
+	})
+	s.Report(0, 1000, scheduler.Report{
+		Event: scheduler.Unreachable,
+	})
+	failed := "e0"
+	if requests(time.Millisecond, failed) > 0 {
+		failed = "e1"
+	}
+	require.Zero(t, requests(2*time.Millisecond, failed), "the server is ejected")
+	require.Equal(t, 1, requests(ejected, failed), "one request after the ejection")
+	require.Zero(t, requests(ejected+400*time.Millisecond, failed), "as long as a connection may be attempted")
+	require.Equal(t, 1, requests(ejected+600*time.Millisecond, failed), "another one while the first gets no answer")
+}
+
 // TestFaultsInSeriesMostAnswersLost holds the seeds of such series that failed: some seven
 // in ten answers of most servers are lost, and the few that lose none get one or two
-// requests too many, because lost requests count as load for up to 0.3 s.
+// requests too many, because lost requests count as load for up to 0.3 s while servers that
+// were ejected are not tried again.
 func TestFaultsInSeriesMostAnswersLost(t *testing.T) {
-	for _, seed := range []uint64{66, 284} {
+	for _, seed := range []uint64{66, 284, 1423} {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runFaultsInSeries(t, seed) })
 	}
 }
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -25,6 +25,10 @@
 	// for a connection that is not refused, but times out.
 	minProbeInterval = 100 * time.Millisecond
 	probePause       = 10
+	// probeTimeout is how long a request without a response keeps an ejected server from
+	// getting another one. It is longer than the attempt to connect to a server that is down:
+	// one that has the request and does not respond may have lost this response only.
+	probeTimeout = 500 * time.Millisecond
 	// breaksToEject is the number of consecutive Broken requests that ejects a server that
 	// has no response in progress; a single Unreachable one does so at once.
 	breaksToEject = 2
@@ -199,16 +203,19 @@
 // A request that has failed at a server is not used, as its caller has waited for one
 // failure already.
 func (sv *server) mayProbe(now time.Duration, req Request) bool {
-	return !sv.probed() && len(req.Tried) == 0 && now >= sv.probeAt
+	return !sv.probed(now) && len(req.Tried) == 0 && now >= sv.probeAt
 }
 
-// probed reports whether a request is in flight that was granted after the last failure.
-func (sv *server) probed() bool { return len(sv.unstarted) > sv.unstartedBefore(sv.lastOutcomeAt) }
+// probed reports whether a request is in flight that was granted after the last failure and
+// less than probeTimeout ago.
+func (sv *server) probed(now time.Duration) bool {
+	return len(sv.unstarted) > sv.unstartedBefore(max(sv.lastOutcomeAt, now-probeTimeout))
+}
 
 // ejected reports whether the server is excluded from placement while others are healthy.
 // After its time has passed it gets one request at a time, until it responds.
 func (sv *server) ejected(now time.Duration) bool {
-	return sv.unresponsive && (now < sv.ejectedUntil || sv.probed())
+	return sv.unresponsive && (now < sv.ejectedUntil || sv.probed(now))
 }
 
 // failureRate returns the moving average of the fraction of requests that failed,
