--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -37,59 +37,74 @@
 	sent := c.h.Now()
 	resp, err := c.h.Pool.Send(c.ctx, g.Address, c.backendRequest(g))
 	if err != nil {
-		c.lastErr = err
-		if !fault.MayHaveRun(err) {
-			g.Report(scheduler.Report{
-				Event: c.attributedEvent(scheduler.Unreachable),
-			})
-			return notSent
-		}
-		c.sends++
-		c.runs++
-		event := c.attributedEvent(c.brokenEvent(g, 0))
-		if event == scheduler.Cancelled && c.timedOut(sent) {
-			event = scheduler.Broken
-		}
-		g.Report(scheduler.Report{
-			Event: event,
-		})
-		return broken
+		return c.reportNoResponse(g, sent, err)
 	}
 	defer resp.Close()
 	c.hold = c.h.Responses.Open(g.Server)
 	defer c.releaseResponse()
 	c.sends++
-	info := c.h.Dialect.ParseResponse(resp.Status, resp.Header)
-	c.info = info
-	c.logPushback(g, info)
+	c.info = c.h.Dialect.ParseResponse(resp.Status, resp.Header)
+	c.logPushback(g, c.info)
 	report := scheduler.Report{
-		HasLoad:    info.HasLoad,
-		Running:    info.Running,
-		Waiting:    info.Waiting,
-		RetryAfter: info.RetryAfter,
-		Leaving:    info.Leaving,
-	}
-	if info.Execution == edge.NotRun {
-		_, _ = io.CopyN(io.Discard, resp, copyBufferSize)
-		resp.Keep()
-		c.connectionKept = resp.Kept()
-		report.Event = scheduler.Rejected
-		if info.OtherServer {
-			// The load is that of the other server.
-			report = scheduler.Report{
-				Event: scheduler.Unreachable,
-			}
-		}
-		g.Report(report)
-		c.lastErr = fault.New(fault.NotRun, g.Server, "the backend server reported that it did not run the request")
-		return rejected
+		HasLoad:    c.info.HasLoad,
+		Running:    c.info.Running,
+		Waiting:    c.info.Waiting,
+		RetryAfter: c.info.RetryAfter,
+		Leaving:    c.info.Leaving,
+	}
+	if c.info.Execution == edge.NotRun {
+		return c.reportRejection(g, resp, report)
 	}
 	c.runs++
 	report.Event = scheduler.Started
 	report.Elapsed = c.h.Now() - sent
 	g.Report(report)
+	return c.relayAndReport(g, resp, sent)
+}
+
+// reportNoResponse ends an attempt that got no response, because the request was not sent or
+// the exchange broke off before it.
+func (c *call) reportNoResponse(g *placer.Grant, sent time.Duration, err error) exchangeResult {
+	c.lastErr = err
+	if !fault.MayHaveRun(err) {
+		g.Report(scheduler.Report{
+			Event: c.attributedEvent(scheduler.Unreachable),
+		})
+		return notSent
+	}
+	c.sends++
+	c.runs++
+	event := c.attributedEvent(c.brokenEvent(g, 0))
+	if event == scheduler.Cancelled && c.timedOut(sent) {
+		event = scheduler.Broken
+	}
+	g.Report(scheduler.Report{
+		Event: event,
+	})
+	return broken
+}
+
+// reportRejection ends an attempt whose server stated that it did not run the request.
+func (c *call) reportRejection(g *placer.Grant, resp *backend.Response, report scheduler.Report) exchangeResult {
+	_, _ = io.CopyN(io.Discard, resp, copyBufferSize)
+	resp.Keep()
+	c.connectionKept = resp.Kept()
+	report.Event = scheduler.Rejected
+	if c.info.OtherServer {
+		// The load is that of the other server.
+		report = scheduler.Report{
+			Event: scheduler.Unreachable,
+		}
+	}
+	g.Report(report)
+	c.lastErr = fault.New(fault.NotRun, g.Server, "the backend server reported that it did not run the request")
+	return rejected
+}
+
+// relayAndReport relays a response and reports the end of its attempt.
+func (c *call) relayAndReport(g *placer.Grant, resp *backend.Response, sent time.Duration) exchangeResult {
 	relayed := c.bytesRelayed
-	result, event := c.relay(resp, info)
+	result, event := c.relay(resp, c.info)
 	// The server has to stop before another one gets the request.
 	resp.Close()
 	c.connectionKept = resp.Kept()
