--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,8 @@
 	go test ./platform/engine -run xxx -fuzz FuzzOddCachedPart -fuzztime $(FUZZTIME)
 	go test ./platform/operatorconfig -run xxx -fuzz FuzzConfiguration -fuzztime $(FUZZTIME)
 	go test ./platform/dialect -run xxx -fuzz FuzzParseRequest -fuzztime $(FUZZTIME)
+	go test ./internal/routing/sse -run xxx -fuzz FuzzSplitter -fuzztime $(FUZZTIME)
+	go test ./internal/edge/backend -run xxx -fuzz FuzzResponse -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 
 # Plays the cases of the review against the daemon as it is deployed; fails unless all
 # rules hold. Each case writes what it saw to its record.txt.
--- a/internal/check/guarantee/overlap.go
+++ b/internal/check/guarantee/overlap.go
@@ -1,6 +1,6 @@
 package guarantee
 
-// This file checks that a request goes on at one backend server at a time.
+// This file checks that a request is executed at one backend server at a time.
 
 import (
 	"slices"
@@ -25,6 +25,6 @@
 		if later.server == server || overlap <= maxOverlap || c.pushback.disturbed(c.attempts[id].Address, runs[i].at, at) {
 			continue
 		}
-		c.addViolationf("a request goes on at one server at a time", "%s was still executed at %s %v after it had gone on at %s", id, server, overlap, later.server)
+		c.addViolationf("a request is executed at one server at a time", "%s was still executed at %s %v after %s had begun to", id, server, overlap, later.server)
 	}
 }
--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -27,7 +27,7 @@
 	eventInterval = 4 * time.Millisecond
 	maxEvents     = 30
 	chatPrefix    = "/chat/"
-	// maxWorkOn is how long a server works on after it has ended a stream inside an event, if
+	// maxWorkOn is how long a server executes a request after it has ended its stream inside an event, if
 	// the daemon does not close the connection.
 	maxWorkOn = 2 * time.Second
 	slots     = 8
@@ -180,7 +180,7 @@
 }
 
 // endInsideEvent ends the body of a stream inside an event, in a proper framing, and then
-// works on until the daemon closes the connection.
+// continues to execute the request until the daemon closes the connection.
 func (b *backend) endInsideEvent(w http.ResponseWriter, req *http.Request, id string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -202,10 +202,10 @@
 		return
 	}
 	if _, err := io.Copy(io.Discard, conn); err != nil {
-		b.checker.Count("worked on after the end of a stream until a reset or its own end")
+		b.checker.Count("executed after the end of a stream until a reset or its own end")
 		return
 	}
-	b.checker.Count("worked on after the end of a stream until the close")
+	b.checker.Count("executed after the end of a stream until the close")
 }
 
 // responseBody returns the response body of a plain request.
--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -95,7 +95,7 @@
 		if result == ended {
 			return
 		}
-		c.logGivenUp(g, result)
+		c.logAbandoned(g, result)
 		c.tried = append(c.tried, g.Server)
 		if result == notSent {
 			unreachable++
@@ -180,13 +180,13 @@
 	})
 }
 
-// logGivenUp logs and counts an attempt that did not answer the request.
-func (c *call) logGivenUp(g *placer.Grant, result exchangeResult) {
+// logAbandoned logs and counts an attempt that did not answer the request.
+func (c *call) logAbandoned(g *placer.Grant, result exchangeResult) {
 	connection := metrics.ConnectionClosed
 	if c.connectionKept {
 		connection = metrics.ConnectionKept
 	}
-	c.h.Meters.GivenUp(c.ctx, c.service, resultNames[result], connection)
+	c.h.Meters.Abandoned(c.ctx, c.service, resultNames[result], connection)
 	c.h.Logger.WithFields(logrus.Fields{
 		"request":    c.req.ID,
 		"server":     g.Server,
@@ -197,5 +197,5 @@
 		"runs":       c.runs,
 		"lastEvent":  c.lastEvent,
 		"cause":      c.lastErr,
-	}).Info("ingress: an attempt was given up")
+	}).Info("ingress: an attempt was abandoned")
 }
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -30,7 +30,7 @@
 	rereadTokens     metric.Int64Counter
 	placements       metric.Int64Counter
 	pushbacks        metric.Int64Counter
-	givenUp          metric.Int64Counter
+	abandoned        metric.Int64Counter
 	retries          metric.Int64Counter
 }
 
@@ -70,7 +70,7 @@
 	m.rereadTokens = b.counter("camphorspoke.reread.tokens", "Prompt tokens that a server reads although another one has them cached, by reason.")
 	m.placements = b.counter("camphorspoke.placements", "Requests granted a server, by whether the server was over its load limit and by who decided.")
 	m.pushbacks = b.counter("camphorspoke.pushbacks", "Refusals with which a server asked for a pause, and grants withdrawn because of one, by service and event.")
-	m.givenUp = b.counter("camphorspoke.attempts.given.up", "Attempts that did not answer their request, by service, result and what became of the connection.")
+	m.abandoned = b.counter("camphorspoke.attempts.abandoned", "Attempts that did not answer their request, by service, result and what became of the connection.")
 	m.retries = b.counter("camphorspoke.retries", "Retries by service.")
 	b.observableCounter("camphorspoke.control.bytes", "Bytes of control traffic by kind.", "kind", func() map[string]int64 { return toInt64(callbacks.ControlBytes()) })
 	b.observableCounter("camphorspoke.invariant.violations", "Violated invariants by name.", "name", func() map[string]int64 { return toInt64(callbacks.Violations()) })
@@ -204,18 +204,18 @@
 	m.pushbacks.Add(ctx, int64(n), metric.WithAttributes(serviceAttribute(svc), attribute.String("event", event)))
 }
 
-// What may become of the connection of an attempt that is given up.
+// What may become of the connection of an attempt that is abandoned.
 const (
 	ConnectionClosed = "closed"
 	ConnectionKept   = "kept"
 )
 
-// GivenUp counts an attempt that did not answer its request.
-func (m *Meters) GivenUp(ctx context.Context, svc, result, connection string) {
+// Abandoned counts an attempt that did not answer its request.
+func (m *Meters) Abandoned(ctx context.Context, svc, result, connection string) {
 	if m == nil {
 		return
 	}
-	m.givenUp.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc), attribute.String("result", result), attribute.String("connection", connection)))
+	m.abandoned.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc), attribute.String("result", result), attribute.String("connection", connection)))
 }
 
 // Retry counts a retry at a service.
--- a/internal/daemon/responsememory/responsememory.go
+++ b/internal/daemon/responsememory/responsememory.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// freeBytes is what each response may hold without a reservation. Sound events and most
+	// freeBytes is what each response may hold without a reservation. Most events and
 	// bodies are smaller.
 	freeBytes = 16 << 10
 	// serverShare is the largest fraction of the budget that the responses of one server may
--- a/internal/daemon/router/dispatch.go
+++ b/internal/daemon/router/dispatch.go
@@ -22,7 +22,7 @@
 	// maxEngineResumes is how many times a broken stream is resumed at the same engine.
 	maxEngineResumes = 2
 	// cancelTimeout bounds the cancellation of a request at its engine, and cancelWait how
-	// long the request waits for it before it goes on elsewhere.
+	// long the request waits for it before another engine gets it.
 	cancelTimeout = time.Second
 	cancelWait    = 200 * time.Millisecond
 )
@@ -226,7 +226,7 @@
 	return a.Close()
 }
 
-// endAtEngine cancels a request that this router gives up and waits until the engine has
+// endAtEngine cancels a request that this router abandons and waits until the engine has
 // confirmed that, for cancelWait at most. It does not wait if the caller has disconnected, as
 // no other engine gets the request then.
 func (r *Router) endAtEngine(ctx context.Context, s *pb.BackendServer, id string) {
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -6,8 +6,8 @@
 // second execution. This package writes each request to one connection, once,
 // and its error states whether any byte may have been sent. A connection
 // returns to the pool only after its response was read to the last byte,
-// nothing followed it, and the caller has found it whole: the close of its
-// connection is what tells a server to stop.
+// nothing followed it, and the caller has found it complete: a server stops
+// when its connection is closed.
 package backend
 
 // This file defines Pool and how it opens, reuses and closes connections.
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -262,7 +262,7 @@
 // Keep returns the connection to the pool, so that another request may use it. It must be
 // called only once it is certain that the server no longer works on the request: after a
 // whole answer, or a statement that the request did not run. The end of a body proves
-// neither, and a server learns from the close that it has to stop. A connection that can't
+// neither, and a server stops when its connection is closed. A connection that can't
 // be reused is closed: the body was not read to its end, the request was cancelled, a stray
 // response came, the server closes the connection, or the request body is not fully written.
 func (r *Response) Keep() {
