--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -27,10 +27,12 @@
 	eventInterval = 4 * time.Millisecond
 	maxEvents     = 30
 	chatPrefix    = "/chat/"
-	// maxWorkOn is how long a server executes a request after it has ended its stream inside an event, if
-	// the daemon does not close the connection.
-	maxWorkOn = 2 * time.Second
-	slots     = 8
+	// eventBegin is the length of the part of an event inside which a stream ends, in bytes.
+	eventBegin = 6
+	// maxExecution is how long a server executes a request after it has ended its stream
+	// inside an event, if the daemon does not close the connection.
+	maxExecution = 2 * time.Second
+	slots        = 8
 	// oddEntryMark stands in the list where an odd entry is put.
 	oddEntryMark = "oddEntry"
 )
@@ -163,12 +165,7 @@
 		return
 	}
 	defer conn.Close()
-	body := responseBody(id)
-	framing := [...]string{
-		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
-		fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
-	}[rand.IntN(2)]
-	text := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s", wireformat.RequestIDHeader, id, wireformat.SignatureHeader, b.id, framing)
+	text := b.formatResponse(id, responseBody(id))
 	if _, err := io.WriteString(conn, text[:rand.IntN(len(text)-1)]); err != nil {
 		b.checker.Count("response part not written")
 	}
@@ -188,16 +185,12 @@
 		return
 	}
 	defer conn.Close()
-	part := formatEvent(id, lastEvent(req)+1)[:6]
-	framing := [...]string{
-		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(part), part),
-		fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(part), part),
-	}[rand.IntN(2)]
-	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s", wireformat.RequestIDHeader, id, wireformat.SignatureHeader, b.id, framing); err != nil {
+	begin := formatEvent(id, lastEvent(req)+1)[:eventBegin]
+	if _, err := io.WriteString(conn, b.formatResponse(id, begin)); err != nil {
 		b.checker.Count("response part not written")
 		return
 	}
-	if err := conn.SetReadDeadline(time.Now().Add(maxWorkOn)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(maxExecution)); err != nil {
 		b.checker.Count("deadline not set")
 		return
 	}
@@ -208,6 +201,15 @@
 	b.checker.Count("executed after the end of a stream until the close")
 }
 
+// formatResponse returns a whole response in a random framing.
+func (b *backend) formatResponse(id, body string) string {
+	framing := [...]string{
+		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+	}[rand.IntN(2)]
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s", wireformat.RequestIDHeader, id, wireformat.SignatureHeader, b.id, framing)
+}
+
 // responseBody returns the response body of a plain request.
 func responseBody(id string) string { return strings.Repeat(id+" ", 40) }
 
