--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -166,7 +166,8 @@
 // the caller has received.
 func (c *call) relayStream(resp *backend.Response) (exchangeResult, scheduler.Event) {
 	splitter := sse.Splitter{
-		Limit: maxEventBytes,
+		Limit:  maxEventBytes,
+		Resize: c.hold,
 	}
 	buf := make([]byte, copyBufferSize)
 	for {
@@ -179,13 +180,9 @@
 				c.lastEvent = splitter.LastID
 			}
 		}
-		if splitter.Overflowed() {
-			c.lastErr = fault.New(fault.WrongFrame, c.service, "the stream has an event without end")
-			return broken, scheduler.Broken
-		}
-		if err := c.hold(splitter.Size()); err != nil {
+		if err := splitter.Err(); err != nil {
 			c.lastErr = err
-			return broken, memoryEvent(err)
+			return broken, splitterEvent(err)
 		}
 		if errors.Is(err, io.EOF) {
 			break
@@ -208,9 +205,9 @@
 	return ended, scheduler.Done
 }
 
-// memoryEvent returns the event to report for a stream that found no memory: a failure of its
-// server only if that one's responses hold too much.
-func memoryEvent(err error) scheduler.Event {
+// splitterEvent returns the event to report for a stream with an event that could not be
+// buffered. It is a failure of its server, unless other servers use up the memory.
+func splitterEvent(err error) scheduler.Event {
 	if fault.KindOf(err) == fault.WrongFrame {
 		return scheduler.Broken
 	}
--- a/internal/routing/sse/sse.go
+++ b/internal/routing/sse/sse.go
@@ -6,83 +6,129 @@
 
 // This file defines Splitter.
 
-import "bytes"
+import (
+	"bytes"
+	"slices"
 
-// Splitter buffers bytes and returns complete events. The zero value is ready
-// to use.
+	"camphorspoke/internal/base/fault"
+)
+
+// Splitter buffers the beginning of an event and returns complete ones. The zero value is
+// ready to use.
 type Splitter struct {
 	// Limit is the largest incomplete event that is buffered, in bytes; zero means
 	// no limit.
 	Limit int
-
-	// buf holds the bytes after the last complete event.
-	buf        []byte
-	overflowed bool
+	// Resize, if set, is called before the buffer takes a number of bytes. If it fails, the
+	// buffer does not grow, and the splitter ends with that error.
+	Resize func(bytes int) error
 	// LastID is the id of the last returned event that has an id.
 	LastID string
+
+	// buf holds the bytes after the last complete event.
+	buf []byte
+	err error
 }
 
-// maxKeptBytes is the largest buffer that is kept when little is left in it.
+// maxKeptBytes is the largest buffer that is kept after the end of its event.
 const maxKeptBytes = 16 << 10
 
 // An event ends with an empty line. Lines end with LF or with CR LF.
 var (
-	lfBoundary   = []byte("\n\n")
-	idField      = []byte("id:")
-	crlfBoundary = []byte("\r\n\r\n")
-	idPadding    = " \r"
+	boundaries = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+	idField    = []byte("id:")
+	idPadding  = " \r"
 )
 
-// Add appends b to the buffer and returns the events that are complete now. The
-// result is valid until the next call.
+// maxBoundary is the length of the longest boundary.
+const maxBoundary = 4
+
+// Add adds bytes of the stream and returns the events that are complete now.
 func (s *Splitter) Add(b []byte) []byte {
-	if s.overflowed {
+	if s.err != nil {
 		return nil
 	}
-	searched := max(0, len(s.buf)-len(crlfBoundary)+1)
-	s.buf = append(s.buf, b...)
-	end := s.lastEnd(searched)
-	if s.Limit > 0 && len(s.buf)-end > s.Limit {
-		s.overflowed = true
-		s.buf = s.buf[:end]
-	}
+	end := s.eventsEnd(b)
 	if end == 0 {
+		s.err = s.store(b)
 		return nil
 	}
-	out := bytes.Clone(s.buf[:end])
-	s.keep(s.buf[end:])
+	out := slices.Concat(s.buf, b[:end])
 	s.recordLastID(out)
+	if s.err = s.clear(); s.err == nil {
+		s.err = s.store(b[end:])
+	}
 	return out
 }
 
-// keep keeps only rest in the buffer, in a smaller one if this one is large.
-func (s *Splitter) keep(rest []byte) {
-	if cap(s.buf) > maxKeptBytes && len(rest) < cap(s.buf)/4 {
-		s.buf = bytes.Clone(rest)
-		return
+// eventsEnd returns the offset in b at which the last complete event ends, zero if there is
+// none. The end of an event may stand partly in the buffer.
+func (s *Splitter) eventsEnd(b []byte) int {
+	if end := lastBoundaryEnd(b); end > 0 {
+		return end
 	}
-	s.buf = append(s.buf[:0], rest...)
+	before := s.buf[max(0, len(s.buf)-maxBoundary+1):]
+	seam := slices.Concat(before, b[:min(len(b), maxBoundary-1)])
+	return max(0, lastBoundaryEnd(seam)-len(before))
 }
 
-// Size returns the memory that the buffer takes, in bytes.
-func (s *Splitter) Size() int { return cap(s.buf) }
-
-// lastEnd returns the offset at which the last complete event in the buffer
-// ends, zero if there is none. No event ends in the part before searched.
-func (s *Splitter) lastEnd(searched int) int {
+// lastBoundaryEnd returns the offset behind the last boundary in b, zero if there is none.
+func lastBoundaryEnd(b []byte) int {
 	end := 0
-	if i := bytes.LastIndex(s.buf[searched:], lfBoundary); i >= 0 {
-		end = searched + i + len(lfBoundary)
-	}
-	if i := bytes.LastIndex(s.buf[searched:], crlfBoundary); i >= 0 {
-		end = max(end, searched+i+len(crlfBoundary))
+	for _, boundary := range boundaries {
+		if i := bytes.LastIndex(b, boundary); i >= 0 {
+			end = max(end, i+len(boundary))
+		}
 	}
 	return end
 }
 
-// Overflowed reports whether an event exceeded Limit. Nothing is buffered or returned
-// after that.
-func (s *Splitter) Overflowed() bool { return s.overflowed }
+// store appends the beginning of an event to the buffer.
+func (s *Splitter) store(b []byte) error {
+	size := len(s.buf) + len(b)
+	if s.Limit > 0 && size > s.Limit {
+		return fault.New(fault.WrongFrame, "", "the stream has an event without end")
+	}
+	if size > cap(s.buf) {
+		if err := s.grow(max(size, cap(s.buf)*3/2)); err != nil {
+			return err
+		}
+	}
+	s.buf = append(s.buf, b...)
+	return nil
+}
+
+// grow replaces the buffer by a larger one. Both exist while the bytes are copied.
+func (s *Splitter) grow(size int) error {
+	if err := s.resize(cap(s.buf) + size); err != nil {
+		return err
+	}
+	larger := make([]byte, len(s.buf), size)
+	copy(larger, s.buf)
+	s.buf = larger
+	return s.resize(size)
+}
+
+// clear empties the buffer, and drops it if it is large.
+func (s *Splitter) clear() error {
+	s.buf = s.buf[:0]
+	if cap(s.buf) <= maxKeptBytes {
+		return nil
+	}
+	s.buf = nil
+	return s.resize(0)
+}
+
+func (s *Splitter) resize(bytes int) error {
+	if s.Resize == nil {
+		return nil
+	}
+	return s.Resize(bytes)
+}
+
+// Err returns why the splitter has ended: an event exceeded Limit, or Resize failed. Nothing
+// is buffered or returned after that.
+func (s *Splitter) Err() error { return s.err }
 
 // recordLastID sets LastID to the id of the last event that has one.
 func (s *Splitter) recordLastID(events []byte) {
