--- a/internal/routing/sse/sse_test.go
+++ b/internal/routing/sse/sse_test.go
@@ -94,7 +94,7 @@
 // TestSmallEventsNeedNoBuffer: events that arrive whole are returned without being buffered.
 func TestSmallEventsNeedNoBuffer(t *testing.T) {
 	s := sse.Splitter{
-		Resize: func(bytes int) error { return errors.New("no memory") },
+		Resize: func(int) error { return errors.New("no memory") },
 	}
 	events := strings.Repeat("id: 1\ndata: a\n\n", 1000)
 	require.Equal(t, events, string(s.Add([]byte(events))))
