--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -87,7 +87,7 @@
 		// The buffer takes up to twice the size of what is in it.
 		step := max(body.Len(), minBodyStep)
 		if err := c.hold(2 * (body.Len() + step)); err != nil {
-			break
+			break // the rest is relayed as it arrives
 		}
 		if _, err := io.Copy(&body, io.LimitReader(resp, int64(step))); err != nil {
 			return nil, err
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -127,9 +127,10 @@
 	}, nil
 }
 
-// put returns a connection to the pool. idleTimeout is the Keep-Alive timeout
-// of the backend server, or negative if it sent none.
-func (p *Pool) put(c *conn, idleTimeout time.Duration) {
+// put returns a connection to the pool and reports whether it is kept there; otherwise it is
+// closed. idleTimeout is the Keep-Alive timeout of the backend server, or negative if it sent
+// none.
+func (p *Pool) put(c *conn, idleTimeout time.Duration) (kept bool) {
 	if idleTimeout < 0 {
 		idleTimeout = defaultIdleTimeout
 	} else {
@@ -137,7 +138,7 @@
 	}
 	if idleTimeout <= 0 || c.r.Buffered() > 0 {
 		c.Close()
-		return
+		return false
 	}
 	c.reused = true
 	c.expiry = p.Now() + idleTimeout
@@ -152,6 +153,7 @@
 		list = append(list[:0], list[1:]...)
 	}
 	p.idle[c.address] = append(list, c)
+	return true
 }
 
 // Sweep closes the idle connections that have expired.
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -274,8 +274,7 @@
 		r.conn.Close()
 		return
 	}
-	r.kept = true
-	r.pool.put(r.conn, keepAliveTimeout(r.Header.Get("Keep-Alive")))
+	r.kept = r.pool.put(r.conn, keepAliveTimeout(r.Header.Get("Keep-Alive")))
 }
 
 // Close closes the connection unless Keep was called before.
