--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -96,6 +96,23 @@
 	return respond(&pb.DrainResponse{}, err)
 }
 
+// Evacuate starts or ends the evacuation of a failure domain.
+func (h *Handler) Evacuate(ctx context.Context, r *connect.Request[pb.EvacuateRequest]) (*connect.Response[pb.EvacuateResponse], error) {
+	if err := requireReason(r.Msg.GetReason()); err != nil {
+		return nil, fault.Connect(err)
+	}
+	_, err := h.propose(ctx, &pb.Command{
+		Kind: &pb.Command_Evacuation{
+			Evacuation: &pb.Evacuation{
+				FailureDomain: r.Msg.GetFailureDomain(),
+				Active:        r.Msg.GetActive(),
+				Reason:        r.Msg.GetReason(),
+			},
+		},
+	}, "use a failure domain that camphor status lists")
+	return respond(&pb.EvacuateResponse{}, err)
+}
+
 // Release ends a quarantine of parts of prompts.
 func (h *Handler) Release(ctx context.Context, r *connect.Request[pb.ReleaseRequest]) (*connect.Response[pb.ReleaseResponse], error) {
 	if err := requireReason(r.Msg.GetReason()); err != nil {
--- a/internal/gen/camphorspoke/v1/camphorspokev1connect/operator.connect.go
+++ b/internal/gen/camphorspoke/v1/camphorspokev1connect/operator.connect.go
@@ -41,6 +41,9 @@
 	OperatorServiceShowRulesProcedure = "/camphorspoke.v1.OperatorService/ShowRules"
 	// OperatorServiceDrainProcedure is the fully-qualified name of the OperatorService's Drain RPC.
 	OperatorServiceDrainProcedure = "/camphorspoke.v1.OperatorService/Drain"
+	// OperatorServiceEvacuateProcedure is the fully-qualified name of the OperatorService's Evacuate
+	// RPC.
+	OperatorServiceEvacuateProcedure = "/camphorspoke.v1.OperatorService/Evacuate"
 	// OperatorServiceReleaseProcedure is the fully-qualified name of the OperatorService's Release RPC.
 	OperatorServiceReleaseProcedure = "/camphorspoke.v1.OperatorService/Release"
 	// OperatorServiceOrderEngineProcedure is the fully-qualified name of the OperatorService's
@@ -64,6 +67,8 @@
 	ApplyRules(context.Context, *connect.Request[v1.ApplyRulesRequest]) (*connect.Response[v1.ApplyRulesResponse], error)
 	ShowRules(context.Context, *connect.Request[v1.ShowRulesRequest]) (*connect.Response[v1.ShowRulesResponse], error)
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
+	// Evacuate starts or ends the evacuation of a failure domain.
+	Evacuate(context.Context, *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error)
 	// Release ends a quarantine of parts of prompts.
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	OrderEngine(context.Context, *connect.Request[v1.OrderEngineRequest]) (*connect.Response[v1.OrderEngineResponse], error)
@@ -103,6 +108,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 			connect.WithClientOptions(opts...),
 		),
+		evacuate: connect.NewClient[v1.EvacuateRequest, v1.EvacuateResponse](
+			httpClient,
+			baseURL+OperatorServiceEvacuateProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Evacuate")),
+			connect.WithClientOptions(opts...),
+		),
 		release: connect.NewClient[v1.ReleaseRequest, v1.ReleaseResponse](
 			httpClient,
 			baseURL+OperatorServiceReleaseProcedure,
@@ -147,6 +158,7 @@
 	applyRules    *connect.Client[v1.ApplyRulesRequest, v1.ApplyRulesResponse]
 	showRules     *connect.Client[v1.ShowRulesRequest, v1.ShowRulesResponse]
 	drain         *connect.Client[v1.DrainRequest, v1.DrainResponse]
+	evacuate      *connect.Client[v1.EvacuateRequest, v1.EvacuateResponse]
 	release       *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
 	orderEngine   *connect.Client[v1.OrderEngineRequest, v1.OrderEngineResponse]
 	listClaims    *connect.Client[v1.ListClaimsRequest, v1.ListClaimsResponse]
@@ -170,6 +182,11 @@
 	return c.drain.CallUnary(ctx, req)
 }
 
+// Evacuate calls camphorspoke.v1.OperatorService.Evacuate.
+func (c *operatorServiceClient) Evacuate(ctx context.Context, req *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error) {
+	return c.evacuate.CallUnary(ctx, req)
+}
+
 // Release calls camphorspoke.v1.OperatorService.Release.
 func (c *operatorServiceClient) Release(ctx context.Context, req *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
 	return c.release.CallUnary(ctx, req)
@@ -205,6 +222,8 @@
 	ApplyRules(context.Context, *connect.Request[v1.ApplyRulesRequest]) (*connect.Response[v1.ApplyRulesResponse], error)
 	ShowRules(context.Context, *connect.Request[v1.ShowRulesRequest]) (*connect.Response[v1.ShowRulesResponse], error)
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
+	// Evacuate starts or ends the evacuation of a failure domain.
+	Evacuate(context.Context, *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error)
 	// Release ends a quarantine of parts of prompts.
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	OrderEngine(context.Context, *connect.Request[v1.OrderEngineRequest]) (*connect.Response[v1.OrderEngineResponse], error)
@@ -240,6 +259,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceEvacuateHandler := connect.NewUnaryHandler(
+		OperatorServiceEvacuateProcedure,
+		svc.Evacuate,
+		connect.WithSchema(operatorServiceMethods.ByName("Evacuate")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceReleaseHandler := connect.NewUnaryHandler(
 		OperatorServiceReleaseProcedure,
 		svc.Release,
@@ -284,6 +309,8 @@
 			operatorServiceShowRulesHandler.ServeHTTP(w, r)
 		case OperatorServiceDrainProcedure:
 			operatorServiceDrainHandler.ServeHTTP(w, r)
+		case OperatorServiceEvacuateProcedure:
+			operatorServiceEvacuateHandler.ServeHTTP(w, r)
 		case OperatorServiceReleaseProcedure:
 			operatorServiceReleaseHandler.ServeHTTP(w, r)
 		case OperatorServiceOrderEngineProcedure:
@@ -317,6 +344,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.OperatorService.Drain is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) Evacuate(context.Context, *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.OperatorService.Evacuate is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.OperatorService.Release is not implemented"))
 }
