Placer: a slow instance makes no other instance read every engine's cache

Change: only an instance that is a decider by its own view queries the engines; an instance waits longer for an answer by twice its own lateness, 120 ms at most; after four skipped deciders it decides for itself.

--- a/internal/daemon/placer/enginequeries.go
+++ b/internal/daemon/placer/enginequeries.go
@@ -26,14 +26,20 @@
 // queryUnlessInformed queries the engines of a service for their cached prefixes when
 // this instance begins to decide for the service without knowing them. An instance that
 // the decider before it has kept informed sends no queries, as each query delays the
-// work of an engine. The caller holds mu.
+// work of an engine. Neither does one that is not a decider by its own view: an instance
+// that is slow skips one decider after the other, and each of them would query every engine
+// for the requests of that instance alone.
 func (d *Schedulers) queryUnlessInformed(service string) {
+	if d.continues(service) || !d.entitled(service) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := d.cfg.Now()
-	decidedAt, decided := d.decidedAt[service]
-	d.decidedAt[service] = now
-	if decided && now-decidedAt < decidedFor {
+	if decidedAt, decided := d.decidedAt[service]; decided && now-decidedAt < decidedFor {
 		return
 	}
+	d.decidedAt[service] = now
 	fedAt, fed := d.fedAt[service]
 	if fed && now-fedAt < fedFor || d.cfg.CacheReader == nil {
 		d.complete[service] = true
@@ -66,6 +72,20 @@
 	}()
 }
 
+// continues records a decision on behalf of all instances, and reports whether this instance
+// has made such decisions for the service before.
+func (d *Schedulers) continues(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	decidedAt, decided := d.decidedAt[service]
+	if !decided || now-decidedAt >= decidedFor {
+		return false
+	}
+	d.decidedAt[service] = now
+	return true
+}
+
 // engine holds the name and the address of a model engine.
 type engine struct {
 	name, address string
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -174,13 +174,13 @@
 		withdraw()
 		return scheduler.Decision{}, false
 	}
-	timer := time.NewTimer(p.cfg.AnswerTimeout)
+	timer := time.NewTimer(p.answerTimeout())
 	defer timer.Stop()
 	for {
 		select {
 		case m := <-answers:
 			if m.GetWaits() {
-				timer.Reset(req.MaxWait + p.cfg.AnswerTimeout)
+				timer.Reset(req.MaxWait + p.answerTimeout())
 				continue
 			}
 			g.stream, g.remoteID = s, id
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -28,6 +28,7 @@
 	"github.com/sirupsen/logrus"
 
 	"camphorspoke/internal/base/fault"
+	"camphorspoke/internal/base/lateness"
 	"camphorspoke/internal/edge"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing/departure"
@@ -54,6 +55,14 @@
 	// maxDeciders is how many instances of the rendezvous order are considered before
 	// the instance falls back to its own schedulers.
 	maxDeciders = 2
+	// maxSkipped is how many deciders are skipped before the instance falls back to its
+	// own schedulers. An instance that is slow itself skips one after the other, and each
+	// of them would begin to decide without knowing the engines' caches.
+	maxSkipped = 4
+	// latenessFactor times its own lateness is what this instance waits longer for an
+	// answer, maxExtraWait at most: the request and its answer both wait for its processor.
+	latenessFactor = 2
+	maxExtraWait   = 120 * time.Millisecond
 )
 
 // StreamOpener opens the placement stream to another instance.
@@ -110,6 +119,8 @@
 	pauses pushback.Tracker
 	// departures holds the servers that have announced to this instance that they leave.
 	departures departure.Tracker
+	// lateness is how late this process is run.
+	lateness lateness.Tracker
 }
 
 // skip is how a decider that did not answer is skipped.
@@ -162,6 +173,7 @@
 		streams:    make(map[string]*clientStream),
 		skipped:    make(map[string]skip),
 	}
+	p.schedulers.entitled = p.isEntitled
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wg.Go(p.runTicker)
 	p.wg.Go(p.runRecorder)
@@ -174,17 +186,36 @@
 func (p *Placer) runTicker() {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
+	last := p.cfg.Now()
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
 		case <-t.C:
+			now := p.cfg.Now()
+			p.recordLateness(now, now-last-tickInterval)
+			last = now
 			p.schedulers.tick()
 			p.flushStandbys()
 		}
 	}
 }
 
+func (p *Placer) recordLateness(now, late time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lateness.Record(now, late)
+}
+
+// answerTimeout returns how long to wait for a decider's first response: longer while this
+// process is run late, as the decider is then not the slow one.
+func (p *Placer) answerTimeout() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	late := p.lateness.Current(p.cfg.Now())
+	return p.cfg.AnswerTimeout + min(latenessFactor*late, maxExtraWait)
+}
+
 // Update applies a new view of the servers, instances and rules.
 func (p *Placer) Update(v *view.View) {
 	if v.Rules == nil {
@@ -343,8 +374,15 @@
 	now := p.cfg.Now()
 	var out []*pb.Instance
 	var leading *pb.Instance
+	skipped := 0
 	for _, i := range p.order[service] {
-		if !p.reachable(now, i.GetName()) {
+		if !p.responsive(i.GetName()) {
+			continue
+		}
+		if now < p.skipped[i.GetName()].until {
+			if skipped++; skipped == maxSkipped {
+				break
+			}
 			continue
 		}
 		if i.GetName() == leader {
@@ -362,15 +400,17 @@
 	return out
 }
 
-// reachable reports whether an instance is expected to answer as a decider. The
-// caller holds mu.
-func (p *Placer) reachable(now time.Duration, name string) bool {
-	if now < p.skipped[name].until {
-		return false
-	}
+// responsive reports whether an instance has answered the control group recently, as far as
+// this instance knows. The caller holds mu.
+func (p *Placer) responsive(name string) bool {
 	return name == p.cfg.Instance || p.cfg.Unresponsive == nil || !p.cfg.Unresponsive(name)
 }
 
+// isEntitled reports whether this instance is one of the deciders of a service by its own view.
+func (p *Placer) isEntitled(service string) bool {
+	return slices.ContainsFunc(p.deciders(service), func(i *pb.Instance) bool { return i.GetName() == p.cfg.Instance })
+}
+
 func (p *Placer) skipDecider(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -361,6 +361,21 @@
 	require.Zero(t, c.queries.Load())
 }
 
+// TestSkippedDecidersCauseNoEngineQueries guards against an instance that gets no timely
+// answers, as it is slow itself, and makes one instance after the other query every engine:
+// an instance that is no decider by its own view decides without.
+func TestSkippedDecidersCauseNoEngineQueries(t *testing.T) {
+	c := &caches{}
+	fleet, order := newFleetUnresponsive(t, 5, 2, c)
+	requester := fleet[order[4]].placer
+	require.Eventually(t, func() bool {
+		g, err := requester.Place(t.Context(), service, newRequest(100, 1))
+		return err == nil && g.Decider == order[2]
+	}, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	require.Zero(t, c.queries.Load())
+}
+
 // TestStreamsAreOpenBeforeTheFirstRequest: each instance opens its stream to the
 // decider when it receives the view, so that its first request does not wait for a
 // connection.
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -62,6 +62,9 @@
 	complete map[string]bool
 	// changes holds the changes of quarantines that are not recorded yet.
 	changes chan *pb.Quarantine
+	// entitled reports whether this instance is one of the deciders of a service by its own
+	// view. It is set before the first decision and called without mu.
+	entitled func(service string) bool
 }
 
 func newSchedulers(cfg Config) *Schedulers {
@@ -164,6 +167,9 @@
 // request that is still waiting, and answer is then not called. isDecider is true
 // when this instance decides on behalf of all instances.
 func (d *Schedulers) submit(service string, isDecider bool, req scheduler.Request, answer func(scheduler.Decision)) (id uint64, waits bool) {
+	if isDecider {
+		d.queryUnlessInformed(service)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.nextID++
@@ -176,9 +182,6 @@
 		})
 		return req.ID, false
 	}
-	if isDecider {
-		d.queryUnlessInformed(service)
-	}
 	req.MayTry, req.Alone = isDecider, !isDecider
 	recorded := answer
 	if isDecider {
