Settings, rule words and announcements of cold servers are read

Cause: servers that have started recently crash above a rate that the operator's configuration states, and announce how long they stay cold; nothing read either.

--- a/internal/daemon/settings/entry.go
+++ b/internal/daemon/settings/entry.go
@@ -26,6 +26,9 @@
 	defaultRetryWindowS = 10.0
 	// maxCPUShare is the largest processor share that is accepted, in cores.
 	maxCPUShare = 1024
+	// maxColdOverage and maxColdSlack are the largest limits of a cold server.
+	maxColdOverage = 1000
+	maxColdSlack   = 1e6
 )
 
 // registerFlags defines the flags of an entry instance. Values that need conversion
@@ -53,6 +56,8 @@
 	fs.Float64Var(&e.RetryRatio, "retry-ratio", 0.2, "retries allowed for each request to a service")
 	fs.Float64Var(&e.RetrySlack, "retry-slack", 50, "additional retries allowed to a service in each window")
 	fs.Float64Var(&r.retryWindowS, "retry-window-s", defaultRetryWindowS, "window of the retry limit, in seconds")
+	fs.Float64Var(&e.ColdOverage, "cold-overage", 1.5, "bound on the requests that a cold server gets in a second, as a multiple of the rate that it can take")
+	fs.Float64Var(&e.ColdSlack, "cold-slack", 5, "additional requests allowed to a cold server in a second")
 }
 
 // deriveEntry checks the flags of an entry instance and derives the other settings
@@ -120,6 +125,10 @@
 		return invalid("retry-ratio", fmt.Sprint(e.RetryRatio), "0 to 10")
 	case e.RetrySlack < 0:
 		return invalid("retry-slack", fmt.Sprint(e.RetrySlack), "0 or more")
+	case !(e.ColdOverage >= 1 && e.ColdOverage <= maxColdOverage):
+		return invalid("cold-overage", fmt.Sprint(e.ColdOverage), "1 to 1000")
+	case !(e.ColdSlack >= 0 && e.ColdSlack <= maxColdSlack):
+		return invalid("cold-slack", fmt.Sprint(e.ColdSlack), "0 to 1000000")
 	case e.ListRate < 0:
 		return invalid("list-rate", fmt.Sprint(e.ListRate), "0 or more")
 	case e.CPUShare < 0 || e.CPUShare > maxCPUShare:
--- a/internal/daemon/settings/entry_test.go
+++ b/internal/daemon/settings/entry_test.go
@@ -58,6 +58,8 @@
 	require.True(t, s.Entry.FirstStart)
 	require.Equal(t, 3, s.Entry.Voters)
 	require.Equal(t, 8*time.Second, s.Entry.Grace)
+	require.InDelta(t, 1.5, s.Entry.ColdOverage, 0)
+	require.InDelta(t, 5, s.Entry.ColdSlack, 0)
 	require.Equal(t, 5*time.Second, s.Entry.RevokeAfter)
 }
 
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -102,6 +102,11 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// ColdOverage and ColdSlack limit the requests that a cold server gets from all
+	// instances together in any second: ColdOverage times the rate that it can take, plus
+	// ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
 }
 
 const examples = `
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -149,6 +149,8 @@
 	BadRetryAfter string
 	// Leaving is true if the backend server announces that it leaves.
 	Leaving bool
+	// ColdFor is for how long the backend server announces to stay cold; zero if it does not.
+	ColdFor time.Duration
 }
 
 // Dialect encodes and decodes the metadata of HTTP requests and responses in the
--- a/internal/rules/parse/parse.go
+++ b/internal/rules/parse/parse.go
@@ -17,8 +17,8 @@
 //
 // In the host and the prefix of a route, characters that would end the value, such
 // as a space or '#', are percent-encoded. A service also accepts [health=PATH]
-// [connections=N] [slots=N] [cache-tokens=N] [fetch=no|yes], an account [priority=N]
-// [keys=DIGEST,...].
+// [connections=N] [slots=N] [cache-tokens=N] [fetch=no|yes] [cold-time=3s] [cold-rate=14],
+// an account [priority=N] [keys=DIGEST,...].
 //
 // A file with any error is rejected as a whole. Errors are reported with their
 // position as file:line:column, like those of a compiler, up to MaxProblems of them.
@@ -224,6 +224,8 @@
 		CacheTokens:       s.integer("cache-tokens", 0, 1, 1_000_000_000),
 		FetchesPrefixes:   s.choice("fetch", no, no, yes) == yes,
 		ChecksFencing:     s.choice("fence", "ignored", "checked", "ignored") == "checked",
+		ColdTime:          s.duration("cold-time", 0, 0, ruleset.MaxColdTime),
+		ColdRate:          s.float("cold-rate", 0, 0, ruleset.MaxColdRate),
 	}
 	p.out.Services[name.text] = svc
 }
--- a/internal/rules/parse/parse_test.go
+++ b/internal/rules/parse/parse_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -31,12 +32,14 @@
 }
 
 func TestValues(t *testing.T) {
-	rules, err := Rules("f", []byte("nonidempotent p call=book # a: b\nservice p type=plain bound=2 move=4MiB # a: b\nservice e type=engine fence=checked # who: why\naccount x share=3 limit=7 # a: b\nkind k class=batch # a: b\n"))
+	rules, err := Rules("f", []byte("nonidempotent p call=book # a: b\nservice p type=plain bound=2 move=4MiB # a: b\nservice e type=engine fence=checked cold-time=3s cold-rate=14.5 # who: why\naccount x share=3 limit=7 # a: b\nkind k class=batch # a: b\n"))
 	require.NoError(t, err)
 	require.True(t, rules.Services["p"].NonIdempotent["book"])
 	require.EqualValues(t, 4<<20, rules.Services["p"].MaxMoveBytes)
 	require.Equal(t, ruleset.DefaultLoadBound, rules.Services["e"].LoadBound)
 	require.True(t, rules.Services["e"].ChecksFencing)
+	require.Equal(t, 3*time.Second, rules.Services["e"].ColdTime)
+	require.InDelta(t, 14.5, rules.Services["e"].ColdRate, 0)
 	require.Equal(t, 3, rules.Accounts["x"].Share)
 	require.Equal(t, ruleset.Batch, rules.Kinds["k"])
 	require.Equal(t, "who", rules.Authors[3])
--- a/internal/rules/ruleset/ruleset.go
+++ b/internal/rules/ruleset/ruleset.go
@@ -27,6 +27,9 @@
 	// DefaultMaxMoveBytes is how much KV cache may be transferred off one leaving
 	// engine.
 	DefaultMaxMoveBytes = 64 << 20
+	// MaxColdTime and MaxColdRate are the largest values of Service.ColdTime and ColdRate.
+	MaxColdTime = 10 * time.Minute
+	MaxColdRate = 1e6
 )
 
 // Rules is one version of the rules. It is immutable once parsed.
@@ -82,6 +85,10 @@
 	FetchesPrefixes bool
 	// ChecksFencing is true when the engines reject outdated fencing numbers.
 	ChecksFencing bool
+	// ColdTime is for how long a server is cold after a start, and ColdRate how many
+	// requests a second a cold server can take. If either is zero, no server is cold.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Account holds the rules of one client account.
