The ledger holds the cold periods that the platform's list announces

Cause: the list counts a cold period down at each read; a row that changed each time would be sent to all instances and begin a period there each time. Change: the leader proposes a row when a period begins, is extended by more than half a second or ends; the ledger sets the index of the announcement. The end is shown so that an instance that starts later does not begin the period again.

--- a/internal/control/ledger/tables.go
+++ b/internal/control/ledger/tables.go
@@ -114,7 +114,8 @@
 }
 
 // updateServers stores rows taken from the platform's server list. Owner, epoch
-// and drain state are set by other commands and stay as they were.
+// and drain state are set by other commands and stay as they were. A cold period without
+// an index is a new announcement.
 func (l *Ledger) updateServers(index uint64, rows []*pb.BackendServer) *pb.Result {
 	l.rowsIndex = index
 	for _, r := range rows {
@@ -125,6 +126,9 @@
 			row.Drained = old.GetDrained()
 		}
 		row.ChangedIndex = index
+		if row.GetColdMs() > 0 && row.GetColdIndex() == 0 {
+			row.ColdIndex = index
+		}
 		l.servers[r.GetName()] = row
 	}
 	return &pb.Result{}
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -109,6 +109,8 @@
 	// missingSince holds, by server, the time at which a known server was first
 	// found missing from the platform's list.
 	missingSince map[string]time.Duration
+	// cold holds, by server, the cold period that was proposed last.
+	cold map[string]announcement
 	// seenIndex holds the log index up to which each router has the tables.
 	seenIndex map[lease.Holder]uint64
 	// registering holds the instances whose registration is being committed.
@@ -160,6 +162,7 @@
 		m.released = make(map[string]uint64)
 		m.moves = make(map[string]*pb.Assignment)
 		m.missingSince = make(map[string]time.Duration)
+		m.cold = make(map[string]announcement)
 		m.seenIndex = make(map[lease.Holder]uint64)
 		m.sizers, m.workingSets = make(map[string]*workingset.Sizer), nil
 		m.cfg.Logger.Infof("control: leading term %d", st.Term)
--- a/internal/control/manager/platform.go
+++ b/internal/control/manager/platform.go
@@ -88,6 +88,7 @@
 			"address": r.GetAddress(),
 			"leaving": r.GetLeaving(),
 			"gone":    r.GetGone(),
+			"coldMs":  r.GetColdMs(),
 		}).Info("control: a backend server changed in the platform's list")
 	}
 	m.proposeAndLog(ctx, &pb.Command{
@@ -130,7 +131,7 @@
 	for _, s := range listed {
 		inList[s.GetName()] = true
 		delete(m.missingSince, s.GetName())
-		if row := updatedRow(m.cfg.Replica.Ledger.Server(s.GetName()), s); row != nil {
+		if row := m.updatedRow(now, m.cfg.Replica.Ledger.Server(s.GetName()), s); row != nil {
 			rows = append(rows, row)
 		}
 	}
@@ -157,18 +158,14 @@
 }
 
 // updatedRow returns the new row for a listed server, or nil if nothing changed.
-// A server that is new or was gone gets the current time as its time of joining.
-func updatedRow(old *pb.BackendServer, s *pb.ListedServer) *pb.BackendServer {
+// A server that is new or was gone gets the current time as its time of joining. The
+// caller holds mu.
+func (m *Manager) updatedRow(now time.Duration, old *pb.BackendServer, s *pb.ListedServer) *pb.BackendServer {
 	joined := old.GetJoinedMs()
 	if old == nil || old.GetGone() {
 		joined = time.Now().UnixMilli()
 	}
-	if old != nil && !old.GetGone() && old.GetAddress() == s.GetAddress() && old.GetLeaving() == s.GetLeaving() &&
-		old.GetSlots() == s.GetSlots() && old.GetCacheTokens() == s.GetCacheTokens() &&
-		old.GetService() == s.GetService() && old.GetFailureDomain() == s.GetFailureDomain() {
-		return nil
-	}
-	return &pb.BackendServer{
+	row := &pb.BackendServer{
 		Name:          s.GetName(),
 		Service:       s.GetService(),
 		Address:       s.GetAddress(),
@@ -178,6 +175,13 @@
 		Leaving:       s.GetLeaving(),
 		JoinedMs:      joined,
 	}
+	coldChanges := m.copyCold(now, old, row, s)
+	if old != nil && !coldChanges && !old.GetGone() && old.GetAddress() == s.GetAddress() && old.GetLeaving() == s.GetLeaving() &&
+		old.GetSlots() == s.GetSlots() && old.GetCacheTokens() == s.GetCacheTokens() &&
+		old.GetService() == s.GetService() && old.GetFailureDomain() == s.GetFailureDomain() {
+		return nil
+	}
+	return row
 }
 
 // expireClaims deletes claims that are older than the longest retention in the
