The scheduler limits the rate of requests to cold servers

Cause: a server that has just started is the emptiest of its service, gets a burst and crashes. Change: a server counts as cold after an announcement, a new incarnation, the end of an evacuation, or its first answer after it may have restarted. It gets requests at the share of the rate that the instance has by its position in the order of deciders; other requests go elsewhere or wait. Log lines and the gauge camphorspoke_cold_servers. Without cold-time= and cold-rate= nothing changes.

--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -51,6 +51,7 @@
 		Waiting:    c.info.Waiting,
 		RetryAfter: c.info.RetryAfter,
 		Leaving:    c.info.Leaving,
+		ColdFor:    c.info.ColdFor,
 	}
 	if c.info.Execution == edge.NotRun {
 		return c.reportRejection(g, resp, report)
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -43,6 +43,9 @@
 	// Quarantines returns the number of quarantines of parts of prompts by service; it
 	// may be nil.
 	Quarantines func() map[string]int
+	// ColdServers returns the number of backend servers that count as cold, by service; it
+	// may be nil.
+	ColdServers func() map[string]int
 	// Loads returns the number of requests running and queued at each backend
 	// server that this instance owns.
 	Loads func() map[string]int
@@ -78,6 +81,9 @@
 	if callbacks.Quarantines != nil {
 		b.observableGauge("camphorspoke.quarantines", "Quarantines of parts of prompts by service.", "service", func() map[string]int64 { return toInt64(callbacks.Quarantines()) })
 	}
+	if callbacks.ColdServers != nil {
+		b.observableGauge("camphorspoke.cold.servers", "Backend servers that count as cold, by service.", "service", func() map[string]int64 { return toInt64(callbacks.ColdServers()) })
+	}
 	if b.err != nil {
 		return nil, nil, nil, fault.Wrap(fault.Internal, "metrics", b.err)
 	}
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -126,11 +126,13 @@
 
 			RetryAfterMs: ceilMilliseconds(r.RetryAfter),
 			Leaving:      r.Leaving,
+			ColdMs:       ceilMilliseconds(r.ColdFor),
 		},
 	})
 }
 
-// ceilMilliseconds rounds a pause up to milliseconds, within the bound of a pause.
+// ceilMilliseconds rounds a pause or a cold period up to milliseconds, within the bound of
+// a pause.
 func ceilMilliseconds(d time.Duration) uint32 {
 	return uint32((min(d, pushback.MaxPause) + time.Millisecond - 1).Milliseconds())
 }
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -72,6 +72,10 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
+	// ColdOverage and ColdSlack limit the requests that a cold server gets from all
+	// instances; see coldstart.Division.
+	ColdOverage float64
+	ColdSlack   float64
 	// Instance is the name of this instance.
 	Instance string
 	Peers    StreamOpener
@@ -420,7 +424,7 @@
 func (g *Grant) Report(r scheduler.Report) {
 	g.p.recordPause(g.Server, r.RetryAfter)
 	g.p.recordDeparture(g.Server, r.Leaving)
-	if r.Event == scheduler.Started && !r.HasLoad && !g.hasPrompt && r.RetryAfter == 0 && !r.Leaving {
+	if r.Event == scheduler.Started && !r.HasLoad && !g.hasPrompt && r.RetryAfter == 0 && !r.Leaving && r.ColdFor == 0 {
 		// The start of such a request changes nothing that the schedulers know.
 		return
 	}
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -82,6 +82,9 @@
 func (d *Schedulers) tick() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for name, s := range d.services {
+		d.updateCold(name, s)
+	}
 	if len(d.waiting) == 0 {
 		return
 	}
@@ -118,7 +121,7 @@
 				address: s.GetAddress(),
 			})
 		}
-		lists[s.GetService()] = append(lists[s.GetService()], scheduler.Server{
+		l := scheduler.Server{
 			Name:          s.GetName(),
 			Slots:         int(s.GetSlots()),
 			Accepting:     !s.GetLeaving() && !s.GetDrained(),
@@ -126,7 +129,9 @@
 			Leaving:       s.GetLeaving(),
 			Address:       s.GetAddress(),
 			JoinedMs:      s.GetJoinedMs(),
-		})
+		}
+		setColdListing(&l, s)
+		lists[s.GetService()] = append(lists[s.GetService()], l)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -144,6 +149,7 @@
 			RetrySlack:      d.cfg.RetrySlack * deciderSlackShare(ranks[name], instances),
 			AloneRetrySlack: d.cfg.RetrySlack * othersSlackShare / float64(instances),
 		}
+		d.cfg.setCold(&svc, rule, ranks[name], instances)
 		s := d.services[name]
 		if s == nil {
 			s = scheduler.New(svc)
@@ -154,6 +160,7 @@
 		list := lists[name]
 		slices.SortFunc(list, func(a, b scheduler.Server) int { return strings.Compare(a.Name, b.Name) })
 		s.SetServers(list)
+		d.updateCold(name, s)
 		s.SetQuarantines(d.cfg.Now(), quarantines(v.Quarantines[name]))
 		d.recordChanges(name, s)
 	}
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -151,6 +151,7 @@
 		Answered:   r.GetAnswered(),
 		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
 		Leaving:    r.GetLeaving(),
+		ColdFor:    time.Duration(r.GetColdMs()) * time.Millisecond,
 	})
 }
 
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -162,6 +162,7 @@
 		Violations:   in.checker.Counts,
 		Loads:        in.loads,
 		Quarantines:  in.quarantineCounts,
+		ColdServers:  in.coldServers,
 	})
 	if err != nil {
 		return err
@@ -231,6 +232,8 @@
 		RetryWindow:  in.cfg.Entry.RetryWindow,
 		RetryRatio:   retryBudgetShare * in.cfg.Entry.RetryRatio,
 		RetrySlack:   retryBudgetShare * in.cfg.Entry.RetrySlack,
+		ColdOverage:  in.cfg.Entry.ColdOverage,
+		ColdSlack:    in.cfg.Entry.ColdSlack,
 		Instance:     in.cfg.Instance,
 		Peers:        peers,
 		Unresponsive: in.agent.Unresponsive,
@@ -267,6 +270,14 @@
 	return out
 }
 
+// coldServers returns the number of cold servers by service.
+func (in *instance) coldServers() map[string]int {
+	if in.entry == nil || in.entry.placer == nil {
+		return nil
+	}
+	return in.entry.placer.Schedulers().ColdServers()
+}
+
 // recordQuarantine records a change of a quarantine in the log of the control group.
 func (in *instance) recordQuarantine(ctx context.Context, q *pb.Quarantine) error {
 	r, err := in.control.Propose(ctx, &pb.Command{
--- a/internal/routing/departure/departure.go
+++ b/internal/routing/departure/departure.go
@@ -18,6 +18,11 @@
 	Leaving bool
 }
 
+// SameIncarnation reports whether two listings of a server are of the same incarnation.
+func (l Listing) SameIncarnation(other Listing) bool {
+	return l.Address == other.Address && l.JoinedMs == other.JoinedMs
+}
+
 // Tracker holds the announcements of servers by name; the zero value has none. It is not
 // safe for concurrent use.
 type Tracker struct {
@@ -56,7 +61,7 @@
 	for name, a := range t.announced {
 		l, ok := listing(name)
 		switch {
-		case !ok, l.Address != a.listing.Address, l.JoinedMs != a.listing.JoinedMs, a.confirmed && !l.Leaving:
+		case !ok, !l.SameIncarnation(a.listing), a.confirmed && !l.Leaving:
 			delete(t.announced, name)
 		case l.Leaving:
 			a.confirmed = true
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -69,6 +69,7 @@
 	}
 	s.granted[req.ID] = g
 	sv.recordGrant(g)
+	sv.recordColdGrant(now)
 	sv.pendingTokens += g.missTokens
 	d := Decision{
 		ID:               req.ID,
@@ -176,7 +177,7 @@
 	if !s.anyHealthy(now, req) {
 		return s.chooseFrom(now, req, s.listedServers, allServers, math.Inf(1))
 	}
-	if s.index != nil && len(req.Tried) == 0 && !s.anyPaused(now) {
+	if s.index != nil && len(req.Tried) == 0 && !s.anyPaused(now) && !s.cold.any(now) {
 		s.full, s.fullAt = true, now
 	}
 	return nil
@@ -293,15 +294,20 @@
 // expectedWait estimates how long req waits in the queue, from the number of requests
 // of the same or higher urgency and the rate at which requests complete.
 func (s *Scheduler) expectedWait(req Request) time.Duration {
-	ahead := 1
-	for _, w := range s.queue {
-		if w.request.Urgency <= req.Urgency {
-			ahead++
-		}
-	}
 	interval := s.completions.meanInterval()
 	if interval == 0 {
 		return minExpectedWait
 	}
-	return max(minExpectedWait, time.Duration(ahead)*interval)
+	return max(minExpectedWait, time.Duration(s.queuedAhead(req)+1)*interval)
+}
+
+// queuedAhead returns the number of queued requests of the same or higher urgency than req.
+func (s *Scheduler) queuedAhead(req Request) int {
+	n := 0
+	for _, w := range s.queue {
+		if w.request.Urgency <= req.Urgency {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -76,6 +76,9 @@
 	departures departure.Tracker
 	// pausedUntil is the end of the last pause that a server has asked for.
 	pausedUntil time.Duration
+	// cold holds the rates of cold servers, and hasListed is true once a server was listed.
+	cold      coldRates
+	hasListed bool
 }
 
 // grant is a request that counts as running on a server.
@@ -117,6 +120,7 @@
 	for _, sv := range s.listedServers {
 		sv.setService(svc)
 	}
+	s.setColdRates()
 }
 
 // SetServers replaces the list of servers. A server that is no longer listed stops
@@ -132,6 +136,7 @@
 			sv = newServer(l.Name)
 			s.servers[l.Name] = sv
 		}
+		s.recordColdListing(sv, l)
 		sv.applyListing(l)
 		sv.accepting = sv.accepting && !s.departures.Leaving(l.Name)
 		sv.setService(s.svc)
@@ -147,6 +152,7 @@
 			delete(s.servers, name)
 		}
 	}
+	s.hasListed = s.hasListed || len(list) > 0
 	s.updateIndex()
 	s.limitAt, s.full = -maxLimitAge, false
 }
@@ -154,6 +160,7 @@
 // Schedule decides on a request at once, or queues it and returns false; the decision is
 // then returned by a later Tick or Report.
 func (s *Scheduler) Schedule(now time.Duration, req Request) (Decision, bool) {
+	s.applyCold(now)
 	if d, refused := s.refuseQuarantined(now, req); refused {
 		return d, true
 	}
@@ -168,7 +175,7 @@
 	if !s.anyAccepting(req) {
 		return refuse(req, NoServer, noServerRetryAfter), true
 	}
-	if max(s.expectedWait(req), s.pauseLeft(now, req)) > req.MaxWait {
+	if max(s.expectedWait(req), s.pauseLeft(now, req), s.coldWait(now, req)) > req.MaxWait {
 		return refuse(req, Overloaded, s.retryAfter(now, req)), true
 	}
 	s.enqueue(&queuedRequest{
@@ -212,6 +219,7 @@
 	}
 	s.recordPause(now, g.server, g.request.Instance, r.RetryAfter)
 	s.recordDeparture(g.server, r)
+	s.recordColdReport(now, g, r)
 	g.pushedBack = g.pushedBack || r.RetryAfter > 0
 	started := g.started
 	if !started {
@@ -251,6 +259,7 @@
 // Tick refuses the queued requests that have waited too long, grants the free slots to
 // others, and returns the decisions.
 func (s *Scheduler) Tick(now time.Duration) []Decision {
+	s.applyCold(now)
 	out := append(s.expire(now), s.expelQuarantined(now)...)
 	for {
 		i, sv := s.next(now)
@@ -295,7 +304,7 @@
 		urgency = w.request.Urgency
 		sv := s.choose(now, w.request)
 		if sv == nil {
-			if len(w.request.Tried) == 0 && !s.anyPaused(now) {
+			if len(w.request.Tried) == 0 && !s.anyPaused(now) && !s.mayHideColdPlaces(now, w.request) {
 				// No server has room even for a request that may run on any of them.
 				break
 			}
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -106,6 +106,8 @@
 	// lastFailureRate is the failure rate as of lastOutcomeAt.
 	lastFailureRate float64
 	lastOutcomeAt   time.Duration
+	// cold holds whether the server has started recently.
+	cold coldness
 }
 
 func newServer(name string) *server {
@@ -191,7 +193,7 @@
 }
 
 func (sv *server) eligible(now time.Duration, req Request) bool {
-	return sv.accepting && now >= sv.fullUntil && sv.pauses.Left(now, req.Instance) == 0 && !slices.Contains(req.Tried, sv.name)
+	return sv.accepting && now >= sv.fullUntil && sv.pauses.Left(now, req.Instance) == 0 && !slices.Contains(req.Tried, sv.name) && sv.coldAllows(now, req)
 }
 
 // responding reports whether the server has responses in progress. A server that is down
@@ -237,9 +239,9 @@
 }
 
 // costFactor is multiplied with the cost of placing a request on the server; it is 1
-// for a server without failures.
+// for a warm server without failures.
 func (sv *server) costFactor(now time.Duration) float64 {
-	return 1 + failurePenalty*sv.failureRate(now)
+	return (1 + failurePenalty*sv.failureRate(now)) * sv.coldFactor(now)
 }
 
 // recordResponse ends the ejection of a server that has begun a response to a request
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -29,6 +29,12 @@
 	RetryRatio      float64
 	RetrySlack      float64
 	AloneRetrySlack float64
+	// ColdTime is for how long a server is cold after a start; zero if servers never are.
+	// ColdRate and AloneColdRate are how many requests a second a cold server gets from
+	// this instance: when it decides for all instances, and for its own requests only.
+	ColdTime      time.Duration
+	ColdRate      float64
+	AloneColdRate float64
 }
 
 // Server is an entry of the list of backend servers.
@@ -47,6 +53,12 @@
 	Leaving  bool
 	Address  string
 	JoinedMs int64
+	// ColdFor is for how long the list announces the server to stay cold. Another ColdIndex
+	// is another announcement.
+	ColdFor   time.Duration
+	ColdIndex uint64
+	// Evacuated is true while the failure domain of the server is evacuated.
+	Evacuated bool
 }
 
 // Request describes a request that needs a slot on a server.
@@ -164,4 +176,6 @@
 	RetryAfter time.Duration
 	// Leaving is true if the server announced that it leaves.
 	Leaving bool
+	// ColdFor is for how long the server announced to stay cold; zero if it did not.
+	ColdFor time.Duration
 }
