--- a/internal/rules/ruleset/ruleset.go
+++ b/internal/rules/ruleset/ruleset.go
@@ -27,8 +27,9 @@
 	// DefaultMaxMoveBytes is how much KV cache may be transferred off one leaving
 	// engine.
 	DefaultMaxMoveBytes = 64 << 20
-	// MaxColdTime and MaxColdRate are the largest values of Service.ColdTime and ColdRate.
+	// MaxColdTime is the largest value of Service.ColdTime.
 	MaxColdTime = 10 * time.Minute
+	// MaxColdRate is the largest value of Service.ColdRate, in requests per second.
 	MaxColdRate = 1e6
 )
 
