--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -109,9 +108,6 @@
 func (d *Daemon) Directory() string { return d.address(directoryPort) }
 func (d *Daemon) Control() string   { return d.address(controlPort) }
 
-// section matches a section of the template, which is there only if its value is.
-var section = regexp.MustCompile(`(?s)\{\{#([\w.]+)\}\}(.*?)\{\{/([\w.]+)\}\}`)
-
 // settings fills in the template of the deploy file with the bounds of the smallest site.
 func (d *Daemon) settings(bootstrap bool) (string, error) {
 	b, err := os.ReadFile(filepath.Join(d.fleet.env.Root, "deploy", "camphord.settings"))
@@ -119,18 +115,14 @@
 		return "", err
 	}
 	text := string(b)
-	sections := map[string]string{}
-	if d.Disk {
-		sections["dataDirectory"] = d.dataDir()
-	}
-	text = section.ReplaceAllStringFunc(text, func(whole string) string {
-		m := section.FindStringSubmatch(whole)
-		value, ok := sections[m[1]]
-		if !ok || m[1] != m[3] {
-			return ""
+	const begin, end = "{{#dataDirectory}}", "{{/dataDirectory}}"
+	if i, j := strings.Index(text, begin), strings.Index(text, end); i >= 0 && j > i {
+		inner := ""
+		if d.Disk {
+			inner = strings.ReplaceAll(text[i+len(begin):j], "{{.}}", d.dataDir())
 		}
-		return strings.ReplaceAll(m[2], "{{.}}", value)
-	})
+		text = text[:i] + inner + text[j+len(end):]
+	}
 	var seeds []string
 	for _, i := range d.fleet.seeds {
 		seeds = append(seeds, d.fleet.Daemons[i].Control())
