Evacuations of failure domains in the ledger and in every instance's view

Cause: the operator evacuates whole failure domains. The order has to survive the loss of replicas and power, and to reach every instance. Rows travel like quarantines (heartbeat, tables); view.View.Evacuated has the active ones, and a server of such a domain accepts nothing (View.Accepts, AcceptingServers, Agent.Admits). A replica drops a proposal whose caller has left before it is in the log, so that an abandoned call is not committed late.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -54,6 +54,9 @@
 	// the request with this key did not run and never will.
 	KeyNotRun Kind = "keyNotRun"
 	Leaving   Kind = "leaving"
+	// UnknownFailureDomain means that no listed instance or backend server is in the
+	// failure domain.
+	UnknownFailureDomain Kind = "unknownFailureDomain"
 	// PromptQuarantined means that parts of the prompt crash the servers that answer them.
 	PromptQuarantined Kind = "promptQuarantined"
 	ClaimSettled      Kind = "claimSettled"
@@ -112,7 +115,7 @@
 	switch k {
 	case UnknownKey:
 		return class{code: connect.CodeUnauthenticated, outcome: notRun}
-	case UnknownService, UnknownAccount, UnknownServer, UnknownKind, UnknownRoute, UnknownQuarantine:
+	case UnknownService, UnknownAccount, UnknownServer, UnknownKind, UnknownRoute, UnknownQuarantine, UnknownFailureDomain:
 		return class{code: connect.CodeNotFound, outcome: notRun}
 	case BadChat, BadRequest, BadKey, BadRules, BadSetting:
 		return class{code: connect.CodeInvalidArgument, outcome: notRun}
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -1,6 +1,6 @@
 // Package ledger implements the replicated state machine of the control group:
 // rules, instances, backend servers and their owners, claims on idempotency
-// keys, engine orders, and quarantined parts of prompts.
+// keys, engine orders, quarantined parts of prompts, and evacuated failure domains.
 //
 // Apply is deterministic: it reads no clock, makes no random choice and parses
 // no rule file, so every replica has the same state at the same log index. Each
@@ -47,12 +47,13 @@
 	claims            map[claimKey]*pb.Claim
 	orders            map[uint64]*pb.EngineOrder
 	quarantines       map[quarantineKey]*pb.Quarantine
+	evacuations       map[string]*pb.Evacuation // by failure domain
 	lastFencingNumber uint64
 	expiredBefore     int64
 	// routerListIndex is the log index at which an instance was last added to
 	// or removed from the list of routers.
 	routerListIndex uint64
-	// rowsIndex is the log index of the last change of a server or instance row.
+	// rowsIndex is the log index of the last change of a row that routers receive.
 	rowsIndex uint64
 }
 
@@ -78,6 +79,7 @@
 	l.claims = make(map[claimKey]*pb.Claim)
 	l.orders = make(map[uint64]*pb.EngineOrder)
 	l.quarantines = make(map[quarantineKey]*pb.Quarantine)
+	l.evacuations = make(map[string]*pb.Evacuation)
 }
 
 func (l *Ledger) apply(index uint64, c *pb.Command) *pb.Result {
@@ -104,6 +106,8 @@
 		return l.expireClaims(k.ExpireClaims.GetBefore())
 	case *pb.Command_Quarantine:
 		return l.quarantine(index, k.Quarantine)
+	case *pb.Command_Evacuation:
+		return l.evacuate(index, k.Evacuation)
 	default:
 		return &pb.Result{}
 	}
@@ -149,6 +153,9 @@
 		s.Quarantines = append(s.Quarantines, q)
 	}
 	slices.SortFunc(s.Quarantines, compareQuarantines)
+	for _, domain := range slices.Sorted(maps.Keys(l.evacuations)) {
+		s.Evacuations = append(s.Evacuations, l.evacuations[domain])
+	}
 	return s
 }
 
@@ -197,6 +204,9 @@
 	for _, q := range s.GetQuarantines() {
 		l.quarantines[quarantineKeyOf(q)] = q
 	}
+	for _, e := range s.GetEvacuations() {
+		l.evacuations[e.GetFailureDomain()] = e
+	}
 	return nil
 }
 
--- a/internal/control/ledger/tables.go
+++ b/internal/control/ledger/tables.go
@@ -20,10 +20,13 @@
 	Servers     []*pb.BackendServer
 	Instances   []*pb.Instance
 	Quarantines []*pb.Quarantine
+	Evacuations []*pb.Evacuation
 }
 
 // Len returns the number of rows.
-func (c ChangedRows) Len() int { return len(c.Servers) + len(c.Instances) + len(c.Quarantines) }
+func (c ChangedRows) Len() int {
+	return len(c.Servers) + len(c.Instances) + len(c.Quarantines) + len(c.Evacuations)
+}
 
 // Changes returns the rows that changed after log index since; zero returns all
 // rows. Rows are replaced rather than modified, so they may be read without a
@@ -52,6 +55,11 @@
 			t.Quarantines = append(t.Quarantines, q)
 		}
 	}
+	for _, e := range l.evacuations {
+		if e.GetChangedIndex() > since {
+			t.Evacuations = append(t.Evacuations, e)
+		}
+	}
 	return t
 }
 
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -220,13 +220,14 @@
 		Whole:      req.GetSeenIndex() == 0,
 
 		Quarantines: changes.Quarantines,
+		Evacuations: changes.Evacuations,
 
 		Term:  m.term,
 		Loads: m.otherLoads(now, h, row.Loads),
 	}
 	if changes.Len() > maxHeartbeatRows {
 		resp.Index, resp.Servers, resp.Instances, resp.Whole = req.GetSeenIndex(), nil, nil, false
-		resp.Quarantines = nil
+		resp.Quarantines, resp.Evacuations = nil, nil
 		resp.TablesBehind = true
 	}
 	version, content := l.Rules()
--- a/internal/control/replica/propose.go
+++ b/internal/control/replica/propose.go
@@ -31,6 +31,7 @@
 		return nil, fault.Wrap(fault.Internal, "command", err)
 	}
 	p := &proposal{
+		ctx:          ctx,
 		data:         compress.Codec{}.Compress(data),
 		requiredTerm: term,
 		result:       make(chan outcome, 1),
@@ -69,10 +70,15 @@
 	return <-c.done
 }
 
-// propose passes a batch of proposals to the node. It fails those whose required
-// term is not the current one, and all if this replica is not the leader.
+// propose passes a batch of proposals to the node. It drops those whose callers have left,
+// and fails those whose required term is not the current one, and all if this replica is
+// not the leader.
 func (r *Replica) propose(batch []*proposal) {
 	batch = slices.DeleteFunc(batch, func(p *proposal) bool {
+		// A caller that has left may have proposed the opposite since, elsewhere.
+		if p.ctx.Err() != nil {
+			return true
+		}
 		if p.requiredTerm == 0 || p.requiredTerm == r.node.Term() {
 			return false
 		}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -158,6 +158,9 @@
 
 // proposal is a command that waits to be committed.
 type proposal struct {
+	// ctx is the context of the caller. A proposal whose caller has left before it is in
+	// the log is dropped.
+	ctx  context.Context
 	data []byte
 	// requiredTerm is the only term in which the command may be proposed; zero
 	// allows any.
--- a/internal/control/tables/tables.go
+++ b/internal/control/tables/tables.go
@@ -89,6 +89,7 @@
 		Whole:     since == 0,
 
 		Quarantines: changes.Quarantines,
+		Evacuations: changes.Evacuations,
 	})
 	if err != nil {
 		return nil, nil, fault.Wrap(fault.Internal, "tables", err)
--- a/internal/daemon/membership/heartbeat.go
+++ b/internal/daemon/membership/heartbeat.go
@@ -147,6 +147,7 @@
 		Instances:   resp.GetInstances(),
 		Whole:       resp.GetWhole(),
 		Quarantines: resp.GetQuarantines(),
+		Evacuations: resp.GetEvacuations(),
 	})
 	a.cfg.Checker.Check(resp.GetRuleVersion() >= req.GetRuleVersion(), "ruleVersionRises",
 		"the leader answered with rule version %d, this router held %d when it sent the heartbeat", resp.GetRuleVersion(), req.GetRuleVersion())
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -266,11 +266,12 @@
 func (a *Agent) Admits(name string) (epoch uint64, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := a.view.Load().Servers[name]
+	v := a.view.Load()
+	s := v.Servers[name]
 	if s == nil {
 		return 0, false
 	}
-	return s.GetEpoch(), a.ownership.Admits(a.cfg.Now(), s)
+	return s.GetEpoch(), !v.IsEvacuated(s) && a.ownership.Admits(a.cfg.Now(), s)
 }
 
 // Unresponsive reports whether an instance is recorded as not having answered
--- a/internal/daemon/membership/tables.go
+++ b/internal/daemon/membership/tables.go
@@ -105,5 +105,8 @@
 	if rows.GetWhole() || len(rows.GetQuarantines()) > 0 {
 		next = next.WithQuarantines(rows.GetWhole(), rows.GetQuarantines())
 	}
+	if rows.GetWhole() || len(rows.GetEvacuations()) > 0 {
+		next = next.WithEvacuations(rows.GetWhole(), rows.GetEvacuations())
+	}
 	return next
 }
--- a/internal/routing/view/view.go
+++ b/internal/routing/view/view.go
@@ -27,6 +27,8 @@
 	Instances   map[string]*pb.Instance
 	// Quarantines holds the quarantines of parts of prompts, by service and ID.
 	Quarantines map[string]map[uint64]*pb.Quarantine
+	// Evacuated holds the evacuated failure domains, each with its row.
+	Evacuated map[string]*pb.Evacuation
 
 	// byService lists the servers of each service not marked gone, sorted by name.
 	byService map[string][]*pb.BackendServer
@@ -84,6 +86,37 @@
 	return &next
 }
 
+// WithEvacuations returns a copy of v with the given evacuations added or, if they are not
+// active, removed. If full is set, they replace the table.
+func (v *View) WithEvacuations(full bool, evacuations []*pb.Evacuation) *View {
+	next := *v
+	next.Evacuated = make(map[string]*pb.Evacuation)
+	if !full {
+		maps.Copy(next.Evacuated, v.Evacuated)
+	}
+	for _, e := range evacuations {
+		if e.GetActive() {
+			next.Evacuated[e.GetFailureDomain()] = e
+			continue
+		}
+		delete(next.Evacuated, e.GetFailureDomain())
+	}
+	return &next
+}
+
+// EvacuatedDomains returns the evacuated failure domains, sorted by name.
+func (v *View) EvacuatedDomains() []string { return slices.Sorted(maps.Keys(v.Evacuated)) }
+
+// IsEvacuated reports whether the failure domain of s is evacuated.
+func (v *View) IsEvacuated(s *pb.BackendServer) bool {
+	return v.Evacuated[s.GetFailureDomain()] != nil
+}
+
+// Accepts reports whether s accepts new requests.
+func (v *View) Accepts(s *pb.BackendServer) bool {
+	return !s.GetGone() && !s.GetLeaving() && !s.GetDrained() && !v.IsEvacuated(s)
+}
+
 // WithRules returns a copy of v with another rule file.
 func (v *View) WithRules(version uint64, text []byte, rules *ruleset.Rules) *View {
 	next := *v
@@ -109,7 +142,7 @@
 func (v *View) AcceptingServers(service string) []*pb.BackendServer {
 	var out []*pb.BackendServer
 	for _, s := range v.byService[service] {
-		if !s.GetLeaving() && !s.GetDrained() {
+		if v.Accepts(s) {
 			out = append(out, s)
 		}
 	}
