Placement leaves out evacuated failure domains

Cause: no request may reach a server of an evacuated failure domain, whoever decides and however old the decider's view is. Change: the schedulers get Accepting=false and Evacuated=true for such servers, and a request names the domains that its instance has as evacuated (ExcludedDomains, PlaceAsk.excluded_domains). Between the decision and the send the instance withdraws a grant whose server is in an evacuated domain of its own view, and places the request again. A queued request that no server may run any more is refused at once with a Retry-After. Evacuated engines are not queried for their cached prefixes; others may still fetch prefixes from them. The product's own router neither probes an evacuated engine nor resumes a stream there.

--- a/internal/daemon/placer/enginequeries.go
+++ b/internal/daemon/placer/enginequeries.go
@@ -71,19 +71,27 @@
 	name, address string
 }
 
-// paused reports whether a server has asked this instance to send it nothing.
-func (d *Schedulers) paused(service, server string) bool {
+// mayQuery reports whether an engine may be queried; if not, the reason is returned as
+// well. No request of any kind goes to an engine that has asked this instance for a pause
+// or is evacuated.
+func (d *Schedulers) mayQuery(service, server string) (ok bool, reason string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := d.services[service]
-	return s != nil && s.PauseLeft(d.cfg.Now(), server, d.cfg.Instance) > 0
+	if d.view.IsEvacuated(d.view.Servers[server]) {
+		return false, "evacuated"
+	}
+	if s := d.services[service]; s != nil && s.PauseLeft(d.cfg.Now(), server, d.cfg.Instance) > 0 {
+		return false, "paused"
+	}
+	return true, ""
 }
 
 // queryEngine queries one engine, records its cached prefixes in the scheduler of the
 // service and returns the number of parts.
 func (d *Schedulers) queryEngine(service string, e engine) int {
-	if d.paused(service, e.name) {
-		d.cfg.Logger.WithField("server", e.name).Info("placer: an engine is not queried for its cached prefixes, as it has asked for a pause")
+	if ok, reason := d.mayQuery(service, e.name); !ok {
+		d.cfg.Logger.WithField("server", e.name).WithField("reason", reason).
+			Info("placer: an engine is not queried for its cached prefixes, as it has asked for a pause or is evacuated")
 		return 0
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), engineQueryTimeout)
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -169,6 +169,8 @@
 			Counted:       req.Counted,
 			FailureDomain: req.FailureDomain,
 			Instance:      req.Instance,
+
+			ExcludedDomains: req.ExcludedDomains,
 		},
 	}) {
 		withdraw()
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -48,9 +48,12 @@
 	minSkipPeriod = 200 * time.Millisecond
 	maxSkipPeriod = 1600 * time.Millisecond
 	// maxPlacements is how often a request is placed, as long as each server chosen has
-	// asked this instance for a pause, or announced that it leaves, and the decider has
-	// not received that.
+	// asked this instance for a pause, announced that it leaves or is evacuated, and the
+	// decider has not received that.
 	maxPlacements = 4
+	// withdrawnRetryAfter is the retry delay for a request whose decisions were all
+	// withdrawn, if no server has named a time.
+	withdrawnRetryAfter = 300 * time.Millisecond
 	// maxDeciders is how many instances of the rendezvous order are considered before
 	// the instance falls back to its own schedulers.
 	maxDeciders = 2
@@ -134,7 +137,7 @@
 	// Waited is how long the request waited for the decision.
 	Waited time.Duration
 	// Withdrawn is the number of decisions before this one whose server had asked this
-	// instance for a pause or announced that it leaves.
+	// instance for a pause, announced that it leaves or was evacuated.
 	Withdrawn int
 
 	p       *Placer
@@ -222,26 +225,32 @@
 			service:   service,
 			hasPrompt: len(req.Parts) > 0,
 		}
+		req.ExcludedDomains = p.excludedDomains()
 		if err := p.decide(ctx, g, req); err != nil {
 			return nil, err
 		}
-		var leaving bool
-		if left, leaving = p.unavailable(g.Server); left == 0 && !leaving {
+		u := p.unavailable(g.Server)
+		if !u.any() {
 			g.Waited = p.cfg.Now() - start
 			return g, nil
 		}
-		p.withdraw(g, left, leaving)
+		left = u.pauseLeft
+		p.withdraw(g, u)
 		req.Counted = true
-		if slices.Contains(withdrawn, g.Server) {
+		switch {
+		case slices.Contains(withdrawn, g.Server):
 			// A decider of an older build does not read the report.
 			req.Tried = append(slices.Clone(req.Tried), g.Server)
+		case u.evacuated && slices.Contains(req.ExcludedDomains, u.domain):
+			// A decider of an older build does not read the excluded domains.
+			req.Tried = append(slices.Clone(req.Tried), p.serversIn(service, u.domain)...)
 		}
 		withdrawn = append(withdrawn, g.Server)
 	}
 	return nil, &fault.Fault{
 		Kind:       fault.Overloaded,
 		Subject:    service,
-		RetryAfter: left,
+		RetryAfter: max(left, withdrawnRetryAfter),
 	}
 }
 
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -39,6 +39,9 @@
 
 	placer       *placer.Placer
 	unresponsive atomic.Bool
+	// ignoresExclusions makes it decide like a build that does not read the excluded
+	// domains of a request.
+	ignoresExclusions atomic.Bool
 	// streams counts the placement streams that other instances have opened.
 	streams atomic.Int32
 	stop    func()
@@ -50,7 +53,25 @@
 		<-s.Context().Done()
 		return s.Context().Err()
 	}
-	return i.placer.Schedulers().Serve(s)
+	return i.placer.Schedulers().Serve(requests{
+		BidiStreamingServer: s,
+		instance:            i,
+	})
+}
+
+// requests is the placement stream of another instance as its instance reads it.
+type requests struct {
+	grpc.BidiStreamingServer[pb.PlaceRequest, pb.PlaceResponse]
+
+	instance *instance
+}
+
+func (r requests) Recv() (*pb.PlaceRequest, error) {
+	m, err := r.BidiStreamingServer.Recv()
+	if ask := m.GetAsk(); ask != nil && r.instance.ignoresExclusions.Load() {
+		ask.ExcludedDomains = nil
+	}
+	return m, err
 }
 
 // caches is a CacheReader for three engines: e2 has a cached prefix, the others are
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -49,6 +49,8 @@
 	nextID   uint64
 	// waiting holds the answer callbacks of queued requests, by request ID.
 	waiting map[uint64]func(scheduler.Decision)
+	// view is the view that was applied last.
+	view *view.View
 	// engines holds the model engines of each service.
 	engines map[string][]engine
 	// standbys holds what is sent to the standby of each service.
@@ -67,6 +69,7 @@
 func newSchedulers(cfg Config) *Schedulers {
 	return &Schedulers{
 		cfg:       cfg,
+		view:      &view.View{},
 		services:  make(map[string]*scheduler.Scheduler),
 		waiting:   make(map[uint64]func(scheduler.Decision)),
 		engines:   make(map[string][]engine),
@@ -121,7 +124,8 @@
 		lists[s.GetService()] = append(lists[s.GetService()], scheduler.Server{
 			Name:          s.GetName(),
 			Slots:         int(s.GetSlots()),
-			Accepting:     !s.GetLeaving() && !s.GetDrained(),
+			Accepting:     v.Accepts(s),
+			Evacuated:     v.IsEvacuated(s),
 			FailureDomain: s.GetFailureDomain(),
 			Leaving:       s.GetLeaving(),
 			Address:       s.GetAddress(),
@@ -130,7 +134,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.engines = engines
+	d.engines, d.view = engines, v
 	for name, rule := range v.Rules.Services {
 		svc := scheduler.Service{
 			Name:            name,
@@ -229,3 +233,14 @@
 	s.Adopt(d.cfg.Now(), id, server, d.cfg.Instance, parts)
 	return id
 }
+
+// Running returns the number of requests that count as running on a server: those of all
+// instances where this one decides for the service, otherwise its own.
+func (d *Schedulers) Running(service, server string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.services[service]; s != nil {
+		return s.RunningAt(server)
+	}
+	return 0
+}
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -88,6 +88,7 @@
 		Counted:         req.GetCounted(),
 		FailureDomain:   req.GetFailureDomain(),
 		Instance:        req.GetInstance(),
+		ExcludedDomains: req.GetExcludedDomains(),
 	}, func(d scheduler.Decision) { s.sendDecision(id, d) })
 	s.mu.Lock()
 	s.requests[id] = requestRef{
--- a/internal/daemon/placer/unavailable.go
+++ b/internal/daemon/placer/unavailable.go
@@ -1,8 +1,9 @@
 package placer
 
 // This file defines how an instance records what servers have announced of themselves: that it
-// is to send them nothing for a while, or that they leave. It holds whoever decides, as it
-// is looked at between the decision and the send.
+// is to send them nothing for a while, or that they leave. This and the evacuations in the
+// instance's view hold whoever decides, as they are looked at between the decision and the
+// send.
 
 import (
 	"time"
@@ -49,27 +50,70 @@
 	}, true
 }
 
-// unavailable returns how much is left of the time for which a server has asked this
-// instance to send it nothing, and whether it has announced that it leaves.
-func (p *Placer) unavailable(server string) (pauseLeft time.Duration, leaving bool) {
+// unavailability is why a server must not get a request of this instance.
+type unavailability struct {
+	// pauseLeft is how much is left of the time for which the server has asked this
+	// instance to send it nothing.
+	pauseLeft time.Duration
+	// leaving is true if the server has announced that it leaves.
+	leaving bool
+	// evacuated is true if this instance has the failure domain of the server as
+	// evacuated.
+	evacuated bool
+	domain    string
+}
+
+func (u unavailability) any() bool { return u.pauseLeft > 0 || u.leaving || u.evacuated }
+
+// unavailable returns why this instance must not send a request to a server; the zero
+// value if it may.
+func (p *Placer) unavailable(server string) unavailability {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.view.Servers[server]
+	return unavailability{
+		pauseLeft: p.pauses.Left(p.cfg.Now(), server),
+		leaving:   p.departures.Leaving(server),
+		evacuated: p.view.IsEvacuated(s),
+		domain:    s.GetFailureDomain(),
+	}
+}
+
+// excludedDomains returns the failure domains that this instance has as evacuated.
+func (p *Placer) excludedDomains() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pauses.Left(p.cfg.Now(), server), p.departures.Leaving(server)
+	return p.view.EvacuatedDomains()
+}
+
+// serversIn returns the servers of a service in a failure domain.
+func (p *Placer) serversIn(service, domain string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, s := range p.view.Servers {
+		if s.GetService() == service && s.GetFailureDomain() == domain && !s.GetGone() {
+			out = append(out, s.GetName())
+		}
+	}
+	return out
 }
 
-// withdraw gives back a grant whose server has asked this instance for a pause, or has
-// announced that it leaves. It reports that to the schedulers, which do not know of it:
-// another decider may have granted the request that the server answered.
-func (p *Placer) withdraw(g *Grant, left time.Duration, leaving bool) {
+// withdraw gives back a grant whose server must not get a request of this instance. It
+// reports a pause or a departure to the schedulers, which do not know of it: another
+// decider may have granted the request that the server answered. An evacuation reaches
+// them with their own view.
+func (p *Placer) withdraw(g *Grant, u unavailability) {
 	p.cfg.Logger.WithFields(logrus.Fields{
 		"server":      g.Server,
 		"decider":     g.Decider,
-		"pauseLeftMs": left.Milliseconds(),
-		"leaving":     leaving,
-	}).Info("placer: the chosen server has asked for a pause or leaves; the request is placed again")
+		"pauseLeftMs": u.pauseLeft.Milliseconds(),
+		"leaving":     u.leaving,
+		"evacuated":   u.evacuated,
+	}).Info("placer: the chosen server has asked for a pause, leaves or is evacuated; the request is placed again")
 	g.Report(scheduler.Report{
 		Event:      scheduler.Cancelled,
-		RetryAfter: left,
-		Leaving:    leaving,
+		RetryAfter: u.pauseLeft,
+		Leaving:    u.leaving,
 	})
 }
--- a/internal/daemon/router/dispatch.go
+++ b/internal/daemon/router/dispatch.go
@@ -100,8 +100,9 @@
 	if _, ok := r.Agent.Admits(server); ok {
 		return true
 	}
-	s := r.Agent.View().Servers[server]
-	return r.Agent.Degraded() && s != nil && !s.GetGone() && !s.GetLeaving() && !s.GetDrained()
+	v := r.Agent.View()
+	s := v.Servers[server]
+	return r.Agent.Degraded() && s != nil && v.Accepts(s)
 }
 
 // dispatch serves a request at one engine. If copyFrom names another engine, the
@@ -133,7 +134,7 @@
 }
 
 // streamFromEngine relays the engine's response, and resumes the stream when its
-// connection breaks.
+// connection breaks. A stream is not resumed at an engine that is evacuated.
 func (r *Router) streamFromEngine(ctx context.Context, s *pb.BackendServer, class int, req *pb.GenerateRequest, out sink) error {
 	a := &stream.Assembler{
 		RequestID: req.GetRequestId(),
@@ -155,7 +156,7 @@
 	var err error
 	for range maxEngineResumes + 1 {
 		err = r.streamOnce(ctx, s, class, withResumeFrom(req, a.Next), a, deliver)
-		if err == nil || fault.KindOf(err) != fault.ShortAnswer || ctx.Err() != nil {
+		if err == nil || fault.KindOf(err) != fault.ShortAnswer || ctx.Err() != nil || r.isEvacuated(s) {
 			break
 		}
 	}
@@ -171,6 +172,11 @@
 	return err
 }
 
+// isEvacuated reports whether the failure domain of s is evacuated.
+func (r *Router) isEvacuated(s *pb.BackendServer) bool {
+	return r.Agent != nil && r.Agent.View().IsEvacuated(s)
+}
+
 // streamOnce relays one stream of the engine until it ends.
 func (r *Router) streamOnce(ctx context.Context, s *pb.BackendServer, class int, req *pb.GenerateRequest, a *stream.Assembler, out sink) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/daemon/router/probes.go
+++ b/internal/daemon/router/probes.go
@@ -20,7 +20,8 @@
 	probesPerEventRead = 3
 )
 
-// RunBackground probes the owned engines and records queued outcomes until ctx ends.
+// RunBackground probes the owned engines that are not evacuated and records queued
+// outcomes until ctx ends.
 func (r *Router) RunBackground(ctx context.Context) {
 	for round := 0; ; round++ {
 		select {
@@ -31,7 +32,7 @@
 		r.flushOutcomes(ctx)
 		v := r.Agent.View()
 		for _, s := range v.Servers {
-			if v.Rules == nil || s.GetGone() || v.Rules.Services[s.GetService()].Plain || !r.Agent.Assigned(s.GetName()) {
+			if v.Rules == nil || s.GetGone() || v.IsEvacuated(s) || v.Rules.Services[s.GetService()].Plain || !r.Agent.Assigned(s.GetName()) {
 				continue
 			}
 			r.cfg.Pool.Submit(func(ctx context.Context) { r.probe(ctx, s, round%probesPerEventRead == 0) })
--- a/internal/routing/scheduler/pauses.go
+++ b/internal/routing/scheduler/pauses.go
@@ -6,7 +6,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -43,7 +42,7 @@
 	}
 	shortest := time.Duration(math.MaxInt64)
 	for _, sv := range s.listedServers {
-		if !sv.accepting || slices.Contains(req.Tried, sv.name) {
+		if !sv.mayRun(req) {
 			continue
 		}
 		shortest = min(shortest, sv.pauses.Left(now, req.Instance))
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -176,7 +176,7 @@
 	if !s.anyHealthy(now, req) {
 		return s.chooseFrom(now, req, s.listedServers, allServers, math.Inf(1))
 	}
-	if s.index != nil && len(req.Tried) == 0 && !s.anyPaused(now) {
+	if s.index != nil && !s.restricted(req) && !s.anyPaused(now) {
 		s.full, s.fullAt = true, now
 	}
 	return nil
@@ -234,11 +234,10 @@
 	return sv.slots * slotOvercommit
 }
 
-// anyHealthy reports whether an accepting server that has not failed req yet is not
-// ejected.
+// anyHealthy reports whether a server that may run req is not ejected.
 func (s *Scheduler) anyHealthy(now time.Duration, req Request) bool {
 	return slices.ContainsFunc(s.listedServers, func(sv *server) bool {
-		return sv.accepting && !sv.ejected(now) && !slices.Contains(req.Tried, sv.name)
+		return sv.mayRun(req) && !sv.ejected(now)
 	})
 }
 
@@ -275,7 +274,7 @@
 
 func (s *Scheduler) anyAccepting(req Request) bool {
 	return slices.ContainsFunc(s.listedServers, func(sv *server) bool {
-		return sv.accepting && !slices.Contains(req.Tried, sv.name)
+		return sv.mayRun(req)
 	})
 }
 
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -27,6 +27,8 @@
 //   - Servers that turn requests away and ask for a pause: they get none from the instance
 //     that they asked. While all of them have asked it, its requests are refused at once,
 //     with the time until the first pause ends.
+//   - Evacuated failure domains: their servers get no requests. While no other server takes
+//     any, requests are refused at once, also those that are queued.
 //   - A part of prompts that crashes every server which answers it: requests with it are
 //     refused; see package quarantine.
 package scheduler
@@ -74,6 +76,8 @@
 	fullAt  time.Duration
 	// departures holds the servers that have announced that they leave.
 	departures departure.Tracker
+	// evacuated holds the evacuated failure domains of the listed servers.
+	evacuated map[string]bool
 	// pausedUntil is the end of the last pause that a server has asked for.
 	pausedUntil time.Duration
 }
@@ -124,6 +128,7 @@
 func (s *Scheduler) SetServers(list []Server) {
 	listed := make(map[string]bool)
 	s.updateDepartures(list)
+	s.updateEvacuated(list)
 	s.listedServers = s.listedServers[:0]
 	for _, l := range list {
 		listed[l.Name] = true
@@ -252,6 +257,7 @@
 // others, and returns the decisions.
 func (s *Scheduler) Tick(now time.Duration) []Decision {
 	out := append(s.expire(now), s.expelQuarantined(now)...)
+	out = append(out, s.expelEvacuated()...)
 	for {
 		i, sv := s.next(now)
 		if i < 0 {
@@ -295,7 +301,7 @@
 		urgency = w.request.Urgency
 		sv := s.choose(now, w.request)
 		if sv == nil {
-			if len(w.request.Tried) == 0 && !s.anyPaused(now) {
+			if !s.restricted(w.request) && !s.anyPaused(now) {
 				// No server has room even for a request that may run on any of them.
 				break
 			}
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -191,7 +191,7 @@
 }
 
 func (sv *server) eligible(now time.Duration, req Request) bool {
-	return sv.accepting && now >= sv.fullUntil && sv.pauses.Left(now, req.Instance) == 0 && !slices.Contains(req.Tried, sv.name)
+	return sv.mayRun(req) && now >= sv.fullUntil && sv.pauses.Left(now, req.Instance) == 0
 }
 
 // responding reports whether the server has responses in progress. A server that is down
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -38,6 +38,9 @@
 	Slots int
 	// Accepting is false for a server that takes no new work.
 	Accepting bool
+	// Evacuated is true while the failure domain of the server is evacuated. Accepting is
+	// then false.
+	Evacuated bool
 	// FailureDomain is the failure domain of the server. A server that is not an
 	// engine is preferred for requests from its domain; an engine fetches prefixes
 	// preferably from engines in its domain.
@@ -64,6 +67,9 @@
 	MaxWait time.Duration
 	// Tried names the servers that have failed this request; they are not chosen again.
 	Tried []string
+	// ExcludedDomains names the failure domains that the instance has as evacuated. No
+	// server in them is chosen.
+	ExcludedDomains []string
 	// Retry is true for a retry, which counts against the retry budget.
 	Retry bool
 	// Counted is true if another decision on the request, which was not used, has counted
