The operator starts and finishes evacuations

Cause: evacuations could be recorded but not ordered. Change: POST /api/evacuate/{failureDomain}/start and /finish on the operator's address of any instance (edge.Evacuator), acknowledged after the commit. The instance queries the leader before it proposes: without a leader the call is refused with 503 and nothing has changed, and a call whose connection has ended meanwhile is not proposed. 504 means that the change may still be committed. camphor evacuate, the evacuations in camphor status and in the dump, log lines, and the gauge camphorspoke_evacuated_domains. Result: entryfleet TestEvacuation and TestEvacuationWithoutLeader, endpoints TestEvacuate: pass with the race detector.

--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -99,10 +99,11 @@
 		CacheReader: &engine.Client{
 			HTTP: link.HTTPClient(),
 		},
-		Endpoints: func(d edge.Directory, r edge.RuleStore) edge.Endpoints {
+		Endpoints: func(d edge.Directory, r edge.RuleStore, ev edge.Evacuator) edge.Endpoints {
 			return &endpoints.Endpoints{
 				Directory: d,
 				RuleStore: r,
+				Evacuator: ev,
 				Logger:    log,
 			}
 		},
--- a/internal/check/entryfleet/entryfleet_test.go
+++ b/internal/check/entryfleet/entryfleet_test.go
@@ -150,10 +150,11 @@
 			HTTP:    http.DefaultClient,
 			Logger:  f.log,
 		},
-		Endpoints: func(d edge.Directory, r edge.RuleStore) edge.Endpoints {
+		Endpoints: func(d edge.Directory, r edge.RuleStore, ev edge.Evacuator) edge.Endpoints {
 			return &endpoints.Endpoints{
 				Directory: d,
 				RuleStore: r,
+				Evacuator: ev,
 				Logger:    f.log,
 			}
 		},
--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -71,7 +71,7 @@
 		Options: []ff.Option{ff.WithEnvVarPrefix("CAMPHOR")},
 		Subcommands: []*ffcli.Command{
 			a.check(), a.diff(), a.apply(), a.show(), a.status(), a.dump(),
-			a.drain(), a.undrain(), a.order(), a.claims(), a.settle(), a.quarantines(), a.release(), a.replica(), a.replay(), a.explain(),
+			a.drain(), a.undrain(), a.evacuate(), a.order(), a.claims(), a.settle(), a.quarantines(), a.release(), a.replica(), a.replay(), a.explain(),
 		},
 		Exec: func(context.Context, []string) error {
 			if *showVersion {
--- a/internal/client/command/fleet.go
+++ b/internal/client/command/fleet.go
@@ -34,9 +34,11 @@
 		Owner         string `json:"owner"`
 		Leaving       bool   `json:"leaving"`
 		Drained       bool   `json:"drained"`
+		Evacuated     bool   `json:"evacuated"`
 		Gone          bool   `json:"gone"`
 	} `json:"backendServers"`
-	Instances []struct {
+	Evacuations []evacuationRow `json:"evacuations"`
+	Instances   []struct {
 		Name          string `json:"name"`
 		CallerAddress string `json:"callerAddress"`
 		FailureDomain string `json:"failureDomain"`
@@ -45,7 +47,7 @@
 	} `json:"instances"`
 }
 
-func stateName(leaving, drained, gone bool) string {
+func stateName(leaving, drained, evacuated, gone bool) string {
 	switch {
 	case gone:
 		return "gone"
@@ -53,6 +55,8 @@
 		return "leaving"
 	case drained:
 		return "drained"
+	case evacuated:
+		return "evacuated"
 	}
 	return "open"
 }
@@ -104,10 +108,13 @@
 			rows := [][]string{{"instance", s.Member.Instance, "", "rules " + strconv.FormatUint(s.Member.RuleVersion, 10),
 				"fresh " + strconv.FormatBool(s.Member.RulesFresh), "lease " + strconv.FormatInt(s.Member.LeaseLeftMs, 10) + "ms"}}
 			for _, i := range s.Instances {
-				rows = append(rows, []string{"router", i.Name, i.FailureDomain, i.CallerAddress, "", stateName(i.Leaving, false, i.Gone)})
+				rows = append(rows, []string{"router", i.Name, i.FailureDomain, i.CallerAddress, "", stateName(i.Leaving, false, false, i.Gone)})
 			}
 			for _, v := range s.BackendServers {
-				rows = append(rows, []string{"server", v.Name, v.FailureDomain, v.Service, "owner " + v.Owner, stateName(v.Leaving, v.Drained, v.Gone)})
+				rows = append(rows, []string{"server", v.Name, v.FailureDomain, v.Service, "owner " + v.Owner, stateName(v.Leaving, v.Drained, v.Evacuated, v.Gone)})
+			}
+			for _, e := range s.Evacuations {
+				rows = append(rows, e.cells())
 			}
 			slices.SortStableFunc(rows[1:], func(x, y []string) int { return cmp.Or(cmp.Compare(x[0], y[0]), cmp.Compare(x[1], y[1])) })
 			return a.print(s, "WHAT NAME DOMAIN WHERE DETAIL STATE", rows)
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -43,6 +43,8 @@
 	// Quarantines returns the number of quarantines of parts of prompts by service; it
 	// may be nil.
 	Quarantines func() map[string]int
+	// Evacuated returns 1 for each evacuated failure domain; it may be nil.
+	Evacuated func() map[string]int
 	// Loads returns the number of requests running and queued at each backend
 	// server that this instance owns.
 	Loads func() map[string]int
@@ -78,6 +80,9 @@
 	if callbacks.Quarantines != nil {
 		b.observableGauge("camphorspoke.quarantines", "Quarantines of parts of prompts by service.", "service", func() map[string]int64 { return toInt64(callbacks.Quarantines()) })
 	}
+	if callbacks.Evacuated != nil {
+		b.observableGauge("camphorspoke.evacuated.domains", "1 for each failure domain that this instance has as evacuated.", "failureDomain", func() map[string]int64 { return toInt64(callbacks.Evacuated()) })
+	}
 	if b.err != nil {
 		return nil, nil, nil, fault.Wrap(fault.Internal, "metrics", b.err)
 	}
--- a/internal/daemon/server/dump.go
+++ b/internal/daemon/server/dump.go
@@ -26,6 +26,7 @@
 	ControlBytes map[string]uint64 `json:"controlBytes"`
 	Violations   map[string]uint64 `json:"violations"`
 	Quarantines  []quarantineDump  `json:"quarantines"`
+	Evacuations  []evacuationDump  `json:"evacuations"`
 }
 
 // quarantineDump is a quarantine of parts of prompts, as listed in the view of this
@@ -68,6 +69,7 @@
 	Epoch         uint64 `json:"epoch"`
 	Leaving       bool   `json:"leaving,omitempty"`
 	Drained       bool   `json:"drained,omitempty"`
+	Evacuated     bool   `json:"evacuated,omitempty"`
 	Gone          bool   `json:"gone,omitempty"`
 }
 
@@ -103,6 +105,7 @@
 			Epoch:         s.GetEpoch(),
 			Leaving:       s.GetLeaving(),
 			Drained:       s.GetDrained(),
+			Evacuated:     v.IsEvacuated(s),
 			Gone:          s.GetGone(),
 		})
 	}
@@ -116,6 +119,7 @@
 		})
 	}
 	d.Quarantines = dumpQuarantines(v)
+	d.Evacuations = in.dumpEvacuations(v)
 	if in.replica != nil {
 		d.Replica = dumpReplica(in.replica)
 	}
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -97,7 +97,7 @@
 	Dialect edge.Dialect
 	List    edge.Platform
 	// Endpoints returns the handlers of the platform's other calls.
-	Endpoints func(edge.Directory, edge.RuleStore) edge.Endpoints
+	Endpoints func(edge.Directory, edge.RuleStore, edge.Evacuator) edge.Endpoints
 	// CacheReader queries engines for the prefixes that they have cached.
 	CacheReader edge.CacheReader
 	// Reload signals that the settings may have changed; Settings reads them.
@@ -129,6 +129,7 @@
 var (
 	_ edge.Directory = (*entry)(nil)
 	_ edge.RuleStore = (*entry)(nil)
+	_ edge.Evacuator = (*entry)(nil)
 )
 
 // limitProcess applies the configured memory and CPU limits to the Go runtime.
@@ -162,6 +163,7 @@
 		Violations:   in.checker.Counts,
 		Loads:        in.loads,
 		Quarantines:  in.quarantineCounts,
+		Evacuated:    in.evacuatedDomains,
 	})
 	if err != nil {
 		return err
@@ -208,8 +210,11 @@
 		OnControlAddresses: func(control []string) { e.finder.ReplaceAddresses(control) },
 		Loads:              func() []*pb.LoadReport { return nil },
 		OnLoads:            func([]*pb.LoadReport) {},
-		OnViewChange:       func(_, next *view.View) { e.placer.Update(next) },
-		OnHandover:         func(*pb.Assignment) {},
+		OnViewChange: func(old, next *view.View) {
+			e.placer.Update(next)
+			in.logEvacuations(old, next)
+		},
+		OnHandover: func(*pb.Assignment) {},
 	})
 	in.onCleanUp(stopAgent)
 	var stopFinder func()
@@ -321,7 +326,7 @@
 // serve opens the addresses for callers, the platform and the operator.
 func (e *entry) serve(meters *metrics.Meters) error {
 	in := e.instance
-	endpoints := in.adapters.Endpoints(e, e)
+	endpoints := in.adapters.Endpoints(e, e, e)
 	e.handler = &ingress.Handler{
 		Membership:    in.agent,
 		Dialect:       in.adapters.Dialect,
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -54,6 +54,7 @@
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/gen/camphorspoke/v1/camphorspokev1connect"
 	"camphorspoke/internal/routing/rendezvous"
+	"camphorspoke/internal/routing/view"
 )
 
 const (
@@ -80,6 +81,8 @@
 	manager   *manager.Manager
 	agent     *membership.Agent
 	router    *router.Router
+	// evacuationTimes holds when the evacuations in the view were applied.
+	evacuationTimes evacuationTimes
 	// entry and adapters are used only on an entry instance.
 	entry    *entry
 	adapters PlatformAdapters
@@ -141,6 +144,7 @@
 		ControlBytes: in.byteCounter.Bytes,
 		Violations:   in.checker.Counts,
 		Loads:        in.loads,
+		Evacuated:    in.evacuatedDomains,
 	})
 	if err != nil {
 		return err
@@ -336,8 +340,11 @@
 		Now:           in.now,
 		Loads:         in.router.Loads,
 		OnLoads:       in.router.UpdateLoads,
-		OnViewChange:  in.router.HandleViewChange,
-		OnHandover:    in.router.StartHandover,
+		OnViewChange: func(old, next *view.View) {
+			in.logEvacuations(old, next)
+			in.router.HandleViewChange(old, next)
+		},
+		OnHandover: in.router.StartHandover,
 	})
 	in.router.Agent = in.agent
 	in.onCleanUp(stopAgent)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -183,6 +183,16 @@
 	Source(ctx context.Context) (revision uint64, source []byte, err error)
 }
 
+// Evacuator starts and ends evacuations of failure domains.
+type Evacuator interface {
+	// Evacuate starts the evacuation of a failure domain if active is true, and ends it
+	// otherwise. It returns nil once that is committed, also if it was so before. An
+	// unknown failure domain is a fault of kind UnknownFailureDomain and changes
+	// nothing. After any other failure the change may still take effect, but only if it
+	// was proposed before ctx ended.
+	Evacuate(ctx context.Context, domain string, active bool, reason string) error
+}
+
 // Endpoints are the HTTP handlers of an entry instance that serve the platform,
 // callers and the operator, besides the handler of the requests themselves.
 type Endpoints interface {
@@ -190,7 +200,8 @@
 	Ready() http.Handler
 	// Resolve serves the addresses that callers connect to.
 	Resolve() http.Handler
-	// Configuration serves reads and replacements of the rule file.
+	// Configuration serves the operator: reads and replacements of the rule file, and
+	// evacuations.
 	Configuration() http.Handler
 }
 
