--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -71,7 +71,7 @@
 	m.reusedTokens = b.counter("camphorspoke.reused.tokens", "Prompt tokens found in the prefix cache.")
 	m.rereadTokens = b.counter("camphorspoke.reread.tokens", "Prompt tokens that a server reads although another one has them cached, by reason.")
 	m.placements = b.counter("camphorspoke.placements", "Requests granted a server, by whether the server was over its load limit and by who decided.")
-	m.pushbacks = b.counter("camphorspoke.pushbacks", "Refusals with which a server asked for a pause, and grants withdrawn because of one, by service and event.")
+	m.pushbacks = b.counter("camphorspoke.pushbacks", "Refusals with which a server asked for a pause, and grants withdrawn because of one, a departure or an evacuation, by service and event.")
 	m.abandoned = b.counter("camphorspoke.attempts.abandoned", "Attempts that did not answer their request, by service, result and what became of the connection.")
 	m.retries = b.counter("camphorspoke.retries", "Retries by service.")
 	b.observableCounter("camphorspoke.control.bytes", "Bytes of control traffic by kind.", "kind", func() map[string]int64 { return toInt64(callbacks.ControlBytes()) })
@@ -196,8 +196,8 @@
 const (
 	// PushbackAsked is a refusal with which a server asked this instance for a pause.
 	PushbackAsked = "asked"
-	// PushbackWithdrawn is a grant that was not used, as its server had asked for a pause or
-	// announced that it leaves.
+	// PushbackWithdrawn is a grant that was not used, as its server had asked for a pause,
+	// announced that it leaves or was evacuated.
 	PushbackWithdrawn = "withdrawn"
 )
 
