--- a/internal/routing/scheduler/cold.go
+++ b/internal/routing/scheduler/cold.go
@@ -10,7 +10,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"camphorspoke/internal/routing/coldstart"
@@ -222,7 +221,7 @@
 	perWindow := 0.0
 	rate := s.cold.rate(now, req)
 	for _, sv := range s.listedServers {
-		if !sv.accepting || slices.Contains(req.Tried, sv.name) {
+		if !sv.mayRun(req) {
 			continue
 		}
 		if !sv.cold.limiter.Cold(now) {
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -44,6 +44,9 @@
 	Slots int
 	// Accepting is false for a server that takes no new work.
 	Accepting bool
+	// Evacuated is true while the failure domain of the server is evacuated. Accepting is
+	// then false.
+	Evacuated bool
 	// FailureDomain is the failure domain of the server. A server that is not an
 	// engine is preferred for requests from its domain; an engine fetches prefixes
 	// preferably from engines in its domain.
@@ -57,8 +60,6 @@
 	// is another announcement.
 	ColdFor   time.Duration
 	ColdIndex uint64
-	// Evacuated is true while the failure domain of the server is evacuated.
-	Evacuated bool
 }
 
 // Request describes a request that needs a slot on a server.
@@ -76,6 +77,9 @@
 	MaxWait time.Duration
 	// Tried names the servers that have failed this request; they are not chosen again.
 	Tried []string
+	// ExcludedDomains names the failure domains that the instance has as evacuated. No
+	// server in them is chosen.
+	ExcludedDomains []string
 	// Retry is true for a retry, which counts against the retry budget.
 	Retry bool
 	// Counted is true if another decision on the request, which was not used, has counted
