--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -142,11 +142,16 @@
 	HasLoad bool
 	Running int
 	Waiting int
+	// WorkPercent is how long work takes on the server at this moment, in percent of the
+	// usual time; zero if the server did not state it.
+	WorkPercent int
 	// RetryAfter is for how long the backend server asks this instance to send it
 	// nothing; zero if it does not. BadRetryAfter is the text of a value that cannot be
 	// read as such a time.
 	RetryAfter    time.Duration
 	BadRetryAfter string
+	// UnreadableHeaders names the headers of which a value cannot be read.
+	UnreadableHeaders []string
 	// Leaving is true if the backend server announces that it leaves.
 	Leaving bool
 }
