The percent figure of a server reaches the decider; unreadable headers are counted

Nothing showed that an instance could not read a server's X-Server-Load, and the time of work that servers state was not carried.

Report.WorkPercent and PlaceReport.work_percent carry the figure to the decider, the line of an ended request has workPercent. camphorspoke_unreadable_headers_total{header} counts the headers of servers of which a value cannot be read; each is logged once a server, for 4,096 pairs at most.

Failed before, passes now: TestUnreadableHeaderIsCountedAndLoggedOnce. go test -race of ingress, placer and platform/... passes.

--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -88,6 +88,10 @@
 		OtherServer: h.Get("Other") != "",
 		Signed:      h.Get("Signed") != "",
 	}
+	info.WorkPercent, _ = strconv.Atoi(h.Get("Work"))
+	if h.Get("Odd") != "" {
+		info.UnreadableHeaders = []string{"Odd"}
+	}
 	switch {
 	case h.Get("Not-Run") != "":
 		info.Execution = edge.NotRun
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -45,12 +45,14 @@
 	c.sends++
 	c.info = c.h.Dialect.ParseResponse(resp.Status, resp.Header)
 	c.logPushback(g, c.info)
+	c.reportUnreadable(g, resp.Header)
 	report := scheduler.Report{
-		HasLoad:    c.info.HasLoad,
-		Running:    c.info.Running,
-		Waiting:    c.info.Waiting,
-		RetryAfter: c.info.RetryAfter,
-		Leaving:    c.info.Leaving,
+		HasLoad:     c.info.HasLoad,
+		Running:     c.info.Running,
+		Waiting:     c.info.Waiting,
+		WorkPercent: c.info.WorkPercent,
+		RetryAfter:  c.info.RetryAfter,
+		Leaving:     c.info.Leaving,
 	}
 	if c.info.Execution == edge.NotRun {
 		return c.reportRejection(g, resp, report)
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -96,6 +96,8 @@
 
 	// routeDurations holds how long recent requests of each route took.
 	routeDurations durations.Estimator
+	// reportedHeaders holds the unreadable headers of servers that have been logged.
+	reportedHeaders reportedHeaders
 }
 
 // call is the state of one request in flight.
@@ -420,6 +422,9 @@
 		if c.info.HasLoad {
 			fields["reportedLoad"] = c.info.Running + c.info.Waiting
 		}
+		if c.info.WorkPercent > 0 {
+			fields["workPercent"] = c.info.WorkPercent
+		}
 		if g.Withdrawn > 0 {
 			fields["withdrawn"] = g.Withdrawn
 		}
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -32,6 +32,7 @@
 	pushbacks        metric.Int64Counter
 	abandoned        metric.Int64Counter
 	retries          metric.Int64Counter
+	unreadable       metric.Int64Counter
 }
 
 // Callbacks holds callbacks for the metrics whose values are read at scrape time.
@@ -72,6 +73,7 @@
 	m.pushbacks = b.counter("camphorspoke.pushbacks", "Refusals with which a server asked for a pause, and grants withdrawn because of one, by service and event.")
 	m.abandoned = b.counter("camphorspoke.attempts.abandoned", "Attempts that did not answer their request, by service, result and what became of the connection.")
 	m.retries = b.counter("camphorspoke.retries", "Retries by service.")
+	m.unreadable = b.counter("camphorspoke.unreadable.headers", "Headers of servers of which a value cannot be read, by header.")
 	b.observableCounter("camphorspoke.control.bytes", "Bytes of control traffic by kind.", "kind", func() map[string]int64 { return toInt64(callbacks.ControlBytes()) })
 	b.observableCounter("camphorspoke.invariant.violations", "Violated invariants by name.", "name", func() map[string]int64 { return toInt64(callbacks.Violations()) })
 	b.observableGauge("camphorspoke.server.load", "Requests running and queued at each owned backend server.", "server", func() map[string]int64 { return toInt64(callbacks.Loads()) })
@@ -225,3 +227,11 @@
 	}
 	m.retries.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc)))
 }
+
+// UnreadableHeader counts a header of a server of which a value cannot be read.
+func (m *Meters) UnreadableHeader(ctx context.Context, header string) {
+	if m == nil {
+		return
+	}
+	m.unreadable.Add(ctx, 1, metric.WithAttributes(attribute.String("header", header)))
+}
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -124,6 +124,7 @@
 			ElapsedMs: uint32(r.Elapsed.Milliseconds()),
 			Answered:  r.Answered,
 
+			WorkPercent:  uint32(r.WorkPercent),
 			RetryAfterMs: ceilMilliseconds(r.RetryAfter),
 			Leaving:      r.Leaving,
 		},
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -148,9 +148,10 @@
 		Waiting: int(r.GetWaiting()),
 		Elapsed: time.Duration(r.GetElapsedMs()) * time.Millisecond,
 
-		Answered:   r.GetAnswered(),
-		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
-		Leaving:    r.GetLeaving(),
+		Answered:    r.GetAnswered(),
+		WorkPercent: int(r.GetWorkPercent()),
+		RetryAfter:  time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		Leaving:     r.GetLeaving(),
 	})
 }
 
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -155,6 +155,9 @@
 	HasLoad bool
 	Running int
 	Waiting int
+	// WorkPercent is how long work takes on the server at this moment, in percent of the
+	// usual time; zero if the server did not state it.
+	WorkPercent int
 	// Elapsed is the time since the request was sent.
 	Elapsed time.Duration
 	// Answered is true if the caller has a part of the answer.
