--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -37,6 +37,9 @@
 	// idleMargin is subtracted from a backend server's Keep-Alive timeout, so
 	// that no request is written to a connection the server is about to close.
 	idleMargin = 800 * time.Millisecond
+	// maxKeepAlive is the longest Keep-Alive timeout that is read; a longer one counts as
+	// this long.
+	maxKeepAlive = time.Hour
 	// connectTimeout bounds the dialing of a connection.
 	connectTimeout = 450 * time.Millisecond
 	// acceptTimeout bounds the check whether a server accepts connections.
@@ -212,16 +215,18 @@
 	return err == nil && idle
 }
 
-// keepAliveTimeout returns the timeout parameter of a Keep-Alive header, or a
-// negative duration if there is none.
+// keepAliveTimeout returns the timeout parameter of a Keep-Alive header, at most
+// maxKeepAlive, or a negative duration if there is none. Other parameters are skipped.
 func keepAliveTimeout(header string) time.Duration {
-	for directive := range strings.SplitSeq(header, ",") {
-		v, ok := strings.CutPrefix(strings.TrimSpace(directive), "timeout=")
-		if !ok {
+	parameters := strings.FieldsFunc(header, func(r rune) bool { return r == ',' || r == ';' })
+	for _, parameter := range parameters {
+		name, value, _ := strings.Cut(parameter, "=")
+		if !strings.EqualFold(strings.TrimSpace(name), "timeout") {
 			continue
 		}
-		if s, err := strconv.ParseFloat(v, 64); err == nil {
-			return time.Duration(s * float64(time.Second))
+		seconds, err := strconv.ParseFloat(strings.Trim(value, ` "`), 64)
+		if err == nil && seconds >= 0 {
+			return time.Duration(min(seconds, maxKeepAlive.Seconds()) * float64(time.Second))
 		}
 	}
 	return -1
