Requests are placed by how long work takes on each server at the moment

A server that is slow for some hundred milliseconds got as many requests as the others of its load.

The cost of a server is multiplied by how long work takes there (package speed): from the percent figure of its responses, whose weight halves every 250 ms towards the server's own mean, and for a plain service that states none from the times of its requests. Only the time parts of an engine's cost count; ties and the load bound are as before.

Failed with the factor fixed at 1, pass now: TestSlowPlainServersGetLess, TestStatedSpeedShortensFirstEvents, TestStatedSpeedReachesTheDecider; with the figures taken as they are: TestLateFiguresDoNoHarm.

--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -68,6 +68,7 @@
 		missTokens: promptTokens(req) - cached,
 	}
 	s.granted[req.ID] = g
+	s.predict(now, g)
 	sv.recordGrant(g)
 	sv.pendingTokens += g.missTokens
 	d := Decision{
@@ -245,7 +246,8 @@
 // cost returns the cost of running req on sv, for comparison between servers. For an
 // engine the unit is a prefill token; for other servers it is the fraction of the
 // slots in use, and a server in another failure domain counts half a request more.
-// Ties between engines are broken by the second to last part of the prompt, so that
+// What takes time on the server counts more while work takes longer there. Ties between
+// engines are broken by the second to last part of the prompt, so that
 // prompts that differ only in their last part go to the same engine.
 func (s *Scheduler) cost(now time.Duration, sv *server, req Request) float64 {
 	if !s.svc.Engine {
@@ -253,15 +255,16 @@
 		if sv.domain != req.FailureDomain {
 			c += 0.5 / float64(sv.slots)
 		}
-		return c*sv.costFactor(now) + tieBreak(sv.name, req.ID)/100
+		return c*s.slowness(now, sv)*sv.costFactor(now) + tieBreak(sv.name, req.ID)/100
 	}
 	miss := promptTokens(req) - sv.cache.CachedTokens(req.Parts)
-	c := float64(miss) + pendingPrefillWeight*float64(max(sv.pendingTokens, 0)) + runningCostTokens*float64(sv.load(now))
+	c := float64(miss) + pendingPrefillWeight*float64(max(sv.pendingTokens, 0)) + runningCostTokens*float64(sv.load(now)+1)
+	c *= s.slowness(now, sv)
 	if len(req.Parts) > 0 {
 		at := max(len(req.Parts)-2, 0)
 		c += tieBreakTokens * tieBreak(sv.name, req.Parts[at].ID)
 	}
-	return (c + runningCostTokens) * sv.costFactor(now)
+	return c * sv.costFactor(now)
 }
 
 // tieBreak returns a hash of server and key in [0, 1), so that each key has its own
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -38,6 +38,7 @@
 	"slices"
 	"time"
 
+	"camphorspoke/internal/routing/calibration"
 	"camphorspoke/internal/routing/departure"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/quarantine"
@@ -61,6 +62,11 @@
 	quarantine quarantine.Tracker
 	// completions measures how fast slots become free.
 	completions completionRate
+	// usualTime is how long the requests of a plain service take.
+	usualTime usualTime
+	// calibration measures how far the speed that servers state agrees with the times of
+	// their requests.
+	calibration calibration.Calibration
 	// index finds the servers that have a part cached; nil in a small service.
 	index *holderIndex
 	// candidateList and candidateRound hold the servers compared last.
@@ -90,6 +96,7 @@
 	startedAt time.Duration
 	// pushedBack is true if the server asked for a pause in its response.
 	pushedBack bool
+	prediction prediction
 }
 
 // queuedRequest is a request that no server had room for.
@@ -212,6 +219,7 @@
 	}
 	s.recordPause(now, g.server, g.request.Instance, r.RetryAfter)
 	s.recordDeparture(g.server, r)
+	s.recordSpeed(now, g, r)
 	g.pushedBack = g.pushedBack || r.RetryAfter > 0
 	started := g.started
 	if !started {
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -11,6 +11,7 @@
 	"camphorspoke/internal/routing/departure"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/pushback"
+	"camphorspoke/internal/routing/speed"
 )
 
 const (
@@ -101,6 +102,8 @@
 	probeAt time.Duration
 	// pauses holds the instances that the server has asked to send it nothing.
 	pauses pushback.Tracker
+	// speed estimates how long work takes on the server.
+	speed speed.Estimator
 	// fullUntil is the time until which a server that rejected a request gets no other.
 	fullUntil time.Duration
 	// lastFailureRate is the failure rate as of lastOutcomeAt.
