The memory of an engine limits what it is granted

Engines with 96 slots and memory for 221,545 tokens got requests by their slots alone. With long prompts the memory is full first, and the engine then preempts or crashes.

What granted requests hold (package tokenmemory: prompt and maximum output, parts that several requests begin with counted once) stays within cache-tokens. A server without memory for a request has no room; requests that need less pass the queue meanwhile. A request larger than cache-tokens is refused at once as promptTooLarge, which states that it was not run.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -56,8 +56,11 @@
 	Leaving   Kind = "leaving"
 	// PromptQuarantined means that parts of the prompt crash the servers that answer them.
 	PromptQuarantined Kind = "promptQuarantined"
-	ClaimSettled      Kind = "claimSettled"
-	BadSetting        Kind = "badSetting"
+	// PromptTooLarge means that the prompt and its maximum output exceed the memory of every
+	// engine.
+	PromptTooLarge Kind = "promptTooLarge"
+	ClaimSettled   Kind = "claimSettled"
+	BadSetting     Kind = "badSetting"
 
 	// OverBound, NotOwner, NotCached, CircuitOpen and Unreachable mean that the
 	// request should be tried elsewhere. CircuitOpen means that the target's
@@ -127,7 +130,7 @@
 		return class{code: connect.CodeAborted, outcome: notRun}
 	case DeadlineTooNear:
 		return class{code: connect.CodeDeadlineExceeded, outcome: notRun}
-	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
+	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, PromptTooLarge, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
 		return class{code: connect.CodeUnavailable, outcome: notRun}
 	case InDoubt, LinkBroken, TimedOut:
 		return class{code: connect.CodeUnknown, outcome: pb.Outcome_OUTCOME_IN_DOUBT}
--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -171,6 +171,7 @@
 	return c.h.Placer.Place(c.ctx, c.service, scheduler.Request{
 		Account:         c.account,
 		Parts:           promptParts(c.req.Prompt),
+		PromptTokens:    c.req.Prompt.Tokens,
 		MaxOutputTokens: c.req.Prompt.MaxOutputTokens,
 		Urgency:         c.urgency,
 		MaxWait:         wait,
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -162,6 +162,7 @@
 			Account:       req.Account,
 			Parts:         ids,
 			PartTokens:    tokens,
+			PromptTokens:  uint32(req.PromptTokens),
 			OutputTokens:  uint32(req.MaxOutputTokens),
 			Urgency:       uint32(req.Urgency),
 			WaitMs:        uint32(req.MaxWait.Milliseconds()),
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -400,6 +400,8 @@
 		kind = fault.NoEngine
 	case scheduler.RetryBudget:
 		kind = fault.RetryBudget
+	case scheduler.TooLarge:
+		return fault.New(fault.PromptTooLarge, service, "the prompt and its maximum output are larger than the memory of an engine")
 	case scheduler.Quarantined:
 		return &fault.Fault{
 			Kind:       fault.PromptQuarantined,
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -80,6 +80,7 @@
 	localID, waits := s.schedulers.submit(req.GetService(), true, scheduler.Request{
 		Account:         req.GetAccount(),
 		Parts:           toParts(req.GetParts(), req.GetPartTokens()),
+		PromptTokens:    int(req.GetPromptTokens()),
 		MaxOutputTokens: int(req.GetOutputTokens()),
 		Urgency:         int(req.GetUrgency()),
 		MaxWait:         time.Duration(req.GetWaitMs()) * time.Millisecond,
--- a/internal/routing/scheduler/limit.go
+++ b/internal/routing/scheduler/limit.go
@@ -48,7 +48,7 @@
 func (s *Scheduler) limitAmongAvailable(now time.Duration, req Request) float64 {
 	sum, n := 1, 0
 	for _, sv := range s.listedServers {
-		if sv.eligible(now, req) && !sv.ejected(now) && sv.load(now) < s.maxGrants(sv) {
+		if sv.eligible(now, req) && !sv.ejected(now) && sv.load(now) < s.maxGrants(sv) && s.hasMemory(sv, req) {
 			sum += sv.load(now)
 			n++
 		}
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -69,6 +69,7 @@
 	}
 	s.granted[req.ID] = g
 	s.predict(now, g)
+	s.holdMemory(g)
 	sv.recordGrant(g)
 	sv.pendingTokens += g.missTokens
 	d := Decision{
@@ -152,6 +153,10 @@
 // An ejected server gets no more than that: if it is down, it has the lowest load of all
 // and would attract requests.
 func (s *Scheduler) choose(now time.Duration, req Request) *server {
+	s.memoryShort = s.allMemoryFull(req)
+	if s.memoryShort {
+		return nil
+	}
 	if s.full && now-s.fullAt < maxLimitAge {
 		return nil
 	}
@@ -177,7 +182,7 @@
 	if !s.anyHealthy(now, req) {
 		return s.chooseFrom(now, req, s.listedServers, allServers, math.Inf(1))
 	}
-	if s.index != nil && len(req.Tried) == 0 && !s.anyPaused(now) {
+	if s.index != nil && len(req.Tried) == 0 && !s.anyPaused(now) && !s.memoryShort {
 		s.full, s.fullAt = true, now
 	}
 	return nil
@@ -217,6 +222,10 @@
 		if !sv.eligible(now, req) || !set.includes(now, sv, req) || load > s.maxGrants(sv) || float64(load) > limit {
 			continue
 		}
+		if !s.hasMemory(sv, req) {
+			s.memoryShort = true
+			continue
+		}
 		if c := s.cost(now, sv, req); c < bestCost {
 			best, bestCost = sv, c
 		}
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -43,6 +43,7 @@
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/quarantine"
 	"camphorspoke/internal/routing/retrybudget"
+	"camphorspoke/internal/routing/tokenmemory"
 )
 
 // Scheduler decides for one service; New returns one. It is not safe for concurrent
@@ -78,6 +79,13 @@
 	limitAt time.Duration
 	full    bool
 	fullAt  time.Duration
+	// memory counts the tokens that granted requests hold, as if all servers were one.
+	memory tokenmemory.Memory
+	// memoryShort is true if the last choice left out a server with room for its memory alone.
+	memoryShort bool
+	// memoryBlocks is true if a queued request was not granted for that reason when the queue
+	// was processed last. Requests that need less are then granted ahead of the queue.
+	memoryBlocks bool
 	// departures holds the servers that have announced that they leave.
 	departures departure.Tracker
 	// pausedUntil is the end of the last pause that a server has asked for.
@@ -164,10 +172,13 @@
 	if d, refused := s.refuseQuarantined(now, req); refused {
 		return d, true
 	}
+	if d, refused := s.refuseTooLarge(req); refused {
+		return d, true
+	}
 	if !s.withinBudget(now, req) {
 		return refuse(req, RetryBudget, 0), true
 	}
-	if len(s.queue) == 0 || !s.svc.Engine {
+	if len(s.queue) == 0 || !s.svc.Engine || s.memoryBlocks {
 		if d, ok := s.tryGrant(now, req); ok {
 			return d, true
 		}
@@ -236,6 +247,7 @@
 	delete(s.granted, id)
 	s.full = false
 	g.server.running--
+	s.releaseMemory(g)
 	g.server.recordReportedLoad(now, r)
 	s.recordVerdict(now, g, r, started)
 	r.Elapsed = now - g.grantedAt
@@ -296,6 +308,7 @@
 	best, bestCost := -1, math.Inf(1)
 	var bestServer *server
 	urgency, level := 0, 0
+	s.memoryBlocks = false
 	for i, w := range s.queue[:min(len(s.queue), lookAhead)] {
 		if i > 0 && w.request.Urgency != urgency {
 			level++
@@ -303,7 +316,8 @@
 		urgency = w.request.Urgency
 		sv := s.choose(now, w.request)
 		if sv == nil {
-			if len(w.request.Tried) == 0 && !s.anyPaused(now) {
+			s.memoryBlocks = s.memoryBlocks || s.memoryShort
+			if len(w.request.Tried) == 0 && !s.anyPaused(now) && !s.memoryShort {
 				// No server has room even for a request that may run on any of them.
 				break
 			}
@@ -361,6 +375,7 @@
 		grantedAt: now,
 	}
 	s.granted[id] = g
+	s.holdMemory(g)
 	sv.recordGrant(g)
 }
 
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -12,6 +12,7 @@
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/pushback"
 	"camphorspoke/internal/routing/speed"
+	"camphorspoke/internal/routing/tokenmemory"
 )
 
 const (
@@ -102,6 +103,8 @@
 	probeAt time.Duration
 	// pauses holds the instances that the server has asked to send it nothing.
 	pauses pushback.Tracker
+	// memory counts the tokens that granted requests hold.
+	memory tokenmemory.Memory
 	// speed estimates how long work takes on the server.
 	speed speed.Estimator
 	// fullUntil is the time until which a server that rejected a request gets no other.
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -15,7 +15,8 @@
 	// Engine is true when the servers are model engines, whose cost is in prompt tokens.
 	Engine bool
 	// Slots is the number of requests that run at a time on a server that lists no
-	// slots itself; zero is unlimited. CacheTokens is the cache memory of each engine.
+	// slots itself; zero is unlimited. CacheTokens is the cache memory of each engine, which
+	// requests in progress hold too; zero is unlimited for these.
 	Slots       int
 	CacheTokens int
 	// FetchesPrefixes is true when an engine can fetch a cached prefix from another one.
@@ -56,6 +57,9 @@
 	Account string
 	// Parts is the prompt; empty for a request without one.
 	Parts []prefixcache.Part
+	// PromptTokens is the length of the whole prompt, which may be more than the sum of its
+	// parts; zero if unknown.
+	PromptTokens int
 	// MaxOutputTokens is the maximum number of tokens that the request generates.
 	MaxOutputTokens int
 	// Urgency orders queued requests; 0 is the most urgent.
