--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -59,8 +59,11 @@
 	UnknownFailureDomain Kind = "unknownFailureDomain"
 	// PromptQuarantined means that parts of the prompt crash the servers that answer them.
 	PromptQuarantined Kind = "promptQuarantined"
-	ClaimSettled      Kind = "claimSettled"
-	BadSetting        Kind = "badSetting"
+	// PromptTooLarge means that the prompt and its maximum output exceed the memory of every
+	// engine.
+	PromptTooLarge Kind = "promptTooLarge"
+	ClaimSettled   Kind = "claimSettled"
+	BadSetting     Kind = "badSetting"
 
 	// OverBound, NotOwner, NotCached, CircuitOpen and Unreachable mean that the
 	// request should be tried elsewhere. CircuitOpen means that the target's
@@ -130,7 +133,7 @@
 		return class{code: connect.CodeAborted, outcome: notRun}
 	case DeadlineTooNear:
 		return class{code: connect.CodeDeadlineExceeded, outcome: notRun}
-	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
+	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, PromptTooLarge, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
 		return class{code: connect.CodeUnavailable, outcome: notRun}
 	case InDoubt, LinkBroken, TimedOut:
 		return class{code: connect.CodeUnknown, outcome: pb.Outcome_OUTCOME_IN_DOUBT}
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -124,6 +124,7 @@
 			ElapsedMs: uint32(r.Elapsed.Milliseconds()),
 			Answered:  r.Answered,
 
+			WorkPercent:  uint32(r.WorkPercent),
 			RetryAfterMs: ceilMilliseconds(r.RetryAfter),
 			Leaving:      r.Leaving,
 			ColdMs:       ceilMilliseconds(r.ColdFor),
@@ -163,6 +164,7 @@
 			Account:       req.Account,
 			Parts:         ids,
 			PartTokens:    tokens,
+			PromptTokens:  uint32(req.PromptTokens),
 			OutputTokens:  uint32(req.MaxOutputTokens),
 			Urgency:       uint32(req.Urgency),
 			WaitMs:        uint32(req.MaxWait.Milliseconds()),
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -80,6 +80,7 @@
 	localID, waits := s.schedulers.submit(req.GetService(), true, scheduler.Request{
 		Account:         req.GetAccount(),
 		Parts:           toParts(req.GetParts(), req.GetPartTokens()),
+		PromptTokens:    int(req.GetPromptTokens()),
 		MaxOutputTokens: int(req.GetOutputTokens()),
 		Urgency:         int(req.GetUrgency()),
 		MaxWait:         time.Duration(req.GetWaitMs()) * time.Millisecond,
@@ -149,10 +150,11 @@
 		Waiting: int(r.GetWaiting()),
 		Elapsed: time.Duration(r.GetElapsedMs()) * time.Millisecond,
 
-		Answered:   r.GetAnswered(),
-		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
-		Leaving:    r.GetLeaving(),
-		ColdFor:    time.Duration(r.GetColdMs()) * time.Millisecond,
+		Answered:    r.GetAnswered(),
+		WorkPercent: int(r.GetWorkPercent()),
+		RetryAfter:  time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		Leaving:     r.GetLeaving(),
+		ColdFor:     time.Duration(r.GetColdMs()) * time.Millisecond,
 	})
 }
 
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -68,6 +68,8 @@
 		missTokens: promptTokens(req) - cached,
 	}
 	s.granted[req.ID] = g
+	s.predict(now, g)
+	s.holdMemory(g)
 	sv.recordGrant(g)
 	sv.recordColdGrant(now)
 	sv.pendingTokens += g.missTokens
@@ -152,6 +154,10 @@
 // An ejected server gets no more than that: if it is down, it has the lowest load of all
 // and would attract requests.
 func (s *Scheduler) choose(now time.Duration, req Request) *server {
+	s.memoryShort = s.allMemoryFull(req)
+	if s.memoryShort {
+		return nil
+	}
 	if s.full && now-s.fullAt < maxLimitAge {
 		return nil
 	}
@@ -177,7 +183,7 @@
 	if !s.anyHealthy(now, req) {
 		return s.chooseFrom(now, req, s.listedServers, allServers, math.Inf(1))
 	}
-	if s.index != nil && !s.restricted(req) && !s.anyPaused(now) && !s.cold.any(now) {
+	if s.index != nil && !s.restricted(req) && !s.anyPaused(now) && !s.cold.any(now) && !s.memoryShort {
 		s.full, s.fullAt = true, now
 	}
 	return nil
@@ -217,6 +223,10 @@
 		if !sv.eligible(now, req) || !set.includes(now, sv, req) || load > s.maxGrants(sv) || float64(load) > limit {
 			continue
 		}
+		if !s.hasMemory(sv, req) {
+			s.memoryShort = true
+			continue
+		}
 		if c := s.cost(now, sv, req); c < bestCost {
 			best, bestCost = sv, c
 		}
@@ -245,7 +255,8 @@
 // cost returns the cost of running req on sv, for comparison between servers. For an
 // engine the unit is a prefill token; for other servers it is the fraction of the
 // slots in use, and a server in another failure domain counts half a request more.
-// Ties between engines are broken by the second to last part of the prompt, so that
+// What takes time on the server counts more while work takes longer there. Ties between
+// engines are broken by the second to last part of the prompt, so that
 // prompts that differ only in their last part go to the same engine.
 func (s *Scheduler) cost(now time.Duration, sv *server, req Request) float64 {
 	if !s.svc.Engine {
@@ -253,15 +264,16 @@
 		if sv.domain != req.FailureDomain {
 			c += 0.5 / float64(sv.slots)
 		}
-		return c*sv.costFactor(now) + tieBreak(sv.name, req.ID)/100
+		return c*s.slowness(now, sv)*sv.costFactor(now) + tieBreak(sv.name, req.ID)/100
 	}
 	miss := promptTokens(req) - sv.cache.CachedTokens(req.Parts)
-	c := float64(miss) + pendingPrefillWeight*float64(max(sv.pendingTokens, 0)) + runningCostTokens*float64(sv.load(now))
+	c := float64(miss) + pendingPrefillWeight*float64(max(sv.pendingTokens, 0)) + runningCostTokens*float64(sv.load(now)+1)
+	c *= s.slowness(now, sv)
 	if len(req.Parts) > 0 {
 		at := max(len(req.Parts)-2, 0)
 		c += tieBreakTokens * tieBreak(sv.name, req.Parts[at].ID)
 	}
-	return (c + runningCostTokens) * sv.costFactor(now)
+	return c * sv.costFactor(now)
 }
 
 // tieBreak returns a hash of server and key in [0, 1), so that each key has its own
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -40,10 +40,12 @@
 	"slices"
 	"time"
 
+	"camphorspoke/internal/routing/calibration"
 	"camphorspoke/internal/routing/departure"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/quarantine"
 	"camphorspoke/internal/routing/retrybudget"
+	"camphorspoke/internal/routing/tokenmemory"
 )
 
 // Scheduler decides for one service; New returns one. It is not safe for concurrent
@@ -63,6 +65,11 @@
 	quarantine quarantine.Tracker
 	// completions measures how fast slots become free.
 	completions completionRate
+	// usualTime is how long the requests of a plain service take.
+	usualTime usualTime
+	// calibration measures how far the speed that servers state agrees with the times of
+	// their requests.
+	calibration calibration.Calibration
 	// index finds the servers that have a part cached; nil in a small service.
 	index *holderIndex
 	// candidateList and candidateRound hold the servers compared last.
@@ -74,6 +81,13 @@
 	limitAt time.Duration
 	full    bool
 	fullAt  time.Duration
+	// memory counts the tokens that granted requests hold, as if all servers were one.
+	memory tokenmemory.Memory
+	// memoryShort is true if the last choice left out a server with room for its memory alone.
+	memoryShort bool
+	// memoryBlocks is true if a queued request was not granted for that reason when the queue
+	// was processed last. Requests that need less are then granted ahead of the queue.
+	memoryBlocks bool
 	// departures holds the servers that have announced that they leave.
 	departures departure.Tracker
 	// evacuated holds the evacuated failure domains of the listed servers.
@@ -97,6 +111,7 @@
 	startedAt time.Duration
 	// pushedBack is true if the server asked for a pause in its response.
 	pushedBack bool
+	prediction prediction
 }
 
 // queuedRequest is a request that no server had room for.
@@ -169,10 +184,13 @@
 	if d, refused := s.refuseQuarantined(now, req); refused {
 		return d, true
 	}
+	if d, refused := s.refuseTooLarge(req); refused {
+		return d, true
+	}
 	if !s.withinBudget(now, req) {
 		return refuse(req, RetryBudget, 0), true
 	}
-	if len(s.queue) == 0 || !s.svc.Engine {
+	if len(s.queue) == 0 || !s.svc.Engine || s.memoryBlocks {
 		if d, ok := s.tryGrant(now, req); ok {
 			return d, true
 		}
@@ -225,6 +243,7 @@
 	s.recordPause(now, g.server, g.request.Instance, r.RetryAfter)
 	s.recordDeparture(g.server, r)
 	s.recordColdReport(now, g, r)
+	s.recordSpeed(now, g, r)
 	g.pushedBack = g.pushedBack || r.RetryAfter > 0
 	started := g.started
 	if !started {
@@ -241,6 +260,7 @@
 	delete(s.granted, id)
 	s.full = false
 	g.server.running--
+	s.releaseMemory(g)
 	g.server.recordReportedLoad(now, r)
 	s.recordVerdict(now, g, r, started)
 	r.Elapsed = now - g.grantedAt
@@ -303,6 +323,7 @@
 	best, bestCost := -1, math.Inf(1)
 	var bestServer *server
 	urgency, level := 0, 0
+	s.memoryBlocks = false
 	for i, w := range s.queue[:min(len(s.queue), lookAhead)] {
 		if i > 0 && w.request.Urgency != urgency {
 			level++
@@ -310,7 +331,8 @@
 		urgency = w.request.Urgency
 		sv := s.choose(now, w.request)
 		if sv == nil {
-			if !s.restricted(w.request) && !s.anyPaused(now) && !s.mayHideColdPlaces(now, w.request) {
+			s.memoryBlocks = s.memoryBlocks || s.memoryShort
+			if !s.restricted(w.request) && !s.anyPaused(now) && !s.mayHideColdPlaces(now, w.request) && !s.memoryShort {
 				// No server has room even for a request that may run on any of them.
 				break
 			}
@@ -368,6 +390,7 @@
 		grantedAt: now,
 	}
 	s.granted[id] = g
+	s.holdMemory(g)
 	sv.recordGrant(g)
 }
 
