Soak: backend servers restart and are cold

Cause: the limit of a cold server has to hold over processes that are killed, frozen and out of contact, which no test of one package shows. Change: a fault that restarts a backend server; stand-ins that announce that they are cold and check the requests that they get in each second.

--- a/internal/check/guarantee/guarantee.go
+++ b/internal/check/guarantee/guarantee.go
@@ -88,6 +88,9 @@
 	// departures holds, by backend server and daemon, when the first response that
 	// announces the server's departure was sent to the daemon.
 	departures map[departure]time.Time
+	// coldArrivals holds, by backend server, when requests reached it in the last second
+	// while it was cold.
+	coldArrivals map[string][]time.Time
 	// traffic holds the requests and repeats of each service, arrivals how often each
 	// request arrived.
 	traffic  map[string]*traffic
@@ -113,6 +116,7 @@
 	c.counts = make(map[string]int)
 	c.executionEnds = make(map[string]time.Time)
 	c.departures = make(map[departure]time.Time)
+	c.coldArrivals = make(map[string][]time.Time)
 	c.traffic = make(map[string]*traffic)
 	c.arrivals = make(map[string]int)
 }
--- a/internal/check/soak/faults.go
+++ b/internal/check/soak/faults.go
@@ -274,6 +274,9 @@
 	if err != nil {
 		return err
 	}
+	if f.s.cfg.ColdServers {
+		next.cold.begin(time.Now())
+	}
 	f.s.serverList.add(next)
 	time.Sleep(f.randomDuration(time.Second))
 	if announce {
--- a/internal/check/soak/operator.go
+++ b/internal/check/soak/operator.go
@@ -90,6 +90,11 @@
 			},
 		},
 	}
+	if o.s.cfg.ColdServers {
+		for i := range config.Services {
+			config.Services[i].ColdSeconds, config.Services[i].ColdPerSecond = coldTime.Seconds(), coldPerSecond
+		}
+	}
 	route := func(name, prefix, kind, service string, attempts int, timeout time.Duration) {
 		config.Routes = append(config.Routes, wireformat.Route{
 			Name:      name,
--- a/internal/check/soak/proxy.go
+++ b/internal/check/soak/proxy.go
@@ -30,12 +30,16 @@
 
 // proxy forwards TCP connections from a port on loopback to the target address.
 type proxy struct {
-	target   string
+	target  string
+	address string
+	// listener is replaced by refuse; mu guards it.
 	listener net.Listener
 	mode     atomic.Int32
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// closed is true once the proxy is closed for good.
+	closed bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -45,6 +49,7 @@
 	}
 	p := &proxy{
 		target:   target,
+		address:  l.Addr().String(),
 		listener: l,
 		conns:    make(map[net.Conn]bool),
 	}
@@ -52,15 +57,14 @@
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
-
 func (p *proxy) setMode(m mode) { p.mode.Store(int32(m)) }
 
 func (p *proxy) serve() {
+	l := p.currentListener()
 	for {
-		client, err := p.listener.Accept()
+		client, err := l.Accept()
 		if err != nil {
-			return // the proxy is closed
+			return // the proxy is closed, or refuses connections
 		}
 		server, err := net.Dial("tcp", p.target)
 		if err != nil {
@@ -122,7 +126,34 @@
 	}
 }
 
+// refuse breaks all connections and refuses others for a time. serve accepts them again.
+func (p *proxy) refuse(duration time.Duration) error {
+	p.currentListener().Close()
+	p.reset()
+	time.Sleep(duration)
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return fault.Wrap(fault.Internal, "proxy", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = l
+	if p.closed {
+		l.Close()
+	}
+	return nil
+}
+
+func (p *proxy) currentListener() net.Listener {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener
+}
+
 func (p *proxy) close() {
+	p.mu.Lock()
+	p.closed = true
 	p.listener.Close()
+	p.mu.Unlock()
 	p.reset()
 }
--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -55,6 +55,8 @@
 	// pauseMs is the pause, in milliseconds, with which it refuses all requests; zero if
 	// it refuses none.
 	pauseMs atomic.Int64
+	// cold is the time in which it is cold.
+	cold coldPeriod
 	// executing waits for the requests that it executes.
 	executing sync.WaitGroup
 }
@@ -104,6 +106,7 @@
 	}
 	now := time.Now()
 	b.checker.Arrived(id, b.id, now)
+	b.announceCold(w, id, now)
 	if b.leaving.Load() {
 		w.Header().Set(wireformat.LeavingHeader, "1")
 		b.checker.Announced(id, b.id, now)
@@ -307,11 +310,12 @@
 		out.Entries = append(out.Entries, wireformat.Entry{
 			ID:            b.id,
 			Service:       b.service,
-			Address:       b.proxy.address(),
+			Address:       b.proxy.address,
 			FailureDomain: "a",
 			Slots:         slots,
 			State:         state,
 			Version:       "v1",
+			WarmUpMs:      float64(b.cold.left(time.Now()).Milliseconds()),
 		})
 	}
 	page, err := json.Marshal(out)
--- a/internal/check/soak/soak.go
+++ b/internal/check/soak/soak.go
@@ -64,6 +64,8 @@
 	PlannedOnly bool
 	// FailAll lets all servers of a service fail half of their requests at times.
 	FailAll bool
+	// ColdServers lets backend servers restart, and be cold after a start.
+	ColdServers bool
 	// KillFirstStart kills a seed while the group forms, and starts it again.
 	KillFirstStart bool
 	// Grace is the grace period of a planned stop; zero is defaultGrace.
@@ -270,6 +272,9 @@
 	if s.cfg.FailAll {
 		kinds = append(kinds, failAllKind)
 	}
+	if s.cfg.ColdServers {
+		kinds = append(kinds, restartKind)
+	}
 	return kinds
 }
 
--- a/internal/check/soak/soak_test.go
+++ b/internal/check/soak/soak_test.go
@@ -67,6 +67,13 @@
 
 			KillFirstStart: true,
 		},
+		// Backend servers restart under load: a cold one gets no more than its limit, also
+		// when the instances that decide are killed or out of contact.
+		"servers restart and are cold": {
+			Seed:        5,
+			Callers:     24,
+			ColdServers: true,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
