--- a/internal/routing/scheduler/cold_test.go
+++ b/internal/routing/scheduler/cold_test.go
@@ -403,3 +403,33 @@
 	require.Empty(t, c.Tick(c.now))
 	require.Len(t, c.Tick(freed), 1)
 }
+
+// TestCachedPrefixGoesFirstToAColdServer: an engine is back from an evacuation with the prefix of
+// a chat. The few requests that it may get must not be spent on prompts that it has to read.
+func TestCachedPrefixGoesFirstToAColdServer(t *testing.T) {
+	svc := paced
+	svc.ColdRate, svc.CacheTokens = 1, 100_000
+	c := newColdService(t, svc, true, 1)
+	c.maxWait = 10 * time.Second
+	c.request(scheduler.Request{
+		Parts: prompt(100, 1000),
+	})
+	c.run(0, time.Second)
+	for _, evacuated := range []bool{true, false} {
+		c.servers[0].Evacuated = evacuated
+		c.list(c.servers)
+	}
+	c.now += time.Second
+	_, decided := c.request(scheduler.Request{})
+	require.True(t, decided)
+	for _, subject := range []uint64{200, 100} {
+		_, decided := c.request(scheduler.Request{
+			Parts: prompt(subject, 1000+subject),
+		})
+		require.False(t, decided)
+	}
+	decisions := c.Tick(c.now + 1100*time.Millisecond)
+	require.Len(t, decisions, 1)
+	require.Equal(t, c.lastID, decisions[0].ID)
+	require.Equal(t, 8500, decisions[0].CachedTokens)
+}
