--- a/internal/daemon/settings/entry_test.go
+++ b/internal/daemon/settings/entry_test.go
@@ -63,6 +63,25 @@
 	require.Equal(t, 5*time.Second, s.Entry.RevokeAfter)
 }
 
+// TestColdSectionsOfTheTemplate: a section of the deployment template that gives no line which
+// the daemon accepts would keep every instance from starting.
+func TestColdSectionsOfTheTemplate(t *testing.T) {
+	template, err := os.ReadFile(filepath.Join("..", "..", "..", "deploy", "camphord.settings"))
+	require.NoError(t, err)
+	lines := ""
+	for name, value := range map[string]string{"bounds.coldOverage": "1.75", "bounds.coldSlack": "7"} {
+		_, inner, found := strings.Cut(string(template), "{{#"+name+"}}")
+		require.True(t, found, name)
+		inner, _, found = strings.Cut(inner, "{{/"+name+"}}")
+		require.True(t, found, name)
+		lines += strings.ReplaceAll(inner, "{{.}}", value)
+	}
+	s, err := parse(t, entryFile+lines)
+	require.NoError(t, err)
+	require.InDelta(t, 1.75, s.Entry.ColdOverage, 0)
+	require.InDelta(t, 7, s.Entry.ColdSlack, 0)
+}
+
 func TestEntryWithoutDataDir(t *testing.T) {
 	s, err := parse(t, strings.Replace(entryFile, "data-dir /data/my-front\n", "\n", 1))
 	require.NoError(t, err)
@@ -86,6 +105,8 @@
 		{"revoke-ms 5000", "revoke-ms 10", "-revoke-ms="},
 		{"bound 2", "bound 0.5", "-bound=0.5"},
 		{"retry-ratio 0.2", "retry-ratio -1", "-retry-ratio=-1"},
+		{"cores 1", "cold-overage 0.5", "-cold-overage=0.5"},
+		{"cores 1", "cold-slack NaN", "-cold-slack=NaN"},
 		{"losses-borne 1", "losses-borne 9", "-losses-borne=9"},
 		{"data-dir /data/my-front", "data-dir data", "-data-dir=data"},
 	} {
