--- a/internal/daemon/settings/entry_test.go
+++ b/internal/daemon/settings/entry_test.go
@@ -63,6 +63,28 @@
 	require.Equal(t, 5*time.Second, s.Entry.RevokeAfter)
 }
 
+// TestColdLimitsOfTheEnvironment guards against a name in the deploy file that the daemon does
+// not read, and against a deployment without the limits, whose values are empty and which
+// would keep every instance from starting.
+func TestColdLimitsOfTheEnvironment(t *testing.T) {
+	deploy, err := os.ReadFile(filepath.Join("..", "..", "..", "deploy", "system.toml"))
+	require.NoError(t, err)
+	for name, value := range map[string]string{"CAMPHORD_COLD_OVERAGE": "1.75", "CAMPHORD_COLD_SLACK": "7"} {
+		require.Contains(t, string(deploy), name+" = ")
+		t.Setenv(name, value)
+	}
+	s, err := parse(t, entryFile)
+	require.NoError(t, err)
+	require.InDelta(t, 1.75, s.Entry.ColdOverage, 0)
+	require.InDelta(t, 7, s.Entry.ColdSlack, 0)
+	t.Setenv("CAMPHORD_COLD_OVERAGE", "")
+	t.Setenv("CAMPHORD_COLD_SLACK", "")
+	s, err = parse(t, entryFile)
+	require.NoError(t, err)
+	require.InDelta(t, 1.5, s.Entry.ColdOverage, 0)
+	require.InDelta(t, 5, s.Entry.ColdSlack, 0)
+}
+
 func TestEntryWithoutDataDir(t *testing.T) {
 	s, err := parse(t, strings.Replace(entryFile, "data-dir /data/my-front\n", "\n", 1))
 	require.NoError(t, err)
@@ -86,6 +108,8 @@
 		{"revoke-ms 5000", "revoke-ms 10", "-revoke-ms="},
 		{"bound 2", "bound 0.5", "-bound=0.5"},
 		{"retry-ratio 0.2", "retry-ratio -1", "-retry-ratio=-1"},
+		{"cores 1", "cold-overage 0.5", "-cold-overage=0.5"},
+		{"cores 1", "cold-slack NaN", "-cold-slack=NaN"},
 		{"losses-borne 1", "losses-borne 9", "-losses-borne=9"},
 		{"data-dir /data/my-front", "data-dir data", "-data-dir=data"},
 	} {
