Rule word hedge= and setting -hedge-percent

Cause: operators accept some extra work on the servers for requests that may be repeated, within a limit that they set. There was no place to set it. Change: hedge=N% in the rule of a service; -hedge-percent for services whose rule has no such word, 0 unless set. Nothing uses them yet. Result: parse TestHedge, settings TestEntryInvalid (two rows more) pass; neither compiled or was accepted before.

--- a/internal/daemon/settings/entry.go
+++ b/internal/daemon/settings/entry.go
@@ -52,6 +52,7 @@
 	fs.Float64Var(&e.LoadBound, "bound", 2, "bound on the load of a backend server, as a multiple of the mean load")
 	fs.Float64Var(&e.RetryRatio, "retry-ratio", 0.2, "retries allowed for each request to a service")
 	fs.Float64Var(&e.RetrySlack, "retry-slack", 50, "additional retries allowed to a service in each window")
+	fs.IntVar(&e.HedgePercent, "hedge-percent", 0, "percentage of requests that may be hedged, at services whose rule sets none; 0 means off")
 	fs.Float64Var(&r.retryWindowS, "retry-window-s", defaultRetryWindowS, "window of the retry limit, in seconds")
 }
 
@@ -120,6 +121,8 @@
 		return invalid("retry-ratio", fmt.Sprint(e.RetryRatio), "0 to 10")
 	case e.RetrySlack < 0:
 		return invalid("retry-slack", fmt.Sprint(e.RetrySlack), "0 or more")
+	case e.HedgePercent < 0 || e.HedgePercent > 100:
+		return invalid("hedge-percent", strconv.Itoa(e.HedgePercent), "0 to 100")
 	case e.ListRate < 0:
 		return invalid("list-rate", fmt.Sprint(e.ListRate), "0 or more")
 	case e.CPUShare < 0 || e.CPUShare > maxCPUShare:
--- a/internal/daemon/settings/entry_test.go
+++ b/internal/daemon/settings/entry_test.go
@@ -84,6 +84,8 @@
 		{"revoke-ms 5000", "revoke-ms 10", "-revoke-ms="},
 		{"bound 2", "bound 0.5", "-bound=0.5"},
 		{"retry-ratio 0.2", "retry-ratio -1", "-retry-ratio=-1"},
+		{"retry-slack 60", "hedge-percent 101", "-hedge-percent=101"},
+		{"retry-slack 60", "hedge-percent -1", "-hedge-percent=-1"},
 		{"losses-borne 1", "losses-borne 9", "-losses-borne=9"},
 		{"data-dir /data/my-front", "data-dir data", "-data-dir=data"},
 	} {
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -102,6 +102,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// HedgePercent limits the hedged requests of a service whose rule sets no limit, as a
+	// percentage of its requests; zero means none.
+	HedgePercent int
 }
 
 const examples = `
--- a/internal/rules/parse/parse.go
+++ b/internal/rules/parse/parse.go
@@ -4,7 +4,8 @@
 // comment "# WHO: why" that gives who requested the rule and for what reason. Blank
 // lines and lines with only a comment are allowed. The grammar:
 //
-//	service NAME type=engine|plain [bound=1.25] [retry=10%] [retention=24h]
+//	service NAME type=engine|plain [bound=1.25] [retry=10%] [hedge=0%]
+//	        [retention=24h]
 //	        [move=64MiB] [spill=cold|move] [fence=checked|ignored] # WHO: why
 //	account NAME share=N [limit=N]                       # WHO: why
 //	kind NAME class=urgent|normal|batch                  # WHO: why
@@ -225,6 +226,10 @@
 		FetchesPrefixes:   s.choice("fetch", no, no, yes) == yes,
 		ChecksFencing:     s.choice("fence", "ignored", "checked", "ignored") == "checked",
 	}
+	if _, ok := s.values["hedge"]; ok {
+		svc.HasHedge = true
+		svc.HedgePercent = s.percent("hedge", 0)
+	}
 	p.out.Services[name.text] = svc
 }
 
--- a/internal/rules/parse/parse_test.go
+++ b/internal/rules/parse/parse_test.go
@@ -42,6 +42,25 @@
 	require.Equal(t, "who", rules.Authors[3])
 }
 
+// TestHedge: a service without the word hedge= has the limit of the deployment, one with
+// hedge=0% has none.
+func TestHedge(t *testing.T) {
+	for word, want := range map[string]float64{
+		"":           0.03,
+		"hedge=5%":   0.05,
+		"hedge=0%":   0,
+		"hedge=100%": 1,
+	} {
+		rules, err := Rules("f", []byte("service p type=plain "+word+" # a: b\n"))
+		require.NoError(t, err)
+		require.InDelta(t, want, rules.Services["p"].HedgeShare(3), 1e-9, word)
+	}
+	for _, word := range []string{"hedge=5", "hedge=-1%", "hedge=101%", "hedge="} {
+		_, err := Rules("f", []byte("service p type=plain "+word+" # a: b\n"))
+		require.Error(t, err, word)
+	}
+}
+
 // FuzzRules checks that any input either parses, with an author for each rule, or is
 // rejected with positions from line 1, column 1.
 func FuzzRules(f *testing.F) {
--- a/internal/rules/ruleset/ruleset.go
+++ b/internal/rules/ruleset/ruleset.go
@@ -62,6 +62,11 @@
 	Retention time.Duration
 	// RetryPercent is the percentage of requests that may be retried.
 	RetryPercent int
+	// HedgePercent is the percentage of requests that may be hedged: sent to a second
+	// server as well while the first one does not respond. HasHedge is true when the rule
+	// sets it.
+	HedgePercent int
+	HasHedge     bool
 	// MaxMoveBytes is how much KV cache may be transferred off one leaving engine.
 	MaxMoveBytes int64
 	// MovesCacheOnSpill is true when the KV cache of a chat is copied along with the chat
@@ -97,6 +102,16 @@
 	HasPriority bool
 }
 
+// HedgeShare returns the share of the requests of the service that may be hedged, from 0 to
+// 1. defaultPercent applies if the rule sets none.
+func (s Service) HedgeShare(defaultPercent int) float64 {
+	percent := s.HedgePercent
+	if !s.HasHedge {
+		percent = defaultPercent
+	}
+	return float64(percent) / 100
+}
+
 // FairSlots returns an account's fair share of a server's slots, at least one.
 func (rs *Rules) FairSlots(a Account, slots int) int {
 	return max(1, slots*a.Share/max(rs.TotalShare, 1))
