The decider grants hedges: a free slot on another server at once, or nothing

Cause: a copy of a request that is queued, or that goes to a loaded or failing server, delays others and responds no sooner. Only the decider knows the load of all servers and the number of all requests.

--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -166,6 +166,7 @@
 			WaitMs:        uint32(req.MaxWait.Milliseconds()),
 			Tried:         req.Tried,
 			Again:         req.Retry,
+			Hedge:         req.Hedge,
 			Counted:       req.Counted,
 			FailureDomain: req.FailureDomain,
 			Instance:      req.Instance,
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -72,6 +72,9 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
+	// HedgePercent limits the hedged requests of a service whose rule sets no limit, as a
+	// percentage of its requests; zero is none.
+	HedgePercent int
 	// Instance is the name of this instance.
 	Instance string
 	Peers    StreamOpener
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -143,6 +143,7 @@
 			RetryRatio:      d.cfg.RetryRatio,
 			RetrySlack:      d.cfg.RetrySlack * deciderSlackShare(ranks[name], instances),
 			AloneRetrySlack: d.cfg.RetrySlack * othersSlackShare / float64(instances),
+			HedgeShare:      rule.HedgeShare(d.cfg.HedgePercent),
 		}
 		s := d.services[name]
 		if s == nil {
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -85,6 +85,7 @@
 		MaxWait:         time.Duration(req.GetWaitMs()) * time.Millisecond,
 		Tried:           req.GetTried(),
 		Retry:           req.GetAgain(),
+		Hedge:           req.GetHedge(),
 		Counted:         req.GetCounted(),
 		FailureDomain:   req.GetFailureDomain(),
 		Instance:        req.GetInstance(),
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -57,6 +57,8 @@
 	// those on which this instance decides alone.
 	budget      retrybudget.Budget
 	aloneBudget retrybudget.Budget
+	// hedges is the budget of the hedges of all instances.
+	hedges retrybudget.Budget
 	// quarantine finds the parts of prompts that crash servers.
 	quarantine quarantine.Tracker
 	// completions measures how fast slots become free.
@@ -114,6 +116,7 @@
 	for budget, slack := range map[*retrybudget.Budget]float64{&s.budget: svc.RetrySlack, &s.aloneBudget: svc.AloneRetrySlack} {
 		budget.Window, budget.Ratio, budget.Slack = svc.RetryWindow, svc.RetryRatio, slack
 	}
+	s.hedges.Window, s.hedges.Ratio = svc.RetryWindow, svc.HedgeShare
 	for _, sv := range s.listedServers {
 		sv.setService(svc)
 	}
@@ -154,6 +157,9 @@
 // Schedule decides on a request at once, or queues it and returns false; the decision is
 // then returned by a later Tick or Report.
 func (s *Scheduler) Schedule(now time.Duration, req Request) (Decision, bool) {
+	if req.Hedge {
+		return s.scheduleHedge(now, req), true
+	}
 	if d, refused := s.refuseQuarantined(now, req); refused {
 		return d, true
 	}
@@ -190,6 +196,7 @@
 	}
 	if !req.Counted {
 		budget.RecordRequest(now)
+		s.hedges.RecordRequest(now)
 	}
 	return true
 }
@@ -219,6 +226,7 @@
 		g.server.recordStart(g)
 		g.server.pendingTokens -= g.missTokens
 		g.endRead()
+		s.recordHedgeWon(now, g, r.Event)
 	}
 	if r.Event == Started {
 		g.server.recordReportedLoad(now, r)
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -271,11 +271,7 @@
 			sv.recordOutcome(now, true)
 		}
 	case Broken:
-		sv.recordOutcome(now, true)
-		sv.consecutiveBreaks++
-		if sv.consecutiveBreaks >= breaksToEject && !sv.responding() {
-			sv.eject(now, 0)
-		}
+		sv.recordBreak(now)
 	case Unreachable:
 		sv.recordOutcome(now, true)
 		sv.eject(now, max(minProbeInterval, probePause*r.Elapsed))
@@ -288,6 +284,16 @@
 	}
 }
 
+// recordBreak counts a request that got no complete response, and ejects the server after
+// breaksToEject of them in a row.
+func (sv *server) recordBreak(now time.Duration) {
+	sv.recordOutcome(now, true)
+	sv.consecutiveBreaks++
+	if sv.consecutiveBreaks >= breaksToEject && !sv.responding() {
+		sv.eject(now, 0)
+	}
+}
+
 // eject excludes the server from placement, and from probes for probeAfter.
 func (sv *server) eject(now, probeAfter time.Duration) {
 	sv.ejectedUntil = now + min(minEjection<<min(sv.ejections, 8), maxEjection)
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -29,6 +29,8 @@
 	RetryRatio      float64
 	RetrySlack      float64
 	AloneRetrySlack float64
+	// HedgeShare is the largest share of the requests in RetryWindow that get a hedge.
+	HedgeShare float64
 }
 
 // Server is an entry of the list of backend servers.
@@ -66,6 +68,9 @@
 	Tried []string
 	// Retry is true for a retry, which counts against the retry budget.
 	Retry bool
+	// Hedge is true for a copy of a request that is still in progress at the tried servers.
+	// It is granted or refused at once, and counts as a retry.
+	Hedge bool
 	// Counted is true if another decision on the request, which was not used, has counted
 	// it as one of the requests of the service.
 	Counted bool
@@ -85,6 +90,9 @@
 	NoServer    = "noServer"
 	Overloaded  = "overloaded"
 	RetryBudget = "retryBudget"
+	// Hedge means that no hedge is sent: the budget is spent, the service is loaded, or no
+	// other server is suited.
+	Hedge = "hedge"
 	// Quarantined means that parts of the prompt crash the servers that answer them.
 	Quarantined = "quarantined"
 )
