The scheduler explains what it would decide, without deciding

Cause: an operator who asks why a request goes somewhere had only the log of requests that went. Change: Scheduler.Explain uses the function that Schedule now shares with it, looks quarantines up and counts nothing. It returns the servers with cached tokens, load and its age, cost, and the reasons for which they are left out.

--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -184,6 +184,21 @@
 	}
 }
 
+// Peek returns the refusal of a request with the given parts by the quarantines known so far, or
+// nil. Unlike Check it changes nothing, and counts no request as the trial of a quarantine.
+func (t *Tracker) Peek(now time.Duration, parts []uint64) *Refusal {
+	for _, id := range slices.Sorted(maps.Keys(t.quarantines)) {
+		q := t.quarantines[id]
+		if !q.Released && containsAll(parts, q.Parts) {
+			return &Refusal{
+				ID:         q.ID,
+				RetryAfter: max(q.trialAt-now, minRetryAfter),
+			}
+		}
+	}
+	return nil
+}
+
 // Check returns nil if a request may be sent. parts are those of its prompt but the last.
 // mayTry is true if it may be the trial of a quarantine. survived reports whether a
 // request with a part, granted after a time, is being answered.
--- /dev/null
+++ b/internal/routing/scheduler/explain.go
@@ -0,0 +1,156 @@
+package scheduler
+
+// This file defines what a Scheduler would decide on a request, without deciding on it.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// The outcomes of an Explanation.
+const (
+	WouldGrant  = "granted"
+	WouldWait   = "queued"
+	WouldRefuse = "refused"
+)
+
+// The reasons for which a server is left out of the choice.
+const (
+	// NotAccepting servers leave or are drained.
+	NotAccepting = "notAccepting"
+	// Paused servers have asked the instance to send them nothing.
+	Paused = "paused"
+	// RejectedLately is a server that has just rejected a request.
+	RejectedLately = "rejectedLately"
+	AlreadyTried   = "alreadyTried"
+	Ejected        = "ejected"
+	NoSlot         = "noSlot"
+	// OverLoadLimit servers have more than their part of the load. They are chosen if no
+	// server within the limit has room.
+	OverLoadLimit = "overLoadLimit"
+)
+
+// maxExplained is the number of servers in an Explanation.
+const maxExplained = 100
+
+// Candidate is a server in an Explanation.
+type Candidate struct {
+	Server        string `json:"server"`
+	FailureDomain string `json:"failureDomain,omitempty"`
+	CachedTokens  int    `json:"cachedTokens"`
+	// PendingTokens are the tokens that await prefill.
+	PendingTokens int `json:"pendingTokens"`
+	// Load is the number of requests without this one, Slots the number that run at a time.
+	Load  int `json:"load"`
+	Slots int `json:"slots"`
+	// LoadAgeMs is the age of the load that the server reported last; -1 if it has not.
+	LoadAgeMs int64 `json:"loadAgeMs"`
+	// FailureRate is the recent failure rate, decayed to now.
+	FailureRate float64 `json:"failureRate"`
+	// Cost is compared between servers, the lowest first.
+	Cost float64 `json:"cost"`
+	// LeftOut holds the reasons for which the server is not chosen.
+	LeftOut []string `json:"leftOut,omitempty"`
+}
+
+// Explanation is what would be decided on a request now.
+type Explanation struct {
+	// Outcome is granted, queued or refused.
+	Outcome string `json:"outcome"`
+	Server  string `json:"server,omitempty"`
+	Refusal string `json:"refusal,omitempty"`
+	// Quarantine is the ID of the quarantine because of which the request is refused.
+	Quarantine   uint64 `json:"quarantine,omitempty"`
+	RetryAfterMs int64  `json:"retryAfterMs,omitempty"`
+	// ExpectedWaitMs is the expected wait of a request that has to wait, and MaxWaitMs the
+	// longest that this one may.
+	ExpectedWaitMs int64 `json:"expectedWaitMs"`
+	MaxWaitMs      int64 `json:"maxWaitMs"`
+	Queued         int   `json:"queued"`
+	// LoadLimit is the limit on the load of one server, this request included.
+	LoadLimit float64 `json:"loadLimit"`
+	// Candidates holds the cheapest servers, first those that are not left out. Omitted is
+	// the number of the others.
+	Candidates []Candidate `json:"candidates"`
+	Omitted    int         `json:"omitted,omitempty"`
+}
+
+// Explain returns what Schedule would decide on a request that is no retry. The scheduler and
+// its budgets stay as they are.
+func (s *Scheduler) Explain(now time.Duration, req Request) Explanation {
+	full, fullAt := s.full, s.fullAt
+	defer func() { s.full, s.fullAt = full, fullAt }()
+	limit := s.currentLimit(now)
+	out := Explanation{
+		Outcome:        WouldWait,
+		ExpectedWaitMs: s.expectedWait(req).Milliseconds(),
+		MaxWaitMs:      req.MaxWait.Milliseconds(),
+		Queued:         len(s.queue),
+		LoadLimit:      limit.requests,
+	}
+	for _, sv := range s.listedServers {
+		out.Candidates = append(out.Candidates, s.explainServer(now, req, sv, limit.requests))
+	}
+	slices.SortStableFunc(out.Candidates, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(min(len(a.LeftOut), 1), min(len(b.LeftOut), 1)), cmp.Compare(a.Cost, b.Cost))
+	})
+	if n := len(out.Candidates); n > maxExplained {
+		out.Candidates, out.Omitted = out.Candidates[:maxExplained], n-maxExplained
+	}
+	s.explainOutcome(now, req, &out)
+	return out
+}
+
+// explainOutcome sets the outcome of an explanation.
+func (s *Scheduler) explainOutcome(now time.Duration, req Request, out *Explanation) {
+	if r := s.quarantine.Peek(now, sharedParts(req.Parts)); r != nil {
+		out.Outcome, out.Refusal, out.Quarantine = WouldRefuse, Quarantined, r.ID
+		out.RetryAfterMs = r.RetryAfter.Milliseconds()
+		return
+	}
+	sv, refusal := s.decide(now, req)
+	switch {
+	case sv != nil:
+		out.Outcome, out.Server = WouldGrant, sv.name
+	case refusal != nil:
+		out.Outcome, out.Refusal = WouldRefuse, refusal.Refusal
+		out.RetryAfterMs = refusal.RetryAfter.Milliseconds()
+	}
+}
+
+// explainServer returns how a server stands in the choice.
+func (s *Scheduler) explainServer(now time.Duration, req Request, sv *server, limit float64) Candidate {
+	c := Candidate{
+		Server:        sv.name,
+		FailureDomain: sv.domain,
+		CachedTokens:  sv.cache.CachedTokens(req.Parts),
+		PendingTokens: max(sv.pendingTokens, 0),
+		Load:          sv.load(now),
+		Slots:         sv.slots,
+		LoadAgeMs:     -1,
+		FailureRate:   math.Round(1000*sv.failureRate(now)) / 1000,
+		Cost:          math.Round(1000*s.cost(now, sv, req)) / 1000,
+	}
+	if sv.reportsLoad {
+		c.LoadAgeMs = (now - sv.loadReportedAt).Milliseconds()
+	}
+	for _, r := range []struct {
+		reason  string
+		applies bool
+	}{
+		{NotAccepting, !sv.accepting},
+		{Paused, sv.pauses.Left(now, req.Instance) > 0},
+		{RejectedLately, now < sv.fullUntil},
+		{AlreadyTried, slices.Contains(req.Tried, sv.name)},
+		{Ejected, sv.ejected(now)},
+		{NoSlot, c.Load+1 > s.maxGrants(sv)},
+		{OverLoadLimit, float64(c.Load+1) > limit},
+	} {
+		if r.applies {
+			c.LeftOut = append(c.LeftOut, r.reason)
+		}
+	}
+	return c
+}
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -45,15 +45,6 @@
 	prefixCacheFraction = 0.85
 )
 
-// tryGrant grants req a slot on the cheapest server; false when none has room.
-func (s *Scheduler) tryGrant(now time.Duration, req Request) (Decision, bool) {
-	sv := s.choose(now, req)
-	if sv == nil {
-		return Decision{}, false
-	}
-	return s.grant(now, req, sv), true
-}
-
 // grant counts req as running on sv, and its prompt as cached there, and returns
 // the decision.
 func (s *Scheduler) grant(now time.Duration, req Request, sv *server) Decision {
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -166,16 +166,12 @@
 	if !s.withinBudget(now, req) {
 		return refuse(req, RetryBudget, 0), true
 	}
-	if len(s.queue) == 0 || !s.svc.Engine {
-		if d, ok := s.tryGrant(now, req); ok {
-			return d, true
-		}
+	sv, refusal := s.decide(now, req)
+	if sv != nil {
+		return s.grant(now, req, sv), true
 	}
-	if !s.anyAccepting(req) {
-		return refuse(req, NoServer, noServerRetryAfter), true
-	}
-	if max(s.expectedWait(req), s.pauseLeft(now, req)) > req.MaxWait {
-		return refuse(req, Overloaded, s.retryAfter(now, req)), true
+	if refusal != nil {
+		return *refusal, true
 	}
 	s.enqueue(&queuedRequest{
 		request:  req,
@@ -184,6 +180,25 @@
 	return Decision{}, false
 }
 
+// decide returns the server for a request, or the refusal, or neither if the request is to be
+// queued. It changes nothing that other decisions depend on.
+func (s *Scheduler) decide(now time.Duration, req Request) (*server, *Decision) {
+	if len(s.queue) == 0 || !s.svc.Engine {
+		if sv := s.choose(now, req); sv != nil {
+			return sv, nil
+		}
+	}
+	if !s.anyAccepting(req) {
+		d := refuse(req, NoServer, noServerRetryAfter)
+		return nil, &d
+	}
+	if max(s.expectedWait(req), s.pauseLeft(now, req)) > req.MaxWait {
+		d := refuse(req, Overloaded, s.retryAfter(now, req))
+		return nil, &d
+	}
+	return nil, nil
+}
+
 // withinBudget counts a request or a retry, and returns false for a retry that the budget
 // does not allow.
 func (s *Scheduler) withinBudget(now time.Duration, req Request) bool {
