camphor explain -would: where a request would go now

Change: OperatorService.Explain and PeerService.ExplainPlacement, new messages only. Flags of camphor explain describe the request; output as text or JSON.

--- a/internal/client/command/command.go
+++ b/internal/client/command/command.go
@@ -1,9 +1,10 @@
 // Package command implements camphor, the command-line client for operators.
 //
 // The subcommands that need the fleet send their request to one daemon, which
-// may be any of them; explain, replay and check work on local files. With -o
-// json they print JSON with camelCase names instead of a table or text, except
-// that dump always prints JSON, and explain and replay always print text.
+// may be any of them; explain without -would, replay and check work on local files.
+// With -o json they print JSON with camelCase names instead of a table or text,
+// except that dump always prints JSON, and explain of logs and replay always print
+// text.
 package command
 
 // This file defines Root, the client of a daemon and the exit codes.
--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -175,18 +175,19 @@
 
 // place gets a backend server for the next attempt.
 func (c *call) place() (*placer.Grant, error) {
-	wait := c.timeLeft() / waitDivisor
-	if o := c.route.Objective; o > 0 {
-		wait = min(wait, time.Duration(objectiveShare*float64(o)))
-	}
 	req := c.placementRequest()
-	req.MaxWait, req.Tried, req.Retry = wait, c.tried, c.sends > 0
+	req.Tried, req.Retry = c.tried, c.sends > 0
 	return c.h.Placer.Place(c.ctx, c.service, req)
 }
 
 // placementRequest returns what every placement of the request has in common.
 func (c *call) placementRequest() scheduler.Request {
+	wait := c.timeLeft() / waitDivisor
+	if o := c.route.Objective; o > 0 {
+		wait = min(wait, time.Duration(objectiveShare*float64(o)))
+	}
 	return scheduler.Request{
+		MaxWait:         wait,
 		Account:         c.account,
 		Parts:           promptParts(c.req.Prompt),
 		MaxOutputTokens: c.req.Prompt.MaxOutputTokens,
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -240,11 +240,7 @@
 	if err := c.authenticate(v.Rules); err != nil {
 		return err
 	}
-	timeout := c.route.Timeout
-	if c.req.Timeout > 0 {
-		timeout = min(timeout, c.req.Timeout)
-	}
-	c.deadline = c.start + timeout
+	c.setDeadline()
 	if err := c.checkShutdown(); err != nil {
 		return err
 	}
@@ -257,6 +253,15 @@
 	return c.checkShutdown()
 }
 
+// setDeadline sets the deadline from the timeouts of the route and of the caller.
+func (c *call) setDeadline() {
+	timeout := c.route.Timeout
+	if c.req.Timeout > 0 {
+		timeout = min(timeout, c.req.Timeout)
+	}
+	c.deadline = c.start + timeout
+}
+
 // checkShutdown returns the refusal of a request that may not end before this instance
 // stops, nil if it isn't shutting down or the request fits.
 func (c *call) checkShutdown() error {
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -135,11 +135,30 @@
 	return uint32((min(d, pushback.MaxPause) + time.Millisecond - 1).Milliseconds())
 }
 
+// toAsk returns the message that asks for a placement.
+func toAsk(service string, req scheduler.Request) *pb.PlaceAsk {
+	ids, tokens := fromParts(req.Parts)
+	return &pb.PlaceAsk{
+		Service:       service,
+		Account:       req.Account,
+		Parts:         ids,
+		PartTokens:    tokens,
+		OutputTokens:  uint32(req.MaxOutputTokens),
+		Urgency:       uint32(req.Urgency),
+		WaitMs:        uint32(req.MaxWait.Milliseconds()),
+		Tried:         req.Tried,
+		Again:         req.Retry,
+		Hedge:         req.Hedge,
+		Counted:       req.Counted,
+		FailureDomain: req.FailureDomain,
+		Instance:      req.Instance,
+	}
+}
+
 // decideRemotely requests a decision from another instance. It returns false if that
 // instance does not answer in time or the stream ends.
 func (p *Placer) decideRemotely(ctx context.Context, g *Grant, i *pb.Instance, req scheduler.Request) (scheduler.Decision, bool) {
 	s := p.streamTo(i)
-	ids, tokens := fromParts(req.Parts)
 	answers := make(chan *pb.PlaceResponse, 2)
 	s.mu.Lock()
 	s.nextID++
@@ -155,22 +174,8 @@
 		})
 	}
 	if !s.send(&pb.PlaceRequest{
-		Id: id,
-		Ask: &pb.PlaceAsk{
-			Service:       g.service,
-			Account:       req.Account,
-			Parts:         ids,
-			PartTokens:    tokens,
-			OutputTokens:  uint32(req.MaxOutputTokens),
-			Urgency:       uint32(req.Urgency),
-			WaitMs:        uint32(req.MaxWait.Milliseconds()),
-			Tried:         req.Tried,
-			Again:         req.Retry,
-			Hedge:         req.Hedge,
-			Counted:       req.Counted,
-			FailureDomain: req.FailureDomain,
-			Instance:      req.Instance,
-		},
+		Id:  id,
+		Ask: toAsk(g.service, req),
 	}) {
 		withdraw()
 		return scheduler.Decision{}, false
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -78,6 +78,8 @@
 	// Instance is the name of this instance.
 	Instance string
 	Peers    StreamOpener
+	// Explainer asks other instances what they would decide; it may be nil.
+	Explainer Explainer
 	// AnswerTimeout is how long to wait for the decider's first response; zero is 60 ms.
 	AnswerTimeout time.Duration
 	// Unresponsive reports whether an instance has not answered recently.
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -77,19 +77,7 @@
 }
 
 func (s *serverStream) submit(id uint64, req *pb.PlaceAsk) {
-	localID, waits := s.schedulers.submit(req.GetService(), true, scheduler.Request{
-		Account:         req.GetAccount(),
-		Parts:           toParts(req.GetParts(), req.GetPartTokens()),
-		MaxOutputTokens: int(req.GetOutputTokens()),
-		Urgency:         int(req.GetUrgency()),
-		MaxWait:         time.Duration(req.GetWaitMs()) * time.Millisecond,
-		Tried:           req.GetTried(),
-		Retry:           req.GetAgain(),
-		Hedge:           req.GetHedge(),
-		Counted:         req.GetCounted(),
-		FailureDomain:   req.GetFailureDomain(),
-		Instance:        req.GetInstance(),
-	}, func(d scheduler.Decision) { s.sendDecision(id, d) })
+	localID, waits := s.schedulers.submit(req.GetService(), true, toRequest(req), func(d scheduler.Decision) { s.sendDecision(id, d) })
 	s.mu.Lock()
 	s.requests[id] = requestRef{
 		service: req.GetService(),
@@ -104,6 +92,23 @@
 	}
 }
 
+// toRequest returns the request that another instance asks a placement for.
+func toRequest(req *pb.PlaceAsk) scheduler.Request {
+	return scheduler.Request{
+		Account:         req.GetAccount(),
+		Parts:           toParts(req.GetParts(), req.GetPartTokens()),
+		MaxOutputTokens: int(req.GetOutputTokens()),
+		Urgency:         int(req.GetUrgency()),
+		MaxWait:         time.Duration(req.GetWaitMs()) * time.Millisecond,
+		Tried:           req.GetTried(),
+		Retry:           req.GetAgain(),
+		Hedge:           req.GetHedge(),
+		Counted:         req.GetCounted(),
+		FailureDomain:   req.GetFailureDomain(),
+		Instance:        req.GetInstance(),
+	}
+}
+
 func (s *serverStream) sendDecision(id uint64, d scheduler.Decision) {
 	s.send(&pb.PlaceResponse{
 		Id:                  id,
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -124,6 +124,8 @@
 	// handler handles them, and front serves it.
 	handler *ingress.Handler
 	front   *http.Server
+	// explains is handler once it is complete, for the operators' calls.
+	explains atomic.Pointer[ingress.Handler]
 }
 
 var (
@@ -234,6 +236,7 @@
 		HedgePercent: in.cfg.Entry.HedgePercent,
 		Instance:     in.cfg.Instance,
 		Peers:        peers,
+		Explainer:    peers,
 		Unresponsive: in.agent.Unresponsive,
 		Leader:       in.agent.Leader,
 		CacheReader:  in.adapters.CacheReader,
@@ -341,6 +344,7 @@
 			Bytes: in.memoryBytes(responseMemoryShare),
 		},
 	}
+	e.explains.Store(e.handler)
 	for _, d := range []struct {
 		address string
 		handler http.Handler
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -393,8 +393,9 @@
 		return err
 	}
 	mux.Handle(camphorspokev1connect.NewOperatorServiceHandler(&operator.Handler{
-		Control:   in.control,
-		DumpState: in.dump,
+		Control:        in.control,
+		DumpState:      in.dump,
+		ExplainRequest: in.explainer(),
 	}, connect.WithReadMaxBytes(16<<20)))
 	mux.Handle("/metrics", metricsHandler)
 	mux.HandleFunc("/healthz", in.health)
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -23,6 +23,9 @@
 	Control control.Client
 	// DumpState returns the state of this process, to be encoded as JSON.
 	DumpState func() any
+	// ExplainRequest returns what would be decided on a request, to be encoded as JSON; it is nil
+	// on an instance that is no entry instance.
+	ExplainRequest func(ctx context.Context, r *pb.ExplainRequest) (any, error)
 }
 
 var _ camphorspokev1connect.OperatorServiceHandler = (*Handler)(nil)
@@ -206,3 +209,21 @@
 		Json: b,
 	}), nil
 }
+
+// Explain returns what would be decided on a request now, as JSON.
+func (h *Handler) Explain(ctx context.Context, r *connect.Request[pb.ExplainRequest]) (*connect.Response[pb.ExplainResponse], error) {
+	if h.ExplainRequest == nil {
+		return nil, fault.Connect(fault.New(fault.BadRequest, "explain", "ask an entry instance; this one takes no requests of the users' platform"))
+	}
+	explanation, err := h.ExplainRequest(ctx, r.Msg)
+	if err != nil {
+		return nil, fault.Connect(err)
+	}
+	b, err := json.MarshalIndent(explanation, "", "  ")
+	if err != nil {
+		return nil, fault.Connect(fault.Wrap(fault.Internal, "explain", err))
+	}
+	return connect.NewResponse(&pb.ExplainResponse{
+		Json: b,
+	}), nil
+}
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -180,3 +180,18 @@
 	}
 	return r.GetControlAddresses(), nil
 }
+
+// ExplainPlacement returns what another instance would decide on a request now, as JSON.
+func (c *Client) ExplainPlacement(ctx context.Context, address string, ask *pb.PlaceAsk) ([]byte, error) {
+	p, err := c.clientFor(address, true)
+	if err != nil {
+		return nil, err
+	}
+	r, err := p.ExplainPlacement(ctx, &pb.ExplainPlacementRequest{
+		Ask: ask,
+	})
+	if err != nil {
+		return nil, fault.Wrap(fault.Unreachable, address, err)
+	}
+	return r.GetJson(), nil
+}
--- a/internal/edge/peerserver/peerserver.go
+++ b/internal/edge/peerserver/peerserver.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 
 	"google.golang.org/grpc"
@@ -83,6 +84,20 @@
 	return &pb.HandoverResponse{}, nil
 }
 
+// ExplainPlacement returns what this instance would decide on a request now.
+func (s *Server) ExplainPlacement(_ context.Context, r *pb.ExplainPlacementRequest) (*pb.ExplainPlacementResponse, error) {
+	if s.Schedulers == nil {
+		return nil, status.FromFault(fault.New(fault.BadRequest, "explain", "this instance does not schedule requests; its backend servers have owners"))
+	}
+	b, err := json.Marshal(s.Schedulers.ExplainAsk(r.GetAsk()))
+	if err != nil {
+		return nil, status.FromFault(fault.Wrap(fault.Internal, "explain", err))
+	}
+	return &pb.ExplainPlacementResponse{
+		Json: b,
+	}, nil
+}
+
 // Place serves a stream of placement requests.
 func (s *Server) Place(stream grpc.BidiStreamingServer[pb.PlaceRequest, pb.PlaceResponse]) error {
 	if s.Schedulers == nil {
--- a/internal/gen/camphorspoke/v1/camphorspokev1connect/operator.connect.go
+++ b/internal/gen/camphorspoke/v1/camphorspokev1connect/operator.connect.go
@@ -60,6 +60,8 @@
 	OperatorServiceChangeReplicaProcedure = "/camphorspoke.v1.OperatorService/ChangeReplica"
 	// OperatorServiceDumpProcedure is the fully-qualified name of the OperatorService's Dump RPC.
 	OperatorServiceDumpProcedure = "/camphorspoke.v1.OperatorService/Dump"
+	// OperatorServiceExplainProcedure is the fully-qualified name of the OperatorService's Explain RPC.
+	OperatorServiceExplainProcedure = "/camphorspoke.v1.OperatorService/Explain"
 )
 
 // OperatorServiceClient is a client for the camphorspoke.v1.OperatorService service.
@@ -77,6 +79,8 @@
 	ChangeReplica(context.Context, *connect.Request[v1.ChangeReplicaRequest]) (*connect.Response[v1.ChangeReplicaResponse], error)
 	// Dump returns the state of this process as JSON with camelCase names.
 	Dump(context.Context, *connect.Request[v1.DumpRequest]) (*connect.Response[v1.DumpResponse], error)
+	// Explain returns what would be decided on a request now; it sends nothing.
+	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the camphorspoke.v1.OperatorService service. By
@@ -150,6 +154,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Dump")),
 			connect.WithClientOptions(opts...),
 		),
+		explain: connect.NewClient[v1.ExplainRequest, v1.ExplainResponse](
+			httpClient,
+			baseURL+OperatorServiceExplainProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Explain")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -165,6 +175,7 @@
 	settleClaim   *connect.Client[v1.SettleClaimRequest, v1.SettleClaimResponse]
 	changeReplica *connect.Client[v1.ChangeReplicaRequest, v1.ChangeReplicaResponse]
 	dump          *connect.Client[v1.DumpRequest, v1.DumpResponse]
+	explain       *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
 }
 
 // ApplyRules calls camphorspoke.v1.OperatorService.ApplyRules.
@@ -217,6 +228,11 @@
 	return c.dump.CallUnary(ctx, req)
 }
 
+// Explain calls camphorspoke.v1.OperatorService.Explain.
+func (c *operatorServiceClient) Explain(ctx context.Context, req *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
+	return c.explain.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the camphorspoke.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	ApplyRules(context.Context, *connect.Request[v1.ApplyRulesRequest]) (*connect.Response[v1.ApplyRulesResponse], error)
@@ -232,6 +248,8 @@
 	ChangeReplica(context.Context, *connect.Request[v1.ChangeReplicaRequest]) (*connect.Response[v1.ChangeReplicaResponse], error)
 	// Dump returns the state of this process as JSON with camelCase names.
 	Dump(context.Context, *connect.Request[v1.DumpRequest]) (*connect.Response[v1.DumpResponse], error)
+	// Explain returns what would be decided on a request now; it sends nothing.
+	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -301,6 +319,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Dump")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceExplainHandler := connect.NewUnaryHandler(
+		OperatorServiceExplainProcedure,
+		svc.Explain,
+		connect.WithSchema(operatorServiceMethods.ByName("Explain")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/camphorspoke.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceApplyRulesProcedure:
@@ -323,6 +347,8 @@
 			operatorServiceChangeReplicaHandler.ServeHTTP(w, r)
 		case OperatorServiceDumpProcedure:
 			operatorServiceDumpHandler.ServeHTTP(w, r)
+		case OperatorServiceExplainProcedure:
+			operatorServiceExplainHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -371,3 +397,7 @@
 func (UnimplementedOperatorServiceHandler) Dump(context.Context, *connect.Request[v1.DumpRequest]) (*connect.Response[v1.DumpResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.OperatorService.Dump is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.OperatorService.Explain is not implemented"))
+}
--- a/internal/gen/camphorspoke/v1/camphorspokev1connect/peer.connect.go
+++ b/internal/gen/camphorspoke/v1/camphorspokev1connect/peer.connect.go
@@ -46,6 +46,9 @@
 	PeerServiceHandoverProcedure = "/camphorspoke.v1.PeerService/Handover"
 	// PeerServicePlaceProcedure is the fully-qualified name of the PeerService's Place RPC.
 	PeerServicePlaceProcedure = "/camphorspoke.v1.PeerService/Place"
+	// PeerServiceExplainPlacementProcedure is the fully-qualified name of the PeerService's
+	// ExplainPlacement RPC.
+	PeerServiceExplainPlacementProcedure = "/camphorspoke.v1.PeerService/ExplainPlacement"
 	// PeerServiceAcquaintProcedure is the fully-qualified name of the PeerService's Acquaint RPC.
 	PeerServiceAcquaintProcedure = "/camphorspoke.v1.PeerService/Acquaint"
 	// ControlServiceHeartbeatProcedure is the fully-qualified name of the ControlService's Heartbeat
@@ -80,6 +83,8 @@
 	Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error)
 	// Place requests placement on backend servers and reports the outcomes.
 	Place(context.Context) *connect.BidiStreamForClient[v1.PlaceRequest, v1.PlaceResponse]
+	// ExplainPlacement returns what would be decided on a request now.
+	ExplainPlacement(context.Context, *connect.Request[v1.ExplainPlacementRequest]) (*connect.Response[v1.ExplainPlacementResponse], error)
 	// Acquaint exchanges the addresses of the control group.
 	Acquaint(context.Context, *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error)
 }
@@ -125,6 +130,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Place")),
 			connect.WithClientOptions(opts...),
 		),
+		explainPlacement: connect.NewClient[v1.ExplainPlacementRequest, v1.ExplainPlacementResponse](
+			httpClient,
+			baseURL+PeerServiceExplainPlacementProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ExplainPlacement")),
+			connect.WithClientOptions(opts...),
+		),
 		acquaint: connect.NewClient[v1.AcquaintRequest, v1.AcquaintResponse](
 			httpClient,
 			baseURL+PeerServiceAcquaintProcedure,
@@ -136,12 +147,13 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	forwardGenerate *connect.Client[v1.ForwardGenerateRequest, v1.ForwardGenerateResponse]
-	forwardCall     *connect.Client[v1.ForwardCallRequest, v1.ForwardCallResponse]
-	ruleVersion     *connect.Client[v1.RuleVersionRequest, v1.RuleVersionResponse]
-	handover        *connect.Client[v1.HandoverRequest, v1.HandoverResponse]
-	place           *connect.Client[v1.PlaceRequest, v1.PlaceResponse]
-	acquaint        *connect.Client[v1.AcquaintRequest, v1.AcquaintResponse]
+	forwardGenerate  *connect.Client[v1.ForwardGenerateRequest, v1.ForwardGenerateResponse]
+	forwardCall      *connect.Client[v1.ForwardCallRequest, v1.ForwardCallResponse]
+	ruleVersion      *connect.Client[v1.RuleVersionRequest, v1.RuleVersionResponse]
+	handover         *connect.Client[v1.HandoverRequest, v1.HandoverResponse]
+	place            *connect.Client[v1.PlaceRequest, v1.PlaceResponse]
+	explainPlacement *connect.Client[v1.ExplainPlacementRequest, v1.ExplainPlacementResponse]
+	acquaint         *connect.Client[v1.AcquaintRequest, v1.AcquaintResponse]
 }
 
 // ForwardGenerate calls camphorspoke.v1.PeerService.ForwardGenerate.
@@ -169,6 +181,11 @@
 	return c.place.CallBidiStream(ctx)
 }
 
+// ExplainPlacement calls camphorspoke.v1.PeerService.ExplainPlacement.
+func (c *peerServiceClient) ExplainPlacement(ctx context.Context, req *connect.Request[v1.ExplainPlacementRequest]) (*connect.Response[v1.ExplainPlacementResponse], error) {
+	return c.explainPlacement.CallUnary(ctx, req)
+}
+
 // Acquaint calls camphorspoke.v1.PeerService.Acquaint.
 func (c *peerServiceClient) Acquaint(ctx context.Context, req *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error) {
 	return c.acquaint.CallUnary(ctx, req)
@@ -184,6 +201,8 @@
 	Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error)
 	// Place requests placement on backend servers and reports the outcomes.
 	Place(context.Context, *connect.BidiStream[v1.PlaceRequest, v1.PlaceResponse]) error
+	// ExplainPlacement returns what would be decided on a request now.
+	ExplainPlacement(context.Context, *connect.Request[v1.ExplainPlacementRequest]) (*connect.Response[v1.ExplainPlacementResponse], error)
 	// Acquaint exchanges the addresses of the control group.
 	Acquaint(context.Context, *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error)
 }
@@ -225,6 +244,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Place")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceExplainPlacementHandler := connect.NewUnaryHandler(
+		PeerServiceExplainPlacementProcedure,
+		svc.ExplainPlacement,
+		connect.WithSchema(peerServiceMethods.ByName("ExplainPlacement")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceAcquaintHandler := connect.NewUnaryHandler(
 		PeerServiceAcquaintProcedure,
 		svc.Acquaint,
@@ -243,6 +268,8 @@
 			peerServiceHandoverHandler.ServeHTTP(w, r)
 		case PeerServicePlaceProcedure:
 			peerServicePlaceHandler.ServeHTTP(w, r)
+		case PeerServiceExplainPlacementProcedure:
+			peerServiceExplainPlacementHandler.ServeHTTP(w, r)
 		case PeerServiceAcquaintProcedure:
 			peerServiceAcquaintHandler.ServeHTTP(w, r)
 		default:
@@ -274,6 +301,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.PeerService.Place is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) ExplainPlacement(context.Context, *connect.Request[v1.ExplainPlacementRequest]) (*connect.Response[v1.ExplainPlacementResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.PeerService.ExplainPlacement is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Acquaint(context.Context, *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.PeerService.Acquaint is not implemented"))
 }
