--- a/internal/daemon/ingress/hedge_test.go
+++ b/internal/daemon/ingress/hedge_test.go
@@ -79,6 +79,27 @@
 	return h
 }
 
+// replaceServers puts servers at other addresses in the place of those of the service.
+func (h *hedgeEnv) replaceServers(addresses []string) {
+	var servers []*pb.BackendServer
+	for i := range 2 {
+		servers = append(servers, &pb.BackendServer{
+			Name: fmt.Sprintf("b%d", i),
+			Gone: true,
+		})
+	}
+	for i, address := range addresses {
+		servers = append(servers, &pb.BackendServer{
+			Name:    fmt.Sprintf("r%d", i),
+			Service: "s",
+			Slots:   h.slots,
+			Address: address,
+		})
+	}
+	h.membership.view.Store(h.membership.View().WithTables(3, false, servers, nil))
+	h.handler.Placer.Update(h.membership.View())
+}
+
 // next returns the responder for the next request.
 func (h *hedgeEnv) next(usual responder) responder {
 	h.mu.Lock()
