--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -88,9 +88,14 @@
 	// instances; see coldstart.Division.
 	ColdOverage float64
 	ColdSlack   float64
+	// HedgePercent limits the hedged requests of a service whose rule sets no limit, as a
+	// percentage of its requests; zero is none.
+	HedgePercent int
 	// Instance is the name of this instance.
 	Instance string
 	Peers    StreamOpener
+	// Explainer asks other instances what they would decide; it may be nil.
+	Explainer Explainer
 	// AnswerTimeout is how long to wait for the decider's first response; zero is 60 ms.
 	AnswerTimeout time.Duration
 	// Unresponsive reports whether an instance has not answered recently.
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -155,6 +155,7 @@
 			RetryRatio:      d.cfg.RetryRatio,
 			RetrySlack:      d.cfg.RetrySlack * deciderSlackShare(ranks[name], instances),
 			AloneRetrySlack: d.cfg.RetrySlack * othersSlackShare / float64(instances),
+			HedgeShare:      rule.HedgeShare(d.cfg.HedgePercent),
 		}
 		d.cfg.setCold(&svc, rule, ranks[name], instances)
 		s := d.services[name]
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -77,7 +77,24 @@
 }
 
 func (s *serverStream) submit(id uint64, req *pb.PlaceAsk) {
-	localID, waits := s.schedulers.submit(req.GetService(), true, scheduler.Request{
+	localID, waits := s.schedulers.submit(req.GetService(), true, toRequest(req), func(d scheduler.Decision) { s.sendDecision(id, d) })
+	s.mu.Lock()
+	s.requests[id] = requestRef{
+		service: req.GetService(),
+		id:      localID,
+	}
+	s.mu.Unlock()
+	if waits {
+		s.send(&pb.PlaceResponse{
+			Id:    id,
+			Waits: true,
+		})
+	}
+}
+
+// toRequest returns the request that another instance asks a placement for.
+func toRequest(req *pb.PlaceAsk) scheduler.Request {
+	return scheduler.Request{
 		Account:         req.GetAccount(),
 		Parts:           toParts(req.GetParts(), req.GetPartTokens()),
 		PromptTokens:    int(req.GetPromptTokens()),
@@ -86,22 +103,11 @@
 		MaxWait:         time.Duration(req.GetWaitMs()) * time.Millisecond,
 		Tried:           req.GetTried(),
 		Retry:           req.GetAgain(),
+		Hedge:           req.GetHedge(),
 		Counted:         req.GetCounted(),
 		FailureDomain:   req.GetFailureDomain(),
 		Instance:        req.GetInstance(),
 		ExcludedDomains: req.GetExcludedDomains(),
-	}, func(d scheduler.Decision) { s.sendDecision(id, d) })
-	s.mu.Lock()
-	s.requests[id] = requestRef{
-		service: req.GetService(),
-		id:      localID,
-	}
-	s.mu.Unlock()
-	if waits {
-		s.send(&pb.PlaceResponse{
-			Id:    id,
-			Waits: true,
-		})
 	}
 }
 
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -124,6 +124,8 @@
 	// handler handles them, and front serves it.
 	handler *ingress.Handler
 	front   *http.Server
+	// explains is handler once it is complete, for the operators' calls.
+	explains atomic.Pointer[ingress.Handler]
 }
 
 var (
@@ -239,8 +241,10 @@
 		RetrySlack:   retryBudgetShare * in.cfg.Entry.RetrySlack,
 		ColdOverage:  in.cfg.Entry.ColdOverage,
 		ColdSlack:    in.cfg.Entry.ColdSlack,
+		HedgePercent: in.cfg.Entry.HedgePercent,
 		Instance:     in.cfg.Instance,
 		Peers:        peers,
+		Explainer:    peers,
 		Unresponsive: in.agent.Unresponsive,
 		Leader:       in.agent.Leader,
 		CacheReader:  in.adapters.CacheReader,
@@ -347,6 +351,7 @@
 		Meters:        meters,
 		Now:           in.now,
 		FailureDomain: in.cfg.FailureDomain,
+		HedgePercent:  in.cfg.Entry.HedgePercent,
 		ShutdownState: e.shutdownState,
 		Bodies: &bodymemory.Budget{
 			Bytes: in.memoryBytes(bodyMemoryShare),
@@ -355,6 +360,7 @@
 			Bytes: in.memoryBytes(responseMemoryShare),
 		},
 	}
+	e.explains.Store(e.handler)
 	for _, d := range []struct {
 		address string
 		handler http.Handler
--- a/internal/daemon/settings/entry.go
+++ b/internal/daemon/settings/entry.go
@@ -55,6 +55,7 @@
 	fs.Float64Var(&e.LoadBound, "bound", 2, "bound on the load of a backend server, as a multiple of the mean load")
 	fs.Float64Var(&e.RetryRatio, "retry-ratio", 0.2, "retries allowed for each request to a service")
 	fs.Float64Var(&e.RetrySlack, "retry-slack", 50, "additional retries allowed to a service in each window")
+	fs.IntVar(&e.HedgePercent, "hedge-percent", 0, "percentage of requests that may be hedged, at services whose rule sets none; 0 means off")
 	fs.Float64Var(&r.retryWindowS, "retry-window-s", defaultRetryWindowS, "window of the retry limit, in seconds")
 	fs.Float64Var(&e.ColdOverage, "cold-overage", 1.5, "bound on the requests that a cold server gets in a second, as a multiple of the rate that it can take")
 	fs.Float64Var(&e.ColdSlack, "cold-slack", 5, "additional requests allowed to a cold server in a second")
@@ -129,6 +130,8 @@
 		return invalid("cold-overage", fmt.Sprint(e.ColdOverage), "1 to 1000")
 	case !(e.ColdSlack >= 0 && e.ColdSlack <= maxColdSlack):
 		return invalid("cold-slack", fmt.Sprint(e.ColdSlack), "0 to 1000000")
+	case e.HedgePercent < 0 || e.HedgePercent > 100:
+		return invalid("hedge-percent", strconv.Itoa(e.HedgePercent), "0 to 100")
 	case e.ListRate < 0:
 		return invalid("list-rate", fmt.Sprint(e.ListRate), "0 or more")
 	case e.CPUShare < 0 || e.CPUShare > maxCPUShare:
--- a/internal/daemon/settings/entry_test.go
+++ b/internal/daemon/settings/entry_test.go
@@ -110,6 +110,8 @@
 		{"retry-ratio 0.2", "retry-ratio -1", "-retry-ratio=-1"},
 		{"cores 1", "cold-overage 0.5", "-cold-overage=0.5"},
 		{"cores 1", "cold-slack NaN", "-cold-slack=NaN"},
+		{"retry-slack 60", "hedge-percent 101", "-hedge-percent=101"},
+		{"retry-slack 60", "hedge-percent -1", "-hedge-percent=-1"},
 		{"losses-borne 1", "losses-borne 9", "-losses-borne=9"},
 		{"data-dir /data/my-front", "data-dir data", "-data-dir=data"},
 	} {
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -107,6 +107,9 @@
 	// ColdSlack.
 	ColdOverage float64
 	ColdSlack   float64
+	// HedgePercent limits the hedged requests of a service whose rule sets no limit, as a
+	// percentage of its requests; zero means none.
+	HedgePercent int
 }
 
 const examples = `
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -61,6 +61,8 @@
 	// those on which this instance decides alone.
 	budget      retrybudget.Budget
 	aloneBudget retrybudget.Budget
+	// hedges is the budget of the hedges of all instances.
+	hedges retrybudget.Budget
 	// quarantine finds the parts of prompts that crash servers.
 	quarantine quarantine.Tracker
 	// completions measures how fast slots become free.
@@ -136,6 +138,7 @@
 	for budget, slack := range map[*retrybudget.Budget]float64{&s.budget: svc.RetrySlack, &s.aloneBudget: svc.AloneRetrySlack} {
 		budget.Window, budget.Ratio, budget.Slack = svc.RetryWindow, svc.RetryRatio, slack
 	}
+	s.hedges.Window, s.hedges.Ratio = svc.RetryWindow, svc.HedgeShare
 	for _, sv := range s.listedServers {
 		sv.setService(svc)
 	}
@@ -181,6 +184,9 @@
 // then returned by a later Tick or Report.
 func (s *Scheduler) Schedule(now time.Duration, req Request) (Decision, bool) {
 	s.applyCold(now)
+	if req.Hedge {
+		return s.scheduleHedge(now, req), true
+	}
 	if d, refused := s.refuseQuarantined(now, req); refused {
 		return d, true
 	}
@@ -190,16 +196,12 @@
 	if !s.withinBudget(now, req) {
 		return refuse(req, RetryBudget, 0), true
 	}
-	if len(s.queue) == 0 || !s.svc.Engine || s.memoryBlocks {
-		if d, ok := s.tryGrant(now, req); ok {
-			return d, true
-		}
-	}
-	if !s.anyAccepting(req) {
-		return refuse(req, NoServer, noServerRetryAfter), true
+	sv, refusal := s.decide(now, req)
+	if sv != nil {
+		return s.grant(now, req, sv), true
 	}
-	if max(s.expectedWait(req), s.pauseLeft(now, req), s.coldWait(now, req)) > req.MaxWait {
-		return refuse(req, Overloaded, s.retryAfter(now, req)), true
+	if refusal != nil {
+		return *refusal, true
 	}
 	s.enqueue(&queuedRequest{
 		request:  req,
@@ -208,6 +210,25 @@
 	return Decision{}, false
 }
 
+// decide returns the server for a request, or the refusal, or neither if the request is to be
+// queued. It changes nothing that other decisions depend on.
+func (s *Scheduler) decide(now time.Duration, req Request) (*server, *Decision) {
+	if len(s.queue) == 0 || !s.svc.Engine || s.memoryBlocks {
+		if sv := s.choose(now, req); sv != nil {
+			return sv, nil
+		}
+	}
+	if !s.anyAccepting(req) {
+		d := refuse(req, NoServer, noServerRetryAfter)
+		return nil, &d
+	}
+	if max(s.expectedWait(req), s.pauseLeft(now, req), s.coldWait(now, req)) > req.MaxWait {
+		d := refuse(req, Overloaded, s.retryAfter(now, req))
+		return nil, &d
+	}
+	return nil, nil
+}
+
 // withinBudget counts a request or a retry, and returns false for a retry that the budget
 // does not allow.
 func (s *Scheduler) withinBudget(now time.Duration, req Request) bool {
@@ -220,6 +241,7 @@
 	}
 	if !req.Counted {
 		budget.RecordRequest(now)
+		s.hedges.RecordRequest(now)
 	}
 	return true
 }
@@ -251,6 +273,7 @@
 		g.server.recordStart(g)
 		g.server.pendingTokens -= g.missTokens
 		g.endRead()
+		s.recordHedgeWon(now, g, r.Event)
 	}
 	if r.Event == Started {
 		g.server.recordReportedLoad(now, r)
