--- a/internal/check/fleet/process.go
+++ b/internal/check/fleet/process.go
@@ -54,6 +54,9 @@
 	return p, nil
 }
 
+// ID returns the process ID.
+func (p *Process) ID() int { return p.cmd.Process.Pid }
+
 // Kill kills the process, also while it is suspended by SIGSTOP, and waits until
 // it has exited.
 func (p *Process) Kill() {
