Limits on clients that we do not control

A crowd of connections could take all memory and descriptors of an instance: nothing limited the number of connections, the memory of heads (net/http keeps fields in maps, up to sixteen times their bytes) or configurations under way, and bodies reserved their memory when they were announced.

- internal/routing/connlimit decides which connection to keep, without clock and sockets; internal/edge/connguard wraps the listener and the handler of each address and applies the limits of the configuration in force.
- Bodies reserve memory as they arrive.
One without progress, or that arrives after the deadline of its request, ends as 408, not run.
- Setting -file-descriptors; metrics camphorspoke_client_connections_closed_total and camphorspoke_client_connections; a log line every 5 s at most.
- The review's stand-in of the platform leaves out sections of the settings template that it has no value for; it refused any but dataDirectory.

Memory now counts until the reader of the connection has ended, and heads wait for it.

TestAnnouncedBodiesHoldNoMemory and TestStalledBodyIsRefusedAsNotRun fail on the body reader before the change. entryfleet, ingress, server, settings, dialect, endpoints and cmd/camphord pass with the race detector.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -39,17 +39,19 @@
 	BadKey            Kind = "badRequestKey"
 	KeyExpired        Kind = "requestKeyExpired"
 	BodyTooLarge      Kind = "bodyTooLarge"
-	BadRules          Kind = "badRuleFile"
-	RuleConflict      Kind = "ruleConflict"
-	RulesStale        Kind = "rulesNotFresh"
-	NoQuorum          Kind = "noQuorum"
-	NotLeader         Kind = "notLeader"
-	NoEngine          Kind = "noEngine"
-	Overloaded        Kind = "overloaded"
-	DeadlineTooNear   Kind = "deadlineTooNear"
-	AccountLimit      Kind = "accountLimit"
-	RetryBudget       Kind = "retryBudget"
-	NotRun            Kind = "notRun"
+	// BodyTimedOut means that the body of the request did not arrive in time.
+	BodyTimedOut    Kind = "bodyTimedOut"
+	BadRules        Kind = "badRuleFile"
+	RuleConflict    Kind = "ruleConflict"
+	RulesStale      Kind = "rulesNotFresh"
+	NoQuorum        Kind = "noQuorum"
+	NotLeader       Kind = "notLeader"
+	NoEngine        Kind = "noEngine"
+	Overloaded      Kind = "overloaded"
+	DeadlineTooNear Kind = "deadlineTooNear"
+	AccountLimit    Kind = "accountLimit"
+	RetryBudget     Kind = "retryBudget"
+	NotRun          Kind = "notRun"
 	// KeyNotRun means that, according to the replicated log of the control group,
 	// the request with this key did not run and never will.
 	KeyNotRun Kind = "keyNotRun"
@@ -125,7 +127,7 @@
 		return class{code: connect.CodeResourceExhausted, outcome: notRun}
 	case RuleConflict:
 		return class{code: connect.CodeAborted, outcome: notRun}
-	case DeadlineTooNear:
+	case DeadlineTooNear, BodyTimedOut:
 		return class{code: connect.CodeDeadlineExceeded, outcome: notRun}
 	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
 		return class{code: connect.CodeUnavailable, outcome: notRun}
--- a/internal/daemon/ingress/body.go
+++ b/internal/daemon/ingress/body.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/daemon/bodymemory"
@@ -14,6 +15,13 @@
 // defaultMaxBody bounds the request body, in bytes, if the rules set no bound.
 const defaultMaxBody = 4 << 20
 
+const (
+	// firstRead is how much of a body is read before memory is reserved for it, and
+	// firstPart the first reservation, in bytes.
+	firstRead = 512
+	firstPart = 4 << 10
+)
+
 // readBody reads the whole body, so that the request can be sent more than once.
 func (c *call) readBody(limit int) error {
 	if c.r.Body == nil || c.r.ContentLength == 0 {
@@ -29,6 +37,8 @@
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.Wrap(fault.BodyTimedOut, c.route.Name, err)
 	case errors.As(err, &tooLarge):
 		return fault.Wrap(fault.BodyTooLarge, c.route.Name, err)
 	case err != nil:
@@ -38,36 +48,92 @@
 	return nil
 }
 
-// readWithinMemory reads a body once memory is reserved for it: for the length that the
-// caller announced, or first for a small body and then for the largest one.
+// readWithinMemory reads a body. It reserves memory for a part only once the parts before it
+// have arrived, so that a body that is announced and never sent holds none.
 func (c *call) readWithinMemory(r io.Reader, limit int) ([]byte, error) {
+	size, known := limit, false
 	if length := c.r.ContentLength; length > 0 && length <= int64(limit) {
-		if err := c.reserve(int(length)); err != nil {
+		size, known = int(length), true
+	}
+	r = &deadlineReader{
+		Reader: r,
+		call:   c,
+	}
+	first := make([]byte, min(firstRead, size))
+	n, err := io.ReadAtLeast(r, first, 1)
+	if err == io.EOF && !known {
+		return nil, nil
+	}
+	body := first[:n]
+	for _, part := range []int{firstPart, bodymemory.SmallBody, size} {
+		part = min(part, size)
+		if err != nil || len(body) == size {
+			break
+		}
+		if err = c.growReservation(part); err != nil {
 			return nil, err
 		}
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	first := min(bodymemory.SmallBody, limit)
-	if err := c.reserve(first); err != nil {
-		return nil, err
+		if part == limit && !known {
+			return c.readRest(r, body)
+		}
+		body, err = readUpTo(r, body, part)
 	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(first)))
-	if err != nil || len(body) < first {
-		return body, err
+	if err == io.EOF && !known {
+		err = nil
 	}
-	if err := c.reserve(limit); err != nil {
-		return nil, err
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
 	}
+	return body, err
+}
+
+// readRest reads the rest of a body of unknown length, and reduces its reservation, which
+// is that for the largest body.
+func (c *call) readRest(r io.Reader, body []byte) ([]byte, error) {
 	rest, err := io.ReadAll(r)
 	body = append(body, rest...)
-	// The reservation for the largest body, which is the last one, is reduced to this one.
-	reduce := c.reservations[len(c.reservations)-1]
-	reduce(cap(body))
+	c.reservations[len(c.reservations)-1](cap(body))
 	return body, err
 }
 
+// readUpTo reads until the body has the given size or ends; the error is io.EOF then.
+func readUpTo(r io.Reader, body []byte, size int) ([]byte, error) {
+	grown := make([]byte, size)
+	have := copy(grown, body)
+	n, err := io.ReadFull(r, grown[have:])
+	if err == io.ErrUnexpectedEOF {
+		err = io.EOF
+	}
+	return grown[:have+n], err
+}
+
+// deadlineReader fails when the deadline of the request has passed.
+type deadlineReader struct {
+	io.Reader
+	call *call
+}
+
+// Read implements io.Reader.
+func (d *deadlineReader) Read(p []byte) (int, error) {
+	n, err := d.Reader.Read(p)
+	if err == nil && d.call.timeLeft() < 0 {
+		err = os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+// growReservation replaces the reservation for the body by one of the given size.
+func (c *call) growReservation(bytes int) error {
+	if err := c.reserve(bytes); err != nil {
+		return err
+	}
+	if n := len(c.reservations); n > 1 {
+		c.reservations[0](0)
+		c.reservations = c.reservations[1:]
+	}
+	return nil
+}
+
 // reserve reserves memory for the body until the request ends.
 func (c *call) reserve(bytes int) error {
 	reduce, err := c.h.Bodies.Reserve(c.r.Context(), c.account, bytes)
--- /dev/null
+++ b/internal/daemon/ingress/body_test.go
@@ -0,0 +1,79 @@
+package ingress_test
+
+// This file tests bodies of requests that are announced and don't arrive.
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"camphorspoke/internal/base/boottime"
+	"camphorspoke/internal/base/fault"
+	"camphorspoke/internal/daemon/bodymemory"
+	"camphorspoke/internal/edge/connguard"
+)
+
+// announceBody sends a head that announces a body, and the beginning of the body.
+func announceBody(t *testing.T, url string, length int, body string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	_, err = fmt.Fprintf(c, "POST /book/ HTTP/1.1\r\nHost: h\r\nId: x\r\nKey: secret\r\nContent-Length: %d\r\n\r\n%s", length, body)
+	require.NoError(t, err)
+	return c
+}
+
+// TestAnnouncedBodiesHoldNoMemory guards against bodies that are announced and never sent,
+// for which other requests found no memory.
+func TestAnnouncedBodiesHoldNoMemory(t *testing.T) {
+	e := newTestEnv(t, respondOK)
+	e.handler.Bodies = &bodymemory.Budget{
+		Bytes: 64 << 10,
+	}
+	for range 20 {
+		announceBody(t, e.url, 4<<10, "")
+	}
+	// The heads have arrived once the gate counts their requests.
+	require.Eventually(t, func() bool { return e.handler.Gate.Count() == 20 }, 5*time.Second, time.Millisecond)
+	resp, err := http.ReadResponse(bufio.NewReader(announceBody(t, e.url, 3000, strings.Repeat("b", 3000))), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode, resp.Header.Get("Kind"))
+}
+
+// TestStalledBodyIsRefusedAsNotRun guards against a body that stops and holds its request for
+// good. The caller gets a refusal, and no server gets the request.
+func TestStalledBodyIsRefusedAsNotRun(t *testing.T) {
+	e := newTestEnv(t, respondOK)
+	limits := connguard.LimitsFor(0, 0, 0)
+	limits.BodyTime = 100 * time.Millisecond
+	guard := &connguard.Guard{
+		Limits:  func() connguard.Limits { return limits },
+		Now:     boottime.New().Now,
+		OnClose: func(string) {},
+	}
+	s := httptest.NewUnstartedServer(e.handler)
+	guard.Protect(s.Config)
+	s.Listener = guard.Listener(s.Listener)
+	s.Start()
+	defer s.Close()
+	for _, body := range []string{"", "some"} {
+		resp, err := http.ReadResponse(bufio.NewReader(announceBody(t, s.URL, 4<<10, body)), nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, fault.BodyTimedOut, resp.Header.Get("Kind"))
+		require.True(t, resp.Close)
+	}
+	require.Zero(t, e.requestCount())
+	require.False(t, fault.MayHaveRun(fault.New(fault.BodyTimedOut, "", "")))
+}
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -383,7 +383,8 @@
 		f = fault.Wrap(fault.Internal, c.service, err)
 	}
 	c.logOutcome(f.Kind, f)
-	if c.callerGone() || c.headerSent {
+	// net/http ends the context also when a body timed out; its caller may still be there.
+	if c.callerGone() && f.Kind != fault.BodyTimedOut || c.headerSent {
 		c.mustAbort = true
 		return
 	}
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -32,6 +32,7 @@
 	pushbacks        metric.Int64Counter
 	abandoned        metric.Int64Counter
 	retries          metric.Int64Counter
+	closed           metric.Int64Counter
 }
 
 // Callbacks holds callbacks for the metrics whose values are read at scrape time.
@@ -43,6 +44,9 @@
 	// Quarantines returns the number of quarantines of parts of prompts by service; it
 	// may be nil.
 	Quarantines func() map[string]int
+	// Connections returns the number of open connections of clients by address; it may be
+	// nil.
+	Connections func() map[string]int
 	// Loads returns the number of requests running and queued at each backend
 	// server that this instance owns.
 	Loads func() map[string]int
@@ -72,12 +76,16 @@
 	m.pushbacks = b.counter("camphorspoke.pushbacks", "Refusals with which a server asked for a pause, and grants withdrawn because of one, by service and event.")
 	m.abandoned = b.counter("camphorspoke.attempts.abandoned", "Attempts that did not answer their request, by service, result and what became of the connection.")
 	m.retries = b.counter("camphorspoke.retries", "Retries by service.")
+	m.closed = b.counter("camphorspoke.client.connections.closed", "Connections of clients that were closed at a limit, by reason.")
 	b.observableCounter("camphorspoke.control.bytes", "Bytes of control traffic by kind.", "kind", func() map[string]int64 { return toInt64(callbacks.ControlBytes()) })
 	b.observableCounter("camphorspoke.invariant.violations", "Violated invariants by name.", "name", func() map[string]int64 { return toInt64(callbacks.Violations()) })
 	b.observableGauge("camphorspoke.server.load", "Requests running and queued at each owned backend server.", "server", func() map[string]int64 { return toInt64(callbacks.Loads()) })
 	if callbacks.Quarantines != nil {
 		b.observableGauge("camphorspoke.quarantines", "Quarantines of parts of prompts by service.", "service", func() map[string]int64 { return toInt64(callbacks.Quarantines()) })
 	}
+	if callbacks.Connections != nil {
+		b.observableGauge("camphorspoke.client.connections", "Open connections of clients by listening address.", "address", func() map[string]int64 { return toInt64(callbacks.Connections()) })
+	}
 	if b.err != nil {
 		return nil, nil, nil, fault.Wrap(fault.Internal, "metrics", b.err)
 	}
@@ -218,6 +226,14 @@
 	m.abandoned.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc), attribute.String("result", result), attribute.String("connection", connection)))
 }
 
+// ConnectionClosed counts a connection of a client that was closed at a limit.
+func (m *Meters) ConnectionClosed(ctx context.Context, reason string) {
+	if m == nil {
+		return
+	}
+	m.closed.Add(ctx, 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // Retry counts a retry at a service.
 func (m *Meters) Retry(ctx context.Context, svc string) {
 	if m == nil {
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,7 @@
 	"camphorspoke/internal/daemon/settings"
 	"camphorspoke/internal/edge"
 	"camphorspoke/internal/edge/backend"
+	"camphorspoke/internal/edge/connguard"
 	"camphorspoke/internal/edge/link"
 	"camphorspoke/internal/edge/peer"
 	"camphorspoke/internal/edge/peerserver"
@@ -67,12 +69,6 @@
 	sweepInterval = time.Second
 	// reloadInterval is the time between reads of the settings.
 	reloadInterval = 2 * time.Second
-	// headerTimeout limits the time to read a request header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle caller connection is kept open.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes limits the size of a request header.
-	maxHeaderBytes = 64 << 10
 	// applyRulesTimeout limits the time to apply a configuration.
 	applyRulesTimeout = 2500 * time.Millisecond
 	// sourceTimeout limits the time to read the configuration.
@@ -121,6 +117,10 @@
 	exitTime  atomic.Int64
 	// requests counts the callers' requests.
 	requests atomic.Uint64
+	meters   *metrics.Meters
+	// guards protects each listening address, by name.
+	guards   map[string]*connguard.Guard
+	guardsMu sync.Mutex
 	// handler handles them, and front serves it.
 	handler *ingress.Handler
 	front   *http.Server
@@ -162,10 +162,12 @@
 		Violations:   in.checker.Counts,
 		Loads:        in.loads,
 		Quarantines:  in.quarantineCounts,
+		Connections:  e.connectionCounts,
 	})
 	if err != nil {
 		return err
 	}
+	e.meters = meters
 	in.onCleanUp(stopMetrics)
 	if err := e.startMembership(); err != nil {
 		return err
@@ -176,7 +178,7 @@
 	if cfg.Metrics != "" {
 		mux := http.NewServeMux()
 		mux.Handle("/metrics", metricsHandler)
-		if _, err := e.serveHTTP(cfg.Metrics, mux); err != nil {
+		if _, err := e.serveHTTP("metrics", cfg.Metrics, mux); err != nil {
 			return err
 		}
 	}
@@ -340,19 +342,20 @@
 		},
 	}
 	for _, d := range []struct {
+		name    string
 		address string
 		handler http.Handler
 	}{
-		{in.cfg.Entry.Operator, endpoints.Configuration()},
-		{in.cfg.Entry.Directory, endpoints.Resolve()},
-		{in.cfg.Entry.Ready, endpoints.Ready()},
+		{"operator", in.cfg.Entry.Operator, endpoints.Configuration()},
+		{"directory", in.cfg.Entry.Directory, endpoints.Resolve()},
+		{"ready", in.cfg.Entry.Ready, endpoints.Ready()},
 	} {
-		if _, err := e.serveHTTP(d.address, d.handler); err != nil {
+		if _, err := e.serveHTTP(d.name, d.address, d.handler); err != nil {
 			return err
 		}
 	}
 	var err error
-	if e.front, err = e.serveHTTP(in.cfg.Entry.Front, e.countRequests(e.handler)); err != nil {
+	if e.front, err = e.serveHTTP(frontName, in.cfg.Entry.Front, e.countRequests(e.handler)); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
@@ -370,19 +373,19 @@
 	})
 }
 
-// serveHTTP serves h at address until the instance is cleaned up.
-func (e *entry) serveHTTP(address string, h http.Handler) (*http.Server, error) {
+// serveHTTP serves h at address until the instance is cleaned up. name is that of the
+// address in metrics and the log.
+func (e *entry) serveHTTP(name, address string, h http.Handler) (*http.Server, error) {
 	l, err := link.Listen(address)
 	if err != nil {
 		return nil, fault.Wrap(fault.BadSetting, address, err)
 	}
 	s := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          nil,
+		Handler: h,
 	}
+	guard := e.newGuard(name)
+	guard.Protect(s)
+	l = guard.Listener(l)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			e.instance.serveErrors <- fault.Wrap(fault.Internal, address, err)
--- a/internal/daemon/settings/entry.go
+++ b/internal/daemon/settings/entry.go
@@ -45,6 +45,7 @@
 	fs.Float64Var(&e.CPUShare, "cpu-share", 0, "processor share of this instance, in cores; 0 means unknown")
 	fs.Float64Var(&e.LinkMbps, "link-mbps", 0, "bandwidth of the link of this instance, in Mbit/s; 0 means unknown")
 	fs.IntVar(&e.MemoryMB, "memory-mb", 0, "memory limit of the process, in MB")
+	fs.IntVar(&e.FileDescriptors, "file-descriptors", 0, "number of file descriptors that the process may open; 0 means no limit")
 	fs.IntVar(&e.Cores, "cores", 0, "number of processor cores that the process may use")
 	fs.IntVar(&r.lossesBorne, "losses-borne", 1, "number of control replicas that may fail at the same time")
 	fs.Float64Var(&r.graceS, "grace-s", defaultGraceS, "grace period of a planned stop, in seconds")
@@ -128,6 +129,8 @@
 		return invalid("link-mbps", fmt.Sprint(e.LinkMbps), "0 or more")
 	case e.LoadBound < 1:
 		return invalid("bound", fmt.Sprint(e.LoadBound), "1 or more")
+	case e.FileDescriptors < 0:
+		return invalid("file-descriptors", strconv.Itoa(e.FileDescriptors), "0 or more")
 	case e.MemoryMB < 0 || e.Cores < 0:
 		return invalid("memory-mb", strconv.Itoa(e.MemoryMB), "0 or more")
 	}
--- a/internal/daemon/settings/entry_test.go
+++ b/internal/daemon/settings/entry_test.go
@@ -59,6 +59,10 @@
 	require.Equal(t, 3, s.Entry.Voters)
 	require.Equal(t, 8*time.Second, s.Entry.Grace)
 	require.Equal(t, 5*time.Second, s.Entry.RevokeAfter)
+	require.Zero(t, s.Entry.FileDescriptors)
+	s, err = parse(t, entryFile+"file-descriptors 2870\n")
+	require.NoError(t, err)
+	require.Equal(t, 2870, s.Entry.FileDescriptors)
 }
 
 func TestEntryWithoutDataDir(t *testing.T) {
@@ -85,6 +89,7 @@
 		{"bound 2", "bound 0.5", "-bound=0.5"},
 		{"retry-ratio 0.2", "retry-ratio -1", "-retry-ratio=-1"},
 		{"losses-borne 1", "losses-borne 9", "-losses-borne=9"},
+		{"memory-mb 284", "file-descriptors -1", "-file-descriptors=-1"},
 		{"data-dir /data/my-front", "data-dir data", "-data-dir=data"},
 	} {
 		text := strings.Replace(entryFile, c.from, c.to, 1)
--- a/internal/daemon/settings/settings.go
+++ b/internal/daemon/settings/settings.go
@@ -85,6 +85,9 @@
 	// MemoryMB is the memory limit in MB, above which the process is killed; zero
 	// means no limit.
 	MemoryMB int
+	// FileDescriptors is the number of descriptors that the process may open; zero means
+	// no limit.
+	FileDescriptors int
 	// Cores is the number of processor cores that the process may use; zero keeps
 	// the default of the Go runtime.
 	Cores int
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -108,6 +109,9 @@
 func (d *Daemon) Directory() string { return d.address(directoryPort) }
 func (d *Daemon) Control() string   { return d.address(controlPort) }
 
+// section matches a part of the template that is left out if the platform has no value for it.
+var section = regexp.MustCompile(`(?s)\{\{#([\w.]+)\}\}(.*?)\{\{/[\w.]+\}\}`)
+
 // settings fills in the template of the deploy file with the bounds of the smallest site.
 func (d *Daemon) settings(bootstrap bool) (string, error) {
 	b, err := os.ReadFile(filepath.Join(d.fleet.env.Root, "deploy", "camphord.settings"))
@@ -115,14 +119,14 @@
 		return "", err
 	}
 	text := string(b)
-	const begin, end = "{{#dataDirectory}}", "{{/dataDirectory}}"
-	if i, j := strings.Index(text, begin), strings.Index(text, end); i >= 0 && j > i {
-		inner := ""
-		if d.Disk {
-			inner = strings.ReplaceAll(text[i+len(begin):j], "{{.}}", d.dataDir())
+	text = section.ReplaceAllStringFunc(text, func(s string) string {
+		// The site has no value for the other sections.
+		m := section.FindStringSubmatch(s)
+		if m[1] != "dataDirectory" || !d.Disk {
+			return ""
 		}
-		text = text[:i] + inner + text[j+len(end):]
-	}
+		return strings.ReplaceAll(m[2], "{{.}}", d.dataDir())
+	})
 	var seeds []string
 	for _, i := range d.fleet.seeds {
 		seeds = append(seeds, d.fleet.Daemons[i].Control())
