A refused head is read no further; a flood leaves new connections time

net/http reads again after an error inside a head. A refused connection then waited for its deadline and was counted a second time, as headTime. The refusal now holds for all further reads. TestHeadOfManyLinesIsRefusedOnce failed before (2 reasons for one connection).

A connection whose head has arrived looks like one that has sent nothing until its goroutine has run, and a burst of accepts closed it. One younger than 0.1 s is no longer closed for a newer one; accepting waits instead.

--- a/internal/edge/connguard/body.go
+++ b/internal/edge/connguard/body.go
@@ -68,7 +68,7 @@
 	}
 	if n > 0 && !c.guard.hold(c, held) {
 		b.ended = true
-		c.guard.OnClose(ReasonHeldBytes)
+		c.guard.report(ReasonHeldBytes)
 		return 0, &fault.Fault{
 			Kind:       fault.Overloaded,
 			Subject:    "body",
@@ -81,7 +81,7 @@
 	}
 	b.ended = true
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.guard.OnClose(ReasonBodyTime)
+		c.guard.report(ReasonBodyTime)
 	}
 	if errors.Is(err, io.EOF) {
 		c.guard.enter(c, connlimit.Running)
--- a/internal/edge/connguard/conn.go
+++ b/internal/edge/connguard/conn.go
@@ -47,12 +47,17 @@
 	limits      Limits
 	headBytes   int
 	headLines   int
+	// refused is true once the head was refused. net/http may read again after an error.
+	refused bool
 	// idle is true if the next deadline that net/http sets is that of an idle connection.
 	idle bool
 }
 
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.refused {
+		return 0, errRefused
+	}
 	n, err := c.Conn.Read(p)
 	if !c.readingHead.Load() {
 		return n, err
@@ -61,7 +66,7 @@
 		return 0, errRefused
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.headBytes > 0 {
-		c.guard.OnClose(ReasonHeadTime)
+		c.guard.report(ReasonHeadTime)
 	}
 	return n, err
 }
@@ -90,6 +95,7 @@
 // refuse answers a head that is not complete, so that its request has not run, and waits
 // shortly until the client has stopped sending.
 func (c *conn) refuse(status int, reason string) {
+	c.refused = true
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
 	retry := ""
 	if status == http.StatusServiceUnavailable {
@@ -99,7 +105,7 @@
 		// The connection was closed at a limit already.
 		return
 	}
-	c.guard.OnClose(reason)
+	c.guard.report(reason)
 	if c.CloseWrite() == nil {
 		_, _ = io.CopyN(io.Discard, onlyReader{c.Conn}, lingerBytes)
 	}
--- a/internal/edge/connguard/connguard.go
+++ b/internal/edge/connguard/connguard.go
@@ -48,6 +48,8 @@
 	// between two attempts.
 	maxWait      = time.Second
 	waitInterval = 250 * time.Millisecond
+	// acceptPause is the time between two looks for room for a new connection.
+	acceptPause = 10 * time.Millisecond
 	// minTime is the shortest time for a head or for progress of a body.
 	minTime = 2 * time.Second
 )
@@ -111,7 +113,8 @@
 	CountBodies bool
 	// Now returns the time on a monotonic clock.
 	Now func() time.Duration
-	// OnClose is called for each connection that a limit closes, with the reason.
+	// OnClose is called for each connection that a limit closes, with the reason; it may be
+	// nil.
 	OnClose func(reason string)
 	// Budget decides; mu guards it.
 	Budget connlimit.Budget
@@ -146,6 +149,7 @@
 	return &listener{
 		Listener: l,
 		guard:    g,
+		closed:   make(chan struct{}),
 	}
 }
 
@@ -153,6 +157,27 @@
 type listener struct {
 	net.Listener
 	guard *Guard
+	// closed is closed by the first Close.
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// awaitRoom delays the next connection while there is no room but that of very new ones.
+// Further connections wait in the backlog of the kernel.
+func (l *listener) awaitRoom() {
+	for l.guard.delay() > 0 {
+		select {
+		case <-time.After(acceptPause):
+		case <-l.closed:
+			return
+		}
+	}
 }
 
 // Accept implements net.Listener. It closes connections for which there is no room.
@@ -162,12 +187,19 @@
 		if err != nil {
 			return nil, err
 		}
+		l.awaitRoom()
 		if c := l.guard.add(nc); c != nil {
 			return c, nil
 		}
 	}
 }
 
+func (g *Guard) delay() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Budget.Delay(g.Now())
+}
+
 // add returns the guarded connection; nil if there is no room for it.
 func (g *Guard) add(nc net.Conn) *conn {
 	address, _, err := net.SplitHostPort(nc.RemoteAddr().String())
@@ -189,7 +221,7 @@
 	g.mu.Unlock()
 	if account == nil {
 		_ = nc.Close()
-		g.OnClose(ReasonFull)
+		g.report(ReasonFull)
 		return nil
 	}
 	if victim != nil {
@@ -201,7 +233,7 @@
 func (g *Guard) closeVictim(victim *connlimit.Conn, reason string) {
 	// The reader of the connection removes it from the budget when it has ended.
 	_ = victim.Owner.Close()
-	g.OnClose(reason)
+	g.report(reason)
 }
 
 // hold counts memory that a connection is about to take, and reports whether it may go on. It
@@ -241,6 +273,13 @@
 	return v, changed
 }
 
+// report counts a connection that a limit closes.
+func (g *Guard) report(reason string) {
+	if g.OnClose != nil {
+		g.OnClose(reason)
+	}
+}
+
 func (g *Guard) enter(c *conn, p connlimit.Phase) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/edge/connguard/connguard_test.go
+++ b/internal/edge/connguard/connguard_test.go
@@ -125,7 +125,23 @@
 		send(c, get(129<<10))
 		requireStatus(t, r, http.StatusRequestHeaderFieldsTooLarge)
 		require.Equal(t, connguard.ReasonHeadTooLarge, <-e.reasons)
-		synctest.Wait()
+		time.Sleep(time.Minute)
+		require.Empty(t, e.reasons, "one reason for one connection")
+	})
+}
+
+// TestHeadOfManyLinesIsRefusedOnce guards against heads whose fields take far more memory than
+// bytes, and against a refused connection that is read again.
+func TestHeadOfManyLinesIsRefusedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := serve(t, connlimit.Budget{}, ok)
+		c := e.dial()
+		defer c.Close()
+		send(c, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 6000))
+		requireStatus(t, bufio.NewReader(c), http.StatusRequestHeaderFieldsTooLarge)
+		time.Sleep(time.Minute)
+		require.Len(t, e.reasons, 1)
+		require.Zero(t, e.guard.Open())
 	})
 }
 
@@ -199,6 +215,7 @@
 		busy := e.dial()
 		defer busy.Close()
 		send(busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		synctest.Wait()
 		for range 20 {
 			defer e.dial().Close()
 		}
--- a/internal/routing/connlimit/connlimit.go
+++ b/internal/routing/connlimit/connlimit.go
@@ -28,6 +28,9 @@
 	// StallTime is how long a costly connection may make no progress while others wait for
 	// memory.
 	StallTime = 500 * time.Millisecond
+	// GraceTime is how long a new connection is not closed for a newer one. Its head may have
+	// arrived already, and its reader may not have run yet.
+	GraceTime = 100 * time.Millisecond
 	// maxScan bounds the search for a connection of an address above its share, in
 	// connections of each phase.
 	maxScan = 64
@@ -118,6 +121,19 @@
 	return c, victim
 }
 
+// Delay returns for how long a new connection should wait, as there is no room for it and the
+// one to close instead is so new that its request may not have been read yet.
+func (b *Budget) Delay(now time.Duration) time.Duration {
+	if b.Connections == 0 || b.open < b.Connections {
+		return 0
+	}
+	c := b.leastNeeded(now)
+	if c == nil || c.phase != Fresh {
+		return 0
+	}
+	return max(c.progress+GraceTime-now, 0)
+}
+
 // leastNeeded returns the connection that is given up first, nil if all have a request
 // running.
 func (b *Budget) leastNeeded(now time.Duration) *Conn {
--- a/internal/routing/connlimit/connlimit_test.go
+++ b/internal/routing/connlimit/connlimit_test.go
@@ -50,6 +50,22 @@
 	require.Same(t, old, victim)
 }
 
+// TestNewConnectionsAreNotClosedAtOnce guards against a flood of connections that drives out
+// clients before their requests are read.
+func TestNewConnectionsAreNotClosedAtOnce(t *testing.T) {
+	b := connlimit.Budget{
+		Connections: 2,
+	}
+	b.Add(0, "a")
+	require.Zero(t, b.Delay(0), "there is room")
+	second, _ := b.Add(time.Millisecond, "a")
+	require.Equal(t, connlimit.GraceTime-2*time.Millisecond, b.Delay(2*time.Millisecond))
+	require.Zero(t, b.Delay(connlimit.GraceTime))
+	b.Enter(2*time.Millisecond, second, connlimit.Running)
+	b.Remove(second)
+	require.Zero(t, b.Delay(2*time.Millisecond))
+}
+
 // TestAddressKeepsItsShare guards against one address that takes all connections, also by
 // ones that have served requests, and drives out the new ones of the others.
 func TestAddressKeepsItsShare(t *testing.T) {
