--- a/internal/daemon/ingress/body_test.go
+++ b/internal/daemon/ingress/body_test.go
@@ -19,6 +19,7 @@
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/daemon/bodymemory"
 	"camphorspoke/internal/edge/connguard"
+	"camphorspoke/internal/rules/ruleset"
 )
 
 // announceBody sends a head that announces a body, and the beginning of the body.
@@ -77,3 +78,46 @@
 	require.Zero(t, e.requestCount())
 	require.False(t, fault.MayHaveRun(fault.New(fault.BodyTimedOut, "", "")))
 }
+
+// TestBodiesOfEverySizeArrive guards against a body that is cut, or accepted above the limit,
+// where a part that is read by itself ends.
+func TestBodiesOfEverySizeArrive(t *testing.T) {
+	received := make(chan string, 1)
+	e := newTestEnv(t)
+	e.start(fmt.Sprintf("ingress callers body-bytes=100000 # t: t\n"+ruleText, ruleset.KeyDigest("secret")), []string{e.wholeBodies(received)})
+	for _, size := range []int{1, 511, 512, 513, 4095, 4096, 4097, 65_535, 65_536, 65_537, 99_999, 100_000, 100_001} {
+		for _, chunked := range []bool{false, true} {
+			sent := strings.Repeat("0123456789", size/10+1)[:size]
+			var body io.Reader = strings.NewReader(sent)
+			if chunked {
+				body = io.MultiReader(body)
+			}
+			r, err := http.NewRequest(http.MethodPost, e.url+"/book/", body)
+			require.NoError(t, err)
+			r.Host = "h"
+			r.Header.Set("Id", "x")
+			r.Header.Set("Key", "secret")
+			resp, err := e.client.Do(r)
+			require.NoError(t, err)
+			resp.Body.Close()
+			if size > 100_000 {
+				require.Equal(t, fault.BodyTooLarge, resp.Header.Get("Kind"), "%d %t", size, chunked)
+				continue
+			}
+			require.Equal(t, http.StatusOK, resp.StatusCode, "%d %t %s", size, chunked, resp.Header.Get("Kind"))
+			require.Equal(t, sent, <-received, "%d %t", size, chunked)
+		}
+	}
+}
+
+// wholeBodies starts a backend server that passes on the bodies that it receives.
+func (e *testEnv) wholeBodies(received chan<- string) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		received <- string(b)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "1")
+	}))
+	e.t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
