camphord: signals are handled until the process exits

Cause: run() restored the default handling of SIGTERM and SIGHUP before it returned. A further signal between that and the exit ended a finished planned stop with "signal: terminated" instead of exit code 0. With the race detector the exit takes long enough for a soak to hit it. Change: the handlers stay registered until the process exits.

--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -35,13 +35,11 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	// The signal handlers are installed first: a signal before that would
-	// terminate the process.
+	// The signal handlers are installed first, and stay until the process exits: a signal
+	// before or after that would terminate the process.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	set, err := settings.Parse(args)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
