The soak evacuates failure domains

Cause: the rule that no request reaches a server of an evacuated failure domain later than 5 s after the acknowledgement was checked by unit tests and one fleet only. Change: guarantee.Checker has the rule; with -evacuate (soak.Config.Evacuate) the backend servers are in two failure domains, and the operator evacuates one at a time with calls to random daemons. The other seeds keep their sequences.

--- a/cmd/camphor-soak/main.go
+++ b/cmd/camphor-soak/main.go
@@ -29,6 +29,7 @@
 	chats := fs.Int("chats", 12, "number of concurrent callers that hold long chats")
 	planned := fs.Bool("planned", false, "inject planned operations only")
 	failAll := fs.Bool("fail-all", false, "let all servers of a service fail half of their requests at times")
+	evacuate := fs.Bool("evacuate", false, "evacuate failure domains")
 	killFirst := fs.Bool("kill-first-start", true, "kill a seed while the control group forms")
 	grace := fs.Duration("grace", 4*time.Second, "grace period of planned stops")
 	keep := fs.String("keep", "", "directory for the logs of failed seeds; if empty, logs are not kept")
@@ -50,6 +51,7 @@
 					ChatCallers:   *chats,
 					PlannedOnly:   *planned,
 					FailAll:       *failAll,
+					Evacuate:      *evacuate,
 					Grace:         *grace,
 
 					KillFirstStart: *killFirst,
--- a/internal/check/guarantee/guarantee.go
+++ b/internal/check/guarantee/guarantee.go
@@ -24,6 +24,9 @@
 	Revoke    time.Duration
 	Propagate time.Duration
 	Drain     time.Duration
+	// Evacuate limits how long after the acknowledgement of an evacuation requests may
+	// still reach servers of the failure domain.
+	Evacuate time.Duration
 	// Recovery is the time after the end of a fault in which Drain is not checked
 	// yet and interrupted requests are not violations yet.
 	Recovery time.Duration
@@ -88,6 +91,10 @@
 	// departures holds, by backend server and daemon, when the first response that
 	// announces the server's departure was sent to the daemon.
 	departures map[departure]time.Time
+	// domains holds the failure domain of each backend server, evacuated when the
+	// evacuation of a failure domain was acknowledged, until its finish.
+	domains   map[string]string
+	evacuated map[string]time.Time
 	// traffic holds the requests and repeats of each service, arrivals how often each
 	// request arrived.
 	traffic  map[string]*traffic
@@ -113,6 +120,8 @@
 	c.counts = make(map[string]int)
 	c.executionEnds = make(map[string]time.Time)
 	c.departures = make(map[departure]time.Time)
+	c.domains = make(map[string]string)
+	c.evacuated = make(map[string]time.Time)
 	c.traffic = make(map[string]*traffic)
 	c.arrivals = make(map[string]int)
 }
--- a/internal/check/guarantee/pushback.go
+++ b/internal/check/guarantee/pushback.go
@@ -78,6 +78,7 @@
 	defer c.lock()()
 	c.recordArrival(id, at)
 	c.checkDeparture(id, server, at)
+	c.checkEvacuation(id, server, at)
 	daemon := c.attempts[id].Address
 	for _, p := range c.pushback.pauses {
 		if p.server != server || p.daemon != daemon || at.Before(p.from.Add(pauseGrace)) || !at.Before(p.until) {
--- a/internal/check/soak/faults.go
+++ b/internal/check/soak/faults.go
@@ -270,7 +270,7 @@
 	if !old.replaced.CompareAndSwap(false, true) {
 		return nil // another injector is replacing it
 	}
-	next, err := f.s.addBackend(old.service)
+	next, err := f.s.addBackend(old.service, old.domain)
 	if err != nil {
 		return err
 	}
--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -41,6 +41,7 @@
 type backend struct {
 	id      string
 	service string
+	domain  string
 	checker *guarantee.Checker
 	server  *httptest.Server
 	proxy   *proxy
@@ -59,12 +60,14 @@
 	executing sync.WaitGroup
 }
 
-func newBackend(id, service string, checker *guarantee.Checker) (*backend, error) {
+func newBackend(id, service, domain string, checker *guarantee.Checker) (*backend, error) {
 	b := &backend{
 		id:      id,
 		service: service,
+		domain:  domain,
 		checker: checker,
 	}
+	checker.Located(id, domain)
 	b.server = httptest.NewServer(b)
 	var err error
 	if b.proxy, err = newProxy(strings.TrimPrefix(b.server.URL, "http://")); err != nil {
@@ -308,7 +311,7 @@
 			ID:            b.id,
 			Service:       b.service,
 			Address:       b.proxy.address(),
-			FailureDomain: "a",
+			FailureDomain: b.domain,
 			Slots:         slots,
 			State:         state,
 			Version:       "v1",
--- a/internal/check/soak/soak.go
+++ b/internal/check/soak/soak.go
@@ -5,7 +5,8 @@
 // Processes are killed, frozen, stopped and restarted by signals; a replica's data
 // is deleted, or its log ends in a torn record; proxies delay, drop or reset the
 // traffic to backend servers, or drop only the responses; backend servers fail
-// some requests, ask for a pause, or are replaced; the platform's list is unavailable.
+// some requests, ask for a pause, or are replaced; the platform's list is unavailable;
+// failure domains are evacuated.
 // Sequences of faults run concurrently and overlap. A seed determines which faults are
 // injected and in which order, not how the processes interleave.
 package soak
@@ -64,6 +65,9 @@
 	PlannedOnly bool
 	// FailAll lets all servers of a service fail half of their requests at times.
 	FailAll bool
+	// Evacuate puts the backend servers into two failure domains and evacuates one of them
+	// at a time.
+	Evacuate bool
 	// KillFirstStart kills a seed while the group forms, and starts it again.
 	KillFirstStart bool
 	// Grace is the grace period of a planned stop; zero is defaultGrace.
@@ -124,6 +128,7 @@
 				Revoke:    5 * time.Second,
 				Propagate: 2 * time.Second,
 				Drain:     3 * time.Second,
+				Evacuate:  5 * time.Second,
 				Recovery:  3 * time.Second,
 			},
 		},
@@ -151,7 +156,11 @@
 	s.serverList = newServerList(s.checker)
 	s.operator = s.newOperator()
 	for i := range 6 {
-		b, err := s.addBackend([]string{"app", "llm"}[i%2])
+		domain := failureDomains[0]
+		if s.cfg.Evacuate {
+			domain = failureDomains[i/2%len(failureDomains)]
+		}
+		b, err := s.addBackend([]string{"app", "llm"}[i%2], domain)
 		if err != nil {
 			return err
 		}
@@ -190,11 +199,11 @@
 	return d.crash(time.Duration(rng.Int64N(int64(2*time.Second))), nil)
 }
 
-func (s *Soak) addBackend(service string) (*backend, error) {
+func (s *Soak) addBackend(service, domain string) (*backend, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.backendCount++
-	b, err := newBackend(fmt.Sprintf("i-%s-%d", service, s.backendCount), service, s.checker)
+	b, err := newBackend(fmt.Sprintf("i-%s-%d", service, s.backendCount), service, domain, s.checker)
 	if err == nil {
 		s.backends = append(s.backends, b)
 	}
@@ -270,6 +279,9 @@
 	if s.cfg.FailAll {
 		kinds = append(kinds, failAllKind)
 	}
+	if s.cfg.Evacuate {
+		kinds = append(kinds, evacuateKind)
+	}
 	return kinds
 }
 
--- a/internal/check/soak/soak_test.go
+++ b/internal/check/soak/soak_test.go
@@ -67,6 +67,12 @@
 
 			KillFirstStart: true,
 		},
+		// A failure domain is evacuated at a time, while daemons and links fail.
+		"evacuations": {
+			Seed:     4,
+			Callers:  8,
+			Evacuate: true,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
