Process test of an evacuation through the product's own interface

Cause: owners of backend servers admit requests under a lease, a path of its own. Change: TestEvacuatedEngineGetsNothing starts a fleet, evacuates the failure domain of one engine under load and opens it again.

--- a/internal/check/fleet/process_test.go
+++ b/internal/check/fleet/process_test.go
@@ -336,6 +336,35 @@
 	require.Less(t, afterDrain, 3*time.Second)
 }
 
+// TestEvacuatedEngineGetsNothing evacuates a failure domain under load and opens it again.
+// The router that owns the engine there still holds its lease and would admit requests to
+// it. The engine may receive no new request more than 5 s after the acknowledgement, no
+// request may fail, and the engine must be in use again after the finish.
+func TestEvacuatedEngineGetsNothing(t *testing.T) {
+	f := start(t, smallFleet())
+	l := startLoad(f, 6)
+	time.Sleep(3 * time.Second)
+	evacuate := func(active bool) time.Time {
+		_, err := fleet.NewOperatorClient(f.Daemons[4].Address).Evacuate(context.Background(), connect.NewRequest(&pb.EvacuateRequest{
+			FailureDomain: f.Topology.Domains[0],
+			Active:        active,
+			Reason:        "test",
+		}))
+		require.NoError(t, err)
+		return time.Now()
+	}
+	evacuatedAt := evacuate(true)
+	time.Sleep(7 * time.Second)
+	last := lastRequestTime(t, f.Engines[0])
+	t.Logf("last new request %s after the evacuation", last.Sub(evacuatedAt))
+	require.Less(t, last.Sub(evacuatedAt), 5*time.Second)
+	require.Less(t, time.Since(lastRequestTime(t, f.Engines[1])), 3*time.Second, "the other engines are in use")
+	finishedAt := evacuate(false)
+	require.Eventually(t, func() bool { return lastRequestTime(t, f.Engines[0]).After(finishedAt) }, 10*time.Second, 100*time.Millisecond)
+	l.stopAndWait()
+	require.Empty(t, l.failures)
+}
+
 // TestAcknowledgedWritesSurviveReplicaLoss kills and restarts control replicas
 // during writes, once after the replica's data folder was deleted. No outcome
 // that was acknowledged to a caller may be missing afterwards.
