--- a/internal/check/guarantee/guarantee.go
+++ b/internal/check/guarantee/guarantee.go
@@ -24,6 +24,9 @@
 	Revoke    time.Duration
 	Propagate time.Duration
 	Drain     time.Duration
+	// Evacuate limits how long after the acknowledgement of an evacuation requests may
+	// still reach servers of the failure domain.
+	Evacuate time.Duration
 	// Recovery is the time after the end of a fault in which Drain is not checked
 	// yet and interrupted requests are not violations yet.
 	Recovery time.Duration
@@ -91,6 +94,10 @@
 	// coldArrivals holds, by backend server, when requests reached it in the last second
 	// while it was cold.
 	coldArrivals map[string][]time.Time
+	// domains holds the failure domain of each backend server, evacuated when the
+	// evacuation of a failure domain was acknowledged, until its finish.
+	domains   map[string]string
+	evacuated map[string]time.Time
 	// traffic holds the requests and repeats of each service, arrivals how often each
 	// request arrived.
 	traffic  map[string]*traffic
@@ -117,6 +124,8 @@
 	c.executionEnds = make(map[string]time.Time)
 	c.departures = make(map[departure]time.Time)
 	c.coldArrivals = make(map[string][]time.Time)
+	c.domains = make(map[string]string)
+	c.evacuated = make(map[string]time.Time)
 	c.traffic = make(map[string]*traffic)
 	c.arrivals = make(map[string]int)
 }
--- a/internal/check/soak/soak_test.go
+++ b/internal/check/soak/soak_test.go
@@ -74,6 +74,12 @@
 			Callers:     24,
 			ColdServers: true,
 		},
+		// A failure domain is evacuated at a time, while daemons and links fail.
+		"evacuations": {
+			Seed:     4,
+			Callers:  8,
+			Evacuate: true,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
