Streams are hedged until their first event, not only until their header

Cause: an engine that sent the header of a stream and then nothing counted as having responded, so the stream got no copy. Change: at services with hedging, an attempt at a stream ends its wait at the first byte of the body (backend Response.AwaitBody). Other services are as before. Result: TestCopyAnswersForAStreamWithoutEvents failed before and passes, and TestNoCopyOnceAStreamHasBegun passes, three times with -race; all of ingress and edge/backend pass.

--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -34,7 +34,7 @@
 	if a.info.Execution == edge.InDoubt {
 		return a.rejectUnproved()
 	}
-	if a.c.route.Kind == ruleset.Stream && a.resp.Status == http.StatusOK && a.info.Signed {
+	if a.streams() {
 		return a.relayStream()
 	}
 	return a.relayBuffered()
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -44,6 +44,10 @@
 	resp *backend.Response
 	err  error
 	info edge.ResponseInfo
+	// awaitsEvent is true if a stream has not begun before its first event. bodyErr is the
+	// failure that came in its place.
+	awaitsEvent bool
+	bodyErr     error
 	// hold reserves the memory that the response takes; with zero it releases it.
 	hold func(bytes int) error
 	// connectionKept is true if the connection returned to the pool.
@@ -61,6 +65,7 @@
 		return c.race(g, plan)
 	}
 	a := c.newAttempt(c.ctx, g)
+	a.awaitsEvent = hedged
 	a.send()
 	if hedged {
 		a.observe(false)
@@ -79,15 +84,23 @@
 	}
 }
 
-// send sends the request and waits for the response header.
+// send sends the request and waits for the response header, and the begin of a stream.
 func (a *attempt) send() {
 	h := a.c.h
 	a.resp, a.err = h.Pool.Send(a.ctx, a.grant.Address, a.request)
 	if a.err == nil {
 		a.info = h.Dialect.ParseResponse(a.resp.Status, a.resp.Header)
+		if a.awaitsEvent && a.streams() {
+			a.bodyErr = a.resp.AwaitBody()
+		}
 	}
 }
 
+// streams reports whether the response is an event stream.
+func (a *attempt) streams() bool {
+	return a.c.route.Kind == ruleset.Stream && a.resp.Status == http.StatusOK && a.info.Signed
+}
+
 // settle handles the outcome of an attempt that was sent: it relays the response, or records
 // that the attempt is abandoned.
 func (a *attempt) settle() exchangeResult {
--- a/internal/daemon/ingress/hedge.go
+++ b/internal/daemon/ingress/hedge.go
@@ -3,8 +3,8 @@
 // This file defines hedged requests: a copy of a request that goes to a second server while
 // the first one has not begun its response.
 //
-// The exchanges with the two servers, up to the response header, and the placement of the
-// copy run in goroutines of their own. All else is done by the goroutine of the call, so that
+// The exchanges with the two servers, up to the response header or the first event of a stream,
+// and the placement of the copy run in goroutines of their own. All else is done by the goroutine of the call, so that
 // its state needs no lock.
 
 import (
@@ -65,19 +65,21 @@
 	}, plan.times)
 }
 
-// observe records how long the server took to begin its response, or at least took. Failures,
+// observe records how long the server took to begin its response, which for a stream is its
+// first event, or at least took. Failures,
 // which may come sooner than a response, are left out. Ended is true if the attempt was ended
 // here, because another one answered the request.
 func (a *attempt) observe(ended bool) {
 	c := a.c
-	if a.answers() || a.err != nil && fault.MayHaveRun(a.err) && (ended || c.timedOut(a.sent)) {
+	waited := a.bodyErr != nil || a.err != nil && fault.MayHaveRun(a.err)
+	if a.answers() || waited && (ended || c.timedOut(a.sent)) {
 		c.h.responseTimes.Observe(c.route.Name, c.h.Now()-a.sent)
 	}
 }
 
 // answers reports whether the attempt has a response that may answer the request.
 func (a *attempt) answers() bool {
-	return a.err == nil && a.info.Execution == edge.Ran && a.resp.Status < http.StatusInternalServerError
+	return a.err == nil && a.bodyErr == nil && a.info.Execution == edge.Ran && a.resp.Status < http.StatusInternalServerError
 }
 
 // race is a request whose attempts are in progress at the same time.
@@ -131,6 +133,7 @@
 func (r *race) start(g *placer.Grant) *attempt {
 	ctx, cancel := context.WithCancel(r.c.ctx)
 	a := r.c.newAttempt(ctx, g)
+	a.awaitsEvent = true
 	r.inProgress[a] = cancel
 	go func() {
 		a.send()
--- a/internal/daemon/ingress/hedge_test.go
+++ b/internal/daemon/ingress/hedge_test.go
@@ -206,6 +206,38 @@
 	}
 }
 
+// TestCopyAnswersForAStreamWithoutEvents: an engine sends the header of a stream, and no event.
+// The header alone counted as the response, so that the stream got no copy and ended at its
+// deadline.
+func TestCopyAnswersForAStreamWithoutEvents(t *testing.T) {
+	h := newHedgeEnv(t, hedgeRule, "/chat/")
+	h.play(func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		h.hang(c, r)
+	}, stream(3, 0))
+	_, body, err := h.do("/chat/")
+	require.NoError(t, err)
+	require.Equal(t, completeStream(3), body)
+	h.requireClosed(1, workTime)
+	require.Equal(t, "won", h.outcome("hedge"))
+	require.Equal(t, 2, h.outcome("runs"))
+}
+
+// TestNoCopyOnceAStreamHasBegun: an engine pauses after the first event. A copy would repeat it.
+func TestNoCopyOnceAStreamHasBegun(t *testing.T) {
+	h := newHedgeEnv(t, hedgeRule, "/chat/")
+	h.play(func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: e1\n\n\n\r\n", r.Header.Get("Id"))
+		time.Sleep(600 * time.Millisecond)
+		fmt.Fprint(c, "0\r\n\r\n")
+	}, stream(3, 0))
+	_, body, err := h.do("/chat/")
+	require.NoError(t, err)
+	require.Contains(t, body, "data: e1")
+	require.Equal(t, 1, h.sent())
+	require.Nil(t, h.outcome("hedge"))
+}
+
 // TestLoserIsClosedBeforeTheAnswerIsRelayed: the winner's body takes long to arrive. The loser's
 // server worked on until the end of it.
 func TestLoserIsClosedBeforeTheAnswerIsRelayed(t *testing.T) {
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -3,6 +3,7 @@
 // This file defines Send and the Response it returns.
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -29,6 +30,9 @@
 	maxStray = 3
 	// maxStrayBody is the maximum number of bytes read of a stray response body.
 	maxStrayBody = 1 << 20
+	// awaitBufferSize is the size in bytes of the buffer for the begin of a body that is
+	// awaited.
+	awaitBufferSize = 4 << 10
 )
 
 // Request is a request to a backend server.
@@ -259,6 +263,20 @@
 	return n, nil
 }
 
+// AwaitBody waits for the first byte of the body, or for its end. The bytes that have arrived are
+// returned by Read.
+func (r *Response) AwaitBody() error {
+	buffered := bufio.NewReaderSize(r.body, awaitBufferSize)
+	r.body = struct {
+		io.Reader
+		io.Closer
+	}{buffered, r.body}
+	if _, err := buffered.Peek(1); err != nil && !errors.Is(err, io.EOF) {
+		return fault.Wrap(fault.LinkBroken, r.conn.address, err)
+	}
+	return nil
+}
+
 // Keep returns the connection to the pool, so that another request may use it. It must be
 // called only once it is certain that the server no longer works on the request: after a
 // whole answer, or a statement that the request did not run. The end of a body proves
