--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -77,11 +77,24 @@
 }
 
 func (s *serverStream) submit(id uint64, req *pb.PlaceAsk) {
-	localID, waits := s.schedulers.submit(req.GetService(), true, toRequest(req), func(d scheduler.Decision) { s.sendDecision(id, d) })
+	// A refused request has no outcome to wait for.
+	refused := false
+	localID, waits := s.schedulers.submit(req.GetService(), true, toRequest(req), func(d scheduler.Decision) {
+		s.sendDecision(id, d)
+		if d.Server != "" {
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		refused = true
+		delete(s.requests, id)
+	})
 	s.mu.Lock()
-	s.requests[id] = requestRef{
-		service: req.GetService(),
-		id:      localID,
+	if !refused {
+		s.requests[id] = requestRef{
+			service: req.GetService(),
+			id:      localID,
+		}
 	}
 	s.mu.Unlock()
 	if waits {
