Queue of an evacuated service: one look for accepting servers; the gauge is tested

Cause: while anything is evacuated, each decision looked for an accepting server once for each queued request. Change: expelEvacuated looks once for all requests that exclude nothing beyond the scheduler's own list.

--- a/internal/check/entryfleet/entryfleet_test.go
+++ b/internal/check/entryfleet/entryfleet_test.go
@@ -60,6 +60,9 @@
 	readyPort
 	directoryPort
 	configurationPort
+
+	// operatorServicePort serves the operators' client and the metrics.
+	operatorServicePort = 2
 )
 
 // newFleet starts a fleet with one backend server, f.backend.
@@ -187,7 +190,6 @@
 func (f *fleet) runClient(i int, args ...string) string {
 	f.t.Helper()
 	var out strings.Builder
-	const operatorServicePort = 2
 	require.NoError(f.t, command.Root(&out).ParseAndRun(f.t.Context(), append([]string{"-addr", f.addr(i, operatorServicePort)}, args...)))
 	return out.String()
 }
--- a/internal/check/entryfleet/evacuations_test.go
+++ b/internal/check/entryfleet/evacuations_test.go
@@ -91,6 +91,8 @@
 	status := f.runClient(3, "status")
 	require.Contains(t, status, "evacuation")
 	require.Contains(t, status, "1 servers")
+	_, metrics := get("http://" + f.addr(3, operatorServicePort) + "/metrics")
+	require.Regexp(t, `camphorspoke_evacuated_domains\{failureDomain="a"[^}]*\} 1\n`, metrics)
 
 	f.requireAccepted(3, 9, "k2")
 	requireAllServe("k2")
--- a/internal/routing/scheduler/evacuations.go
+++ b/internal/routing/scheduler/evacuations.go
@@ -39,8 +39,13 @@
 // wait.
 func (s *Scheduler) expelEvacuated() []Decision {
 	var out []Decision
+	// Nearly all requests may run on any accepting server; these are looked for once.
+	acceptingForAll := s.anyAccepting(Request{})
 	s.queue = slices.DeleteFunc(s.queue, func(w *queuedRequest) bool {
-		if len(s.evacuated) == 0 && len(w.request.ExcludedDomains) == 0 || s.anyAccepting(w.request) {
+		if len(s.evacuated) == 0 && len(w.request.ExcludedDomains) == 0 {
+			return false
+		}
+		if acceptingForAll && (!s.restricted(w.request) || s.anyAccepting(w.request)) {
 			return false
 		}
 		out = append(out, refuse(w.request, NoServer, noServerRetryAfter))
