--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -90,6 +90,10 @@
 	defer d.mu.Unlock()
 	for name, s := range d.services {
 		d.updateCold(name, s)
+		for _, account := range s.TakeSurges() {
+			d.cfg.Logger.WithField("account", account).WithField("service", name).
+				Info("placer: an account sends far more requests than it usually does; they wait behind those of others")
+		}
 	}
 	if len(d.waiting) == 0 {
 		return
--- a/internal/routing/scheduler/explain.go
+++ b/internal/routing/scheduler/explain.go
@@ -77,6 +77,8 @@
 	ExpectedWaitMs int64 `json:"expectedWaitMs"`
 	MaxWaitMs      int64 `json:"maxWaitMs"`
 	Queued         int   `json:"queued"`
+	// Surging is true if the account sends far more than it usually does.
+	Surging bool `json:"surging,omitempty"`
 	// LoadLimit is the limit on the load of one server, this request included.
 	LoadLimit float64 `json:"loadLimit"`
 	// Candidates holds the cheapest servers, first those that are not left out. Omitted is
@@ -91,11 +93,13 @@
 	full, fullAt, memoryShort := s.full, s.fullAt, s.memoryShort
 	defer func() { s.full, s.fullAt, s.memoryShort = full, fullAt, memoryShort }()
 	limit := s.currentLimit(now)
+	req.surging = s.surges.Surging(now, req.Account)
 	out := Explanation{
 		Outcome:        WouldWait,
 		ExpectedWaitMs: s.expectedWait(req).Milliseconds(),
 		MaxWaitMs:      req.MaxWait.Milliseconds(),
 		Queued:         len(s.queue),
+		Surging:        req.surging,
 		LoadLimit:      limit.requests,
 	}
 	for _, sv := range s.listedServers {
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -282,11 +282,26 @@
 	})
 }
 
-// enqueue inserts w into the queue, which is ordered by urgency and then by arrival.
+// compareRanks orders requests by urgency, and those of surging accounts behind the others of
+// their urgency.
+func compareRanks(a, b Request) int {
+	switch {
+	case a.Urgency != b.Urgency:
+		return a.Urgency - b.Urgency
+	case a.surging == b.surging:
+		return 0
+	case a.surging:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// enqueue inserts w into the queue, which is ordered by rank and then by arrival.
 func (s *Scheduler) enqueue(w *queuedRequest) {
 	i, _ := slices.BinarySearchFunc(s.queue, w, func(a, b *queuedRequest) int {
-		if a.request.Urgency != b.request.Urgency {
-			return a.request.Urgency - b.request.Urgency
+		if c := compareRanks(a.request, b.request); c != 0 {
+			return c
 		}
 		return -1
 	})
@@ -294,7 +309,7 @@
 }
 
 // expectedWait estimates how long req waits in the queue, from the number of requests
-// of the same or higher urgency and the rate at which requests complete.
+// of the same or a higher rank and the rate at which requests complete.
 func (s *Scheduler) expectedWait(req Request) time.Duration {
 	interval := s.completions.meanInterval()
 	if interval == 0 {
@@ -303,11 +318,11 @@
 	return max(minExpectedWait, time.Duration(s.queuedAhead(req)+1)*interval)
 }
 
-// queuedAhead returns the number of queued requests of the same or higher urgency than req.
+// queuedAhead returns the number of queued requests of the same or a higher rank than req.
 func (s *Scheduler) queuedAhead(req Request) int {
 	n := 0
 	for _, w := range s.queue {
-		if w.request.Urgency <= req.Urgency {
+		if compareRanks(w.request, req) <= 0 {
 			n++
 		}
 	}
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -18,6 +18,8 @@
 //     others in order of arrival, and not on the servers, which would reject them.
 //     A request whose expected wait exceeds its limit is refused at once, with that
 //     wait as the time after which to retry.
+//   - Accounts that send many times their usual rate while there are too few slots: their
+//     requests are queued behind the others of their urgency; see package surge.
 //   - Short requests on the few slots of a server that is not an engine: more
 //     requests are granted than run at a time, as slots would be idle while requests
 //     and reports are in transit.
@@ -45,6 +47,7 @@
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/quarantine"
 	"camphorspoke/internal/routing/retrybudget"
+	"camphorspoke/internal/routing/surge"
 	"camphorspoke/internal/routing/tokenmemory"
 )
 
@@ -65,6 +68,8 @@
 	hedges retrybudget.Budget
 	// quarantine finds the parts of prompts that crash servers.
 	quarantine quarantine.Tracker
+	// surges finds the accounts that send far more than they usually do.
+	surges surge.Tracker
 	// completions measures how fast slots become free.
 	completions completionRate
 	// usualTime is how long the requests of a plain service take.
@@ -196,6 +201,7 @@
 	if !s.withinBudget(now, req) {
 		return refuse(req, RetryBudget, 0), true
 	}
+	req.surging = s.surges.Surging(now, req.Account)
 	sv, refusal := s.decide(now, req)
 	if sv != nil {
 		return s.grant(now, req, sv), true
@@ -213,7 +219,7 @@
 // decide returns the server for a request, or the refusal, or neither if the request is to be
 // queued. It changes nothing that other decisions depend on.
 func (s *Scheduler) decide(now time.Duration, req Request) (*server, *Decision) {
-	if len(s.queue) == 0 || !s.svc.Engine || s.memoryBlocks {
+	if len(s.queue) == 0 || !s.svc.Engine && !req.surging || s.memoryBlocks {
 		if sv := s.choose(now, req); sv != nil {
 			return sv, nil
 		}
@@ -241,6 +247,7 @@
 	}
 	if !req.Counted {
 		budget.RecordRequest(now)
+		s.surges.Record(now, req.Account)
 		s.hedges.RecordRequest(now)
 	}
 	return true
@@ -345,13 +352,12 @@
 func (s *Scheduler) next(now time.Duration) (int, *server) {
 	best, bestCost := -1, math.Inf(1)
 	var bestServer *server
-	urgency, level := 0, 0
+	level := 0
 	s.memoryBlocks = false
 	for i, w := range s.queue[:min(len(s.queue), lookAhead)] {
-		if i > 0 && w.request.Urgency != urgency {
+		if i > 0 && compareRanks(s.queue[i-1].request, w.request) != 0 {
 			level++
 		}
-		urgency = w.request.Urgency
 		sv := s.choose(now, w.request)
 		if sv == nil {
 			s.memoryBlocks = s.memoryBlocks || s.memoryShort
@@ -388,6 +394,10 @@
 	return miss * max(left, 0)
 }
 
+// TakeSurges returns the accounts that have begun to send far more than they usually do since
+// the last call.
+func (s *Scheduler) TakeSurges() []string { return s.surges.TakeNew() }
+
 // QueueLen returns the number of queued requests.
 func (s *Scheduler) QueueLen() int { return len(s.queue) }
 
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -79,6 +79,9 @@
 	MaxOutputTokens int
 	// Urgency orders queued requests; 0 is the most urgent.
 	Urgency int
+	// surging is true if the account sends far more than it usually does. Such requests are
+	// queued behind the others of their urgency.
+	surging bool
 	// MaxWait is the longest time for which the request may be queued.
 	MaxWait time.Duration
 	// Tried names the servers that have failed this request; they are not chosen again.
