Placer: a decider without tables is passed over

Cause: after a loss of power all instances ask the first decider in the order. Change: an instance whose own view lists servers asks the next decider then.

--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -311,6 +311,11 @@
 			continue
 		}
 		p.answeredDecider(i.GetName())
+		if d.Server == "" && d.Refusal == scheduler.NoServer && p.listsServers(g.service) {
+			// The decider has started recently and has no rules or tables yet.
+			g.stream = nil
+			continue
+		}
 		if d.Server == "" {
 			return refusalFault(g.service, d)
 		}
@@ -341,6 +346,14 @@
 	return nil
 }
 
+// listsServers reports whether this instance's view lists a server that takes requests of the
+// service.
+func (p *Placer) listsServers(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.view.AcceptingServers(service)) > 0
+}
+
 // completeGrant fills in the addresses of a grant. It returns false if this
 // instance's view does not list the chosen server.
 func (p *Placer) completeGrant(g *Grant, d scheduler.Decision, decider string) bool {
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -7,7 +7,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -382,6 +384,20 @@
 	require.Zero(t, c.queries.Load())
 }
 
+// TestDeciderWithoutTablesIsPassedOver guards against a decider that has just started: it has no
+// tables yet, and its answer that there is no server made all instances refuse their requests.
+func TestDeciderWithoutTablesIsPassedOver(t *testing.T) {
+	fleet, order, v := newRecordingFleet(t, 3, nil)
+	fleet[order[0]].placer.Update(v.WithTables(v.Index+1, true, nil, slices.Collect(maps.Values(v.Instances))))
+	g, err := fleet[order[2]].placer.Place(t.Context(), service, newRequest(100, 1))
+	require.NoError(t, err)
+	require.Equal(t, order[1], g.Decider)
+	// Where this instance lists no server either, the request is refused at once.
+	fleet[order[2]].placer.Update(v.WithTables(v.Index+1, true, nil, slices.Collect(maps.Values(v.Instances))))
+	_, err = fleet[order[2]].placer.Place(t.Context(), service, newRequest(100, 2))
+	require.Equal(t, fault.NoEngine, fault.KindOf(err))
+}
+
 // TestSkippedDecidersCauseNoEngineQueries guards against an instance that gets no timely
 // answers, as it is slow itself, and makes one instance after the other query every engine:
 // an instance that is no decider by its own view decides without.
