--- a/internal/check/heap/heap.go
+++ b/internal/check/heap/heap.go
@@ -6,7 +6,7 @@
 import "runtime"
 
 // collections is how many collections InUse makes.
-const collections = 3
+const collections = 8
 
 // InUse returns the bytes of the heap that are in use: the least of several collections, as
 // what is allocated during one survives it, although it may be garbage.
