--- a/internal/routing/scheduler/urgency_test.go
+++ b/internal/routing/scheduler/urgency_test.go
@@ -60,7 +60,7 @@
 	}
 	requests := make(map[uint64]arrival)
 	out := make([]burstResult, len(kinds))
-	grant := func(now time.Duration, d scheduler.Decision) {
+	grant := func(d scheduler.Decision) {
 		r := requests[d.ID]
 		if d.Server == "" {
 			delete(requests, d.ID)
@@ -124,7 +124,7 @@
 					Urgency: kind.urgency,
 					MaxWait: kind.objective / 2,
 				}); ok {
-					grant(now, d)
+					grant(d)
 				}
 			}
 		}
@@ -134,12 +134,12 @@
 				for _, d := range s.Report(now, ended, scheduler.Report{
 					Event: scheduler.Done,
 				}) {
-					grant(now, d)
+					grant(d)
 				}
 			}
 		}
 		for _, d := range s.Tick(now) {
-			grant(now, d)
+			grant(d)
 		}
 	}
 	return out
