Findings of a review: hedges that win, small bodies, explanations, tables of accounts

Cause and change, each from reading the whole diff: any response of a copy counted against the first server, so that one request could eject it: the instance now says whether the copy won. A body limit of at most 512 bytes let a longer body through truncated. explain -would left out tooLarge and the cold rate of an instance that decides alone. Requests of surging accounts passed the queue while it waits for memory. The table of accounts had no firm bound. Result: TestServerWhoseCopiesDoNotWinStays fails before; the packages' tests pass.

--- a/internal/daemon/ingress/body.go
+++ b/internal/daemon/ingress/body.go
@@ -67,7 +67,7 @@
 	body := first[:n]
 	for _, part := range []int{firstPart, bodymemory.SmallBody, size} {
 		part = min(part, size)
-		if err != nil || len(body) == size {
+		if err != nil || known && len(body) == size {
 			break
 		}
 		if err = c.growReservation(part); err != nil {
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -52,6 +52,9 @@
 	hold func(bytes int) error
 	// connectionKept is true if the connection returned to the pool.
 	connectionKept bool
+	// beatFirst is true if the attempt is a copy whose response answers the request, while the
+	// first attempt was in progress.
+	beatFirst bool
 	// hasRival is true if another attempt is still in progress. An error status of this one is
 	// then not relayed, and its body is not waited for.
 	hasRival bool
@@ -131,6 +134,7 @@
 	c.runs++
 	report := a.loadReport(scheduler.Started)
 	report.Elapsed = c.h.Now() - a.sent
+	report.HedgeWon = a.beatFirst
 	a.grant.Report(report)
 	return a.relayAndReport()
 }
--- a/internal/daemon/ingress/hedge.go
+++ b/internal/daemon/ingress/hedge.go
@@ -65,10 +65,9 @@
 	}, plan.times)
 }
 
-// observe records how long the server took to begin its response, which for a stream is its
-// first event, or at least took. Failures,
-// which may come sooner than a response, are left out. Ended is true if the attempt was ended
-// here, because another one answered the request.
+// observe records the time until the response began. For an attempt that timed out before, or
+// was ended because another one answered the request, it is the time for which it was waited
+// for. Failures are left out, as they may come sooner than a response.
 func (a *attempt) observe(ended bool) {
 	c := a.c
 	waited := a.bodyErr != nil || a.err != nil && fault.MayHaveRun(a.err)
@@ -95,7 +94,8 @@
 	first   *attempt
 	// inProgress holds the attempts that have not settled, with the functions that end them.
 	inProgress map[*attempt]context.CancelFunc
-	// inDoubt is the result of an attempt that has failed and may have run.
+	// inDoubt is the last result of an attempt that has failed and may have run; ended if there
+	// is none.
 	inDoubt exchangeResult
 }
 
@@ -205,6 +205,7 @@
 		a.observe(false)
 	}
 	if a.answers() {
+		a.beatFirst = a != r.first && r.inProgress[r.first] != nil
 		r.endLosers()
 	}
 	a.hasRival = len(r.inProgress) > 0
@@ -225,7 +226,8 @@
 		return result, false
 	}
 	if result != ended && r.inDoubt != ended {
-		// The rules for a repeat are stricter if any attempt may have run.
+		// An earlier attempt may have run, so its stricter rule for a repeat applies even if this
+		// one certainly did not.
 		result = r.inDoubt
 	}
 	return result, true
--- a/internal/daemon/placer/explain.go
+++ b/internal/daemon/placer/explain.go
@@ -36,6 +36,7 @@
 	deciders := p.deciders(service)
 	out.Alone = len(deciders) == 0
 	if out.Alone || deciders[0].GetName() == p.cfg.Instance {
+		req.Alone = out.Alone
 		out.Explanation = p.schedulers.explain(service, req)
 		return out, nil
 	}
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -127,6 +127,7 @@
 			WorkPercent:  uint32(r.WorkPercent),
 			RetryAfterMs: ceilMilliseconds(r.RetryAfter),
 			Leaving:      r.Leaving,
+			HedgeWon:     r.HedgeWon,
 			ColdMs:       ceilMilliseconds(r.ColdFor),
 		},
 	})
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -311,8 +311,8 @@
 			continue
 		}
 		p.answeredDecider(i.GetName())
-		if d.Server == "" && d.Refusal == scheduler.NoServer && p.listsServers(g.service) {
-			// The decider has started recently and has no rules or tables yet.
+		if d.Server == "" && d.Refusal == scheduler.NoServer && p.listsServers(g.service, req) {
+			// The decider has no rules or tables yet.
 			g.stream = nil
 			continue
 		}
@@ -346,12 +346,13 @@
 	return nil
 }
 
-// listsServers reports whether this instance's view lists a server that takes requests of the
-// service.
-func (p *Placer) listsServers(service string) bool {
+// listsServers reports whether this instance's view lists a server that may run req.
+func (p *Placer) listsServers(service string, req scheduler.Request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.view.AcceptingServers(service)) > 0
+	return slices.ContainsFunc(p.view.AcceptingServers(service), func(s *pb.BackendServer) bool {
+		return !slices.Contains(req.Tried, s.GetName())
+	})
 }
 
 // completeGrant fills in the addresses of a grant. It returns false if this
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -174,6 +174,7 @@
 		RetryAfter:  time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
 		Leaving:     r.GetLeaving(),
 		ColdFor:     time.Duration(r.GetColdMs()) * time.Millisecond,
+		HedgeWon:    r.GetHedgeWon(),
 	})
 }
 
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -121,11 +121,11 @@
 	// guards protects each listening address, by name.
 	guards   map[string]*connguard.Guard
 	guardsMu sync.Mutex
-	// handler handles them, and front serves it.
+	// handler serves the callers' requests, and front is its HTTP server.
 	handler *ingress.Handler
 	front   *http.Server
-	// explains is handler once it is complete, for the operators' calls.
-	explains atomic.Pointer[ingress.Handler]
+	// readyHandler is handler once it is complete, for the operators' calls.
+	readyHandler atomic.Pointer[ingress.Handler]
 }
 
 var (
@@ -362,7 +362,7 @@
 			Bytes: in.memoryBytes(responseMemoryShare),
 		},
 	}
-	e.explains.Store(e.handler)
+	e.readyHandler.Store(e.handler)
 	for _, d := range []struct {
 		name    string
 		address string
--- a/internal/daemon/server/explain.go
+++ b/internal/daemon/server/explain.go
@@ -21,7 +21,7 @@
 
 // explain returns what would be decided on a request now.
 func (e *entry) explain(ctx context.Context, r *pb.ExplainRequest) (any, error) {
-	h := e.explains.Load()
+	h := e.readyHandler.Load()
 	if h == nil {
 		return nil, fault.New(fault.RulesStale, "explain", "the instance is still starting")
 	}
--- a/internal/edge/connguard/conn.go
+++ b/internal/edge/connguard/conn.go
@@ -72,11 +72,11 @@
 }
 
 // countHead counts bytes of a head and refuses it if it is above a limit. Lines of a body
-// behind a complete head don't count.
+// that arrive in the same piece as the end of the head don't count.
 func (c *conn) countHead(p []byte) bool {
 	c.headBytes += len(p)
 	head := p
-	if i := bytes.Index(p, headEnd); i > 0 {
+	if i := bytes.Index(p, headEnd); i >= 0 {
 		head = p[:i+1]
 	}
 	lines := bytes.Count(head, lineEnd)
--- a/internal/edge/connguard/connguard.go
+++ b/internal/edge/connguard/connguard.go
@@ -120,7 +120,8 @@
 	Budget connlimit.Budget
 
 	mu sync.Mutex
-	// released is closed, and replaced, when memory becomes free; nil if nobody waits.
+	// released is closed, and replaced, when a connection ends; nil if nobody waits. Memory
+	// that an idle connection releases is found by the next poll.
 	released chan struct{}
 }
 
--- a/internal/routing/hedge/estimator.go
+++ b/internal/routing/hedge/estimator.go
@@ -22,8 +22,8 @@
 	minTimes = 30
 )
 
-// Estimator holds the distribution of the recent times to the response header by key, which
-// is a service or one of its routes. The zero value is empty and ready to use.
+// Estimator holds the distribution of the recent times until a response began (its header, or
+// the first event of a stream) by route. The zero value is empty and ready to use.
 type Estimator struct {
 	mu         sync.Mutex
 	histograms map[string]*histogram
--- a/internal/routing/scheduler/cold.go
+++ b/internal/routing/scheduler/cold.go
@@ -248,9 +248,9 @@
 	return min(warm, next+wait)
 }
 
-// mayHideColdPlaces reports whether a place for another request may be found, or come with
-// time, although none was found for req: the rates of cold servers differ between requests
-// that an instance decides on alone and others, and free places with time.
-func (s *Scheduler) mayHideColdPlaces(now time.Duration, req Request) bool {
+// refusedByAloneRate reports whether no server was found for req, perhaps, because of the lower
+// rate of cold servers for requests that an instance decides on alone. Other requests may
+// still be granted.
+func (s *Scheduler) refusedByAloneRate(now time.Duration, req Request) bool {
 	return req.Alone && s.cold.any(now)
 }
--- a/internal/routing/scheduler/explain.go
+++ b/internal/routing/scheduler/explain.go
@@ -96,7 +96,7 @@
 	req.surging = s.surges.Surging(now, req.Account)
 	out := Explanation{
 		Outcome:        WouldWait,
-		ExpectedWaitMs: s.expectedWait(req).Milliseconds(),
+		ExpectedWaitMs: max(s.expectedWait(req), s.pauseLeft(now, req), s.coldWait(now, req)).Milliseconds(),
 		MaxWaitMs:      req.MaxWait.Milliseconds(),
 		Queued:         len(s.queue),
 		Surging:        req.surging,
@@ -122,6 +122,10 @@
 		out.RetryAfterMs = r.RetryAfter.Milliseconds()
 		return
 	}
+	if d, refused := s.refuseTooLarge(req); refused {
+		out.Outcome, out.Refusal = WouldRefuse, d.Refusal
+		return
+	}
 	sv, refusal := s.decide(now, req)
 	switch {
 	case sv != nil:
--- a/internal/routing/scheduler/hedge.go
+++ b/internal/routing/scheduler/hedge.go
@@ -82,8 +82,8 @@
 
 // recordHedgeWon counts a copy that has a response as a failure of the server that the request
 // was sent to before, and ejects that one after several in a row.
-func (s *Scheduler) recordHedgeWon(now time.Duration, g *grant, e Event) {
-	if !g.request.Hedge || len(g.request.Tried) == 0 || e != Started && e != Done {
+func (s *Scheduler) recordHedgeWon(now time.Duration, g *grant, r Report) {
+	if !r.HedgeWon || !g.request.Hedge || len(g.request.Tried) == 0 {
 		return
 	}
 	if late := s.servers[g.request.Tried[len(g.request.Tried)-1]]; late != nil {
--- a/internal/routing/scheduler/hedge_test.go
+++ b/internal/routing/scheduler/hedge_test.go
@@ -144,9 +144,8 @@
 	}
 }
 
-// TestServerThatLosesToCopiesIsEjected: requests to a server that hangs are answered by their
-// copies. As it had the least load, it got further requests, and each cost a copy.
-func TestServerThatLosesToCopiesIsEjected(t *testing.T) {
+// loseToCopies lets the copies of two requests to e0 answer, and reports whether they won.
+func loseToCopies(t *testing.T, won bool) *scheduler.Scheduler {
 	s := newHedgeScheduler(hedgeService(), 40)
 	for i := range uint64(2) {
 		now := time.Second + time.Duration(i)*100*time.Millisecond
@@ -156,13 +155,31 @@
 		s.Report(now, 1+2*i, scheduler.Report{
 			Event: scheduler.Cancelled,
 		})
+		s.Report(now, 2+2*i, scheduler.Report{
+			Event:    scheduler.Started,
+			HedgeWon: won,
+		})
 		reportDone(s, now, 2+2*i)
 	}
+	return s
+}
+
+// TestServerThatLosesToCopiesIsEjected: requests to a server that hangs are answered by their
+// copies. As it had the least load, it got further requests, and each cost a copy.
+func TestServerThatLosesToCopiesIsEjected(t *testing.T) {
+	s := loseToCopies(t, true)
 	for id := range uint64(6) {
 		require.NotEqual(t, "e0", place(t, s, 1200*time.Millisecond, 100+id))
 	}
 }
 
+// TestServerWhoseCopiesDoNotWinStays: a copy that fails, or answers after the first server has
+// failed, was counted as another failure of that server, so that one request ejected it.
+func TestServerWhoseCopiesDoNotWinStays(t *testing.T) {
+	s := loseToCopies(t, false)
+	require.Equal(t, "e0", place(t, s, 1200*time.Millisecond, 100, "e1", "e2"))
+}
+
 // TestHedgesStayWithinTheirShare: in any window that ends with a hedge, the hedges are at most their share of the
 // requests; in one that ends with a hedge or a retry, both are at most the retry budget.
 func TestHedgesStayWithinTheirShare(t *testing.T) {
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -217,9 +217,12 @@
 }
 
 // decide returns the server for a request, or the refusal, or neither if the request is to be
-// queued. It changes nothing that other decisions depend on.
+// queued. Apart from the cached results of choose (full, fullAt, memoryShort) it changes no
+// state.
 func (s *Scheduler) decide(now time.Duration, req Request) (*server, *Decision) {
-	if len(s.queue) == 0 || !s.svc.Engine && !req.surging || s.memoryBlocks {
+	// While a queued request waits for memory, smaller ones are granted ahead of it. Its wait is
+	// bounded by MaxWait.
+	if len(s.queue) == 0 || !req.surging && (!s.svc.Engine || s.memoryBlocks) {
 		if sv := s.choose(now, req); sv != nil {
 			return sv, nil
 		}
@@ -280,7 +283,7 @@
 		g.server.recordStart(g)
 		g.server.pendingTokens -= g.missTokens
 		g.endRead()
-		s.recordHedgeWon(now, g, r.Event)
+		s.recordHedgeWon(now, g, r)
 	}
 	if r.Event == Started {
 		g.server.recordReportedLoad(now, r)
@@ -361,7 +364,7 @@
 		sv := s.choose(now, w.request)
 		if sv == nil {
 			s.memoryBlocks = s.memoryBlocks || s.memoryShort
-			if !s.restricted(w.request) && !s.anyPaused(now) && !s.mayHideColdPlaces(now, w.request) && !s.memoryShort {
+			if !s.restricted(w.request) && !s.anyPaused(now) && !s.refusedByAloneRate(now, w.request) && !s.memoryShort {
 				// No server has room even for a request that may run on any of them.
 				break
 			}
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -200,4 +200,7 @@
 	Leaving bool
 	// ColdFor is for how long the server announced to stay cold; zero if it did not.
 	ColdFor time.Duration
+	// HedgeWon is true if the request is a hedge whose response answers it, while the server
+	// that it was sent to before had not begun any.
+	HedgeWon bool
 }
--- a/internal/routing/surge/surge.go
+++ b/internal/routing/surge/surge.go
@@ -31,12 +31,12 @@
 	// minRecent is the least recent rate of a surging account, in requests per second. Below
 	// it, a few requests that come together look like a surge.
 	minRecent = 10
-	// maxAccounts is the number of accounts beyond which those with the lowest usual rates
-	// are forgotten.
-	maxAccounts = 50_000
-	// keptRate is the usual rate, in requests per second, below which an account is then
-	// forgotten.
-	keptRate = 0.02
+	// maxAccounts bounds the table. When it is full, accounts whose usual rate is below
+	// keptRate, in requests per second, are forgotten, every trimInterval at most; no other
+	// account is recorded until there is room.
+	maxAccounts  = 50_000
+	keptRate     = 0.02
+	trimInterval = 10 * time.Second
 )
 
 // rate is a moving average of a rate in requests per second, as of at.
@@ -74,6 +74,7 @@
 	since    time.Duration
 	// newSurges holds the accounts that began to surge since the last TakeNew.
 	newSurges []string
+	trimmedAt time.Duration
 }
 
 // Record counts a request of an account.
@@ -83,8 +84,11 @@
 		t.accounts = make(map[string]*account)
 	}
 	a := t.accounts[name]
+	if a == nil && !t.hasRoom(now) {
+		t.total.record(now, recentTime, 1)
+		return
+	}
 	if a == nil {
-		t.trim(now)
 		a = &account{}
 		t.accounts[name] = a
 	}
@@ -110,16 +114,22 @@
 	return surgeWeight
 }
 
-// trim forgets accounts with low rates when there are too many.
-func (t *Tracker) trim(now time.Duration) {
+// hasRoom reports whether another account can be recorded. It forgets accounts with low rates
+// when the table is full.
+func (t *Tracker) hasRoom(now time.Duration) bool {
 	if len(t.accounts) < maxAccounts {
-		return
+		return true
+	}
+	if t.trimmedAt != 0 && now-t.trimmedAt < trimInterval {
+		return false
 	}
+	t.trimmedAt = now
 	for name, a := range t.accounts {
 		if a.usual.value(now, usualTime) < keptRate {
 			delete(t.accounts, name)
 		}
 	}
+	return len(t.accounts) < maxAccounts
 }
 
 // Surging reports whether an account sends far more than it usually does.
--- a/internal/routing/tokenmemory/tokenmemory.go
+++ b/internal/routing/tokenmemory/tokenmemory.go
@@ -6,7 +6,8 @@
 // requests and reads their prompts again, or crashes.
 //
 // A part of a prompt that several requests begin with is held once. The count is an upper
-// bound: a request holds its maximum output from the start. Parts that are only cached do not
+// bound: a request holds its maximum output from the start. Of requests that another decider
+// granted only the parts are known. Parts that are only cached do not
 // count, as the engine evicts them for requests in progress.
 package tokenmemory
 
