--- a/internal/daemon/ingress/body_test.go
+++ b/internal/daemon/ingress/body_test.go
@@ -82,10 +82,20 @@
 // TestBodiesOfEverySizeArrive guards against a body that is cut, or accepted above the limit,
 // where a part that is read by itself ends.
 func TestBodiesOfEverySizeArrive(t *testing.T) {
+	sendBodies(t, 100_000, 1, 511, 512, 513, 4095, 4096, 4097, 65_535, 65_536, 65_537, 99_999, 100_000, 100_001)
+	// With a limit below the size of the first read, a longer body was passed on without its end.
+	sendBodies(t, 20, 1, 19, 20, 21, 700)
+	sendBodies(t, 512, 511, 512, 513, 5000)
+}
+
+// sendBodies sends bodies of several sizes, each with and without its length announced, to an
+// instance with a limit on their size.
+func sendBodies(t *testing.T, limit int, sizes ...int) {
+	t.Helper()
 	received := make(chan string, 1)
 	e := newTestEnv(t)
-	e.start(fmt.Sprintf("ingress callers body-bytes=100000 # t: t\n"+ruleText, ruleset.KeyDigest("secret")), []string{e.wholeBodies(received)})
-	for _, size := range []int{1, 511, 512, 513, 4095, 4096, 4097, 65_535, 65_536, 65_537, 99_999, 100_000, 100_001} {
+	e.start(fmt.Sprintf("ingress callers body-bytes=%d # t: t\n"+ruleText, limit, ruleset.KeyDigest("secret")), []string{e.wholeBodies(received)})
+	for _, size := range sizes {
 		for _, chunked := range []bool{false, true} {
 			sent := strings.Repeat("0123456789", size/10+1)[:size]
 			var body io.Reader = strings.NewReader(sent)
@@ -100,7 +110,7 @@
 			resp, err := e.client.Do(r)
 			require.NoError(t, err)
 			resp.Body.Close()
-			if size > 100_000 {
+			if size > limit {
 				require.Equal(t, fault.BodyTooLarge, resp.Header.Get("Kind"), "%d %t", size, chunked)
 				continue
 			}
