TWICE: the log tells which connection an abandoned attempt used

Cause: when a request runs twice, the log cannot tell a copy of an earlier refusal, taken for the answer, from a server that states falsely that it did not run the request. The line on an abandoned attempt names the address, the time since the send, the status, the number of requests on the connection and whether it had carried this request before. No logic is changed.

--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -197,22 +197,32 @@
 	}
 }
 
-// logAbandoned logs and counts an attempt that did not answer the request.
+// logAbandoned logs and counts an attempt that did not answer the request. The response, if there
+// is one, is described by its connection, as a response proves nothing of a request that its
+// connection has carried before.
 func (c *call) logAbandoned(a *attempt, result exchangeResult) {
 	connection := metrics.ConnectionClosed
 	if a.connectionKept {
 		connection = metrics.ConnectionKept
 	}
 	c.h.Meters.Abandoned(c.ctx, c.service, resultNames[result], connection)
-	c.h.Logger.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"request":    c.req.ID,
 		"server":     a.grant.Server,
+		"address":    a.grant.Address,
 		"service":    c.service,
 		"result":     resultNames[result],
 		"connection": connection,
+		"elapsedMs":  (c.h.Now() - a.sent).Milliseconds(),
 		"sends":      c.sends,
 		"runs":       c.runs,
 		"lastEvent":  c.lastEvent,
 		"cause":      c.lastErr,
-	}).Info("ingress: an attempt was abandoned")
+	}
+	if a.resp != nil {
+		fields["status"] = a.resp.Status
+		fields["connectionRequests"] = a.resp.Number()
+		fields["carriedBefore"] = a.resp.Repeated()
+	}
+	c.h.Logger.WithFields(fields).Info("ingress: an attempt was abandoned")
 }
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -67,8 +67,8 @@
 	expiry time.Duration
 	// reused is set when the connection first returns to the pool.
 	reused bool
-	// requests is the number of requests that were written to the connection.
-	requests int
+	// requests holds the requests that were written to the connection.
+	requests history
 }
 
 // get returns an idle connection to address that has neither expired nor been
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -66,6 +66,8 @@
 	writeState    *atomic.Int32
 	sawStray      bool
 	serverCloses  bool
+	// repeated is true if the connection had carried the request before.
+	repeated bool
 	// atEnd is true once the body was read to its end, ended once the connection was
 	// closed or returned to the pool, kept if it was returned.
 	atEnd bool
@@ -76,6 +78,12 @@
 // Reused reports whether the response came over a reused connection.
 func (r *Response) Reused() bool { return r.conn.reused }
 
+// Number returns the number of requests that the connection has carried, this one included.
+func (r *Response) Number() int { return r.conn.requests.len() }
+
+// Repeated reports whether the connection had carried the request before.
+func (r *Response) Repeated() bool { return r.repeated }
+
 // The states of writing a request.
 const (
 	writePending int32 = iota
@@ -95,7 +103,8 @@
 	}
 	stopAfterFunc := context.AfterFunc(ctx, func() { c.Close() })
 	writeState := &atomic.Int32{}
-	c.requests++
+	repeated := c.requests.contains(req.ID)
+	c.requests.add(req.ID)
 	if err := c.write(req, writeState); err != nil {
 		stopAfterFunc()
 		c.Close()
@@ -123,6 +132,7 @@
 		writeState:    writeState,
 		sawStray:      stray,
 		serverCloses:  resp.Close,
+		repeated:      repeated,
 	}, nil
 }
 
@@ -231,7 +241,7 @@
 // connection: a refusal would then state that a request did not run which does. A success
 // always names its request.
 func (c *conn) trustsUnnamed(status int) bool {
-	return c.requests == 1 && status >= http.StatusMultipleChoices
+	return c.requests.len() == 1 && status >= http.StatusMultipleChoices
 }
 
 // discardBody reads the body of a stray response to its end, which has to come within
