TWICE: a connection carries each request ID once

What callers saw: a request that must run once ran at two servers, or its caller was told "not run" although it ran. Cause: a refused request leaves its connection in the pool, which is keyed by address. When the request is placed again and goes to the same address (a new incarnation of the server, two names at one address), it may get that connection. A late copy of the refusal bears the ID that is waited for and is taken for the response. The class of fault: an ID proves which request a response belongs to only where the connection has carried that ID once. Change: the pool gives a request no connection that has carried its ID, whatever sends it again. A connection carries 512 requests at most, which bounds the memory for the hashes. A request without an ID gets a connection of its own, as no response can name it. Why it works: the first response with an ID on a connection is then the first that the server can have written for it there. No connection is closed after a refusal; a new one is dialed only where the request meets an address again. Four tests that used one ID for several requests to see whether a connection is reused now use an ID for each, as they would see new connections for another reason.

--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -197,9 +197,7 @@
 	}
 }
 
-// logAbandoned logs and counts an attempt that did not answer the request. The response, if there
-// is one, is described by its connection, as a response proves nothing of a request that its
-// connection has carried before.
+// logAbandoned logs and counts an attempt that did not answer the request.
 func (c *call) logAbandoned(a *attempt, result exchangeResult) {
 	connection := metrics.ConnectionClosed
 	if a.connectionKept {
@@ -222,7 +220,6 @@
 	if a.resp != nil {
 		fields["status"] = a.resp.Status
 		fields["connectionRequests"] = a.resp.Number()
-		fields["carriedBefore"] = a.resp.Repeated()
 	}
 	c.h.Logger.WithFields(fields).Info("ingress: an attempt was abandoned")
 }
--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -195,9 +195,12 @@
 	for i, respond := range responders {
 		addresses = append(addresses, e.backend(fmt.Sprintf("b%d", i), respond))
 	}
-	return e.start(fmt.Sprintf(ruleText, ruleset.KeyDigest("secret")), addresses)
+	return e.start(ruleTextWithKey(), addresses)
 }
 
+// ruleTextWithKey returns ruleText with the digest of the key that do sends.
+func ruleTextWithKey() string { return fmt.Sprintf(ruleText, ruleset.KeyDigest("secret")) }
+
 // start serves an instance whose service has servers at the given addresses, called b0,
 // b1 and so on.
 func (e *testEnv) start(rules string, addresses []string) *testEnv {
--- a/internal/daemon/ingress/giveup_test.go
+++ b/internal/daemon/ingress/giveup_test.go
@@ -189,8 +189,9 @@
 				mu.Unlock()
 				c.respond(conn, r)
 			})
-			for range 3 {
-				_, _, err := e.do(c.path)
+			for i := range 3 {
+				// A connection carries each ID once.
+				_, _, err := e.do(c.path, "Id", fmt.Sprintf("whole-%d", i))
 				require.NoError(t, err)
 			}
 			require.GreaterOrEqual(t, e.requestCount(), 3)
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -8,6 +8,10 @@
 // returns to the pool only after its response was read to the last byte,
 // nothing followed it, and the caller has found it complete: a server stops
 // when its connection is closed.
+//
+// A connection carries each request ID once. A server may send a response once more,
+// late, so that a response proves something about a request only if no earlier response
+// on its connection can have had the same ID.
 package backend
 
 // This file defines Pool and how it opens, reuses and closes connections.
@@ -16,6 +20,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +42,9 @@
 	// idleMargin is subtracted from a backend server's Keep-Alive timeout, so
 	// that no request is written to a connection the server is about to close.
 	idleMargin = 800 * time.Millisecond
+	// maxRequests is how many requests a connection carries. It bounds the memory for their
+	// IDs.
+	maxRequests = 512
 	// maxKeepAlive is the longest Keep-Alive timeout that is read; a longer one counts as
 	// this long.
 	maxKeepAlive = time.Hour
@@ -72,10 +80,14 @@
 }
 
 // get returns an idle connection to address that has neither expired nor been
-// closed by the server, or dials a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// closed by the server, and has not carried the request before, or dials a new one. A
+// request without an ID gets a new one.
+func (p *Pool) get(ctx context.Context, address, id string) (*conn, error) {
+	if id == "" {
+		return p.dial(ctx, address)
+	}
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, id)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -100,16 +112,19 @@
 	return true
 }
 
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes the connection that became idle last from the pool, of those to address that
+// have not carried the request before, and returns it; nil if there is none.
+func (p *Pool) popIdle(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.requests.contains(id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
@@ -139,7 +154,7 @@
 	} else {
 		idleTimeout -= idleMargin
 	}
-	if idleTimeout <= 0 || c.r.Buffered() > 0 {
+	if idleTimeout <= 0 || c.r.Buffered() > 0 || c.requests.len() >= maxRequests {
 		c.Close()
 		return false
 	}
--- a/internal/edge/backend/backend_test.go
+++ b/internal/edge/backend/backend_test.go
@@ -202,13 +202,13 @@
 // TestBodyEndsAtConnectionClose: a body without Content-Length or chunked encoding
 // ends, and counts as complete, when the server closes the connection.
 func TestBodyEndsAtConnectionClose(t *testing.T) {
-	address, conns := server(t, func(c net.Conn, _ int, _ *http.Request) {
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole")
+	address, conns := server(t, func(c net.Conn, _ int, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\nwhole", r.Header.Get("X-Id"))
 		c.Close()
 	})
 	p := pool(t)
-	for range 2 {
-		got, err := send(t, p, address, "1")
+	for _, id := range []string{"1", "2"} {
+		got, err := send(t, p, address, id)
 		require.NoError(t, err)
 		require.Equal(t, "whole", got)
 	}
@@ -225,8 +225,8 @@
 		io.Copy(io.Discard, r.Body)
 	})
 	p := pool(t)
-	for range 2 {
-		req := request("1")
+	for _, id := range []string{"1", "2"} {
+		req := request(id)
 		req.Body = []byte(strings.Repeat("x", 8<<20))
 		r, err := p.Send(t.Context(), address, req)
 		require.NoError(t, err)
@@ -300,8 +300,8 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
 	})
 	p := pool(t)
-	for range 2 {
-		_, err := send(t, p, address, "1")
+	for _, id := range []string{"1", "2"} {
+		_, err := send(t, p, address, id)
 		require.NoError(t, err)
 		time.Sleep(300 * time.Millisecond)
 		p.Sweep()
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -66,8 +66,6 @@
 	writeState    *atomic.Int32
 	sawStray      bool
 	serverCloses  bool
-	// repeated is true if the connection had carried the request before.
-	repeated bool
 	// atEnd is true once the body was read to its end, ended once the connection was
 	// closed or returned to the pool, kept if it was returned.
 	atEnd bool
@@ -81,9 +79,6 @@
 // Number returns the number of requests that the connection has carried, this one included.
 func (r *Response) Number() int { return r.conn.requests.len() }
 
-// Repeated reports whether the connection had carried the request before.
-func (r *Response) Repeated() bool { return r.repeated }
-
 // The states of writing a request.
 const (
 	writePending int32 = iota
@@ -95,15 +90,15 @@
 // sent; LinkBroken, WrongFrame and TimedOut mean that the request may have run.
 // Responses that echo the ID of another request, which a faulty server may send
 // late, are discarded. One that echoes none is an error on a connection that has had
-// other requests.
+// other requests. The connection has not carried a request with this ID before, as a late
+// copy of the response to that would echo it too.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
-	c, err := p.get(ctx, address)
+	c, err := p.get(ctx, address, req.ID)
 	if err != nil {
 		return nil, err
 	}
 	stopAfterFunc := context.AfterFunc(ctx, func() { c.Close() })
 	writeState := &atomic.Int32{}
-	repeated := c.requests.contains(req.ID)
 	c.requests.add(req.ID)
 	if err := c.write(req, writeState); err != nil {
 		stopAfterFunc()
@@ -132,7 +127,6 @@
 		writeState:    writeState,
 		sawStray:      stray,
 		serverCloses:  resp.Close,
-		repeated:      repeated,
 	}, nil
 }
 
