TWICE: the number of a request on its connection is taken when it is sent

Cause: the line on an abandoned attempt read the number after the connection had returned to the pool, while another request could be written to it: a data race, and the number of that request. Change: the response keeps the number. Result: TestNumberOfResponseStays fails before (2 in place of 1) and passes now, with the race detector.

--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -66,6 +66,8 @@
 	writeState    *atomic.Int32
 	sawStray      bool
 	serverCloses  bool
+	// number is that of the request on its connection, counted from 1.
+	number int
 	// atEnd is true once the body was read to its end, ended once the connection was
 	// closed or returned to the pool, kept if it was returned.
 	atEnd bool
@@ -76,8 +78,8 @@
 // Reused reports whether the response came over a reused connection.
 func (r *Response) Reused() bool { return r.conn.reused }
 
-// Number returns the number of requests that the connection has carried, this one included.
-func (r *Response) Number() int { return r.conn.requests.len() }
+// Number returns the number of the request on its connection, counted from 1.
+func (r *Response) Number() int { return r.number }
 
 // The states of writing a request.
 const (
@@ -100,6 +102,7 @@
 	stopAfterFunc := context.AfterFunc(ctx, func() { c.Close() })
 	writeState := &atomic.Int32{}
 	c.requests.add(req.ID)
+	number := c.requests.len()
 	if err := c.write(req, writeState); err != nil {
 		stopAfterFunc()
 		c.Close()
@@ -127,6 +130,7 @@
 		writeState:    writeState,
 		sawStray:      stray,
 		serverCloses:  resp.Close,
+		number:        number,
 	}, nil
 }
 
--- a/internal/edge/backend/latecopy_test.go
+++ b/internal/edge/backend/latecopy_test.go
@@ -95,3 +95,20 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 2, conns.Load())
 }
+
+// TestNumberOfResponseStays: the number is read after the connection has returned to the pool,
+// where another request may be written to it. It must not be that of the other one.
+func TestNumberOfResponseStays(t *testing.T) {
+	address, _ := server(t, func(c net.Conn, _ int, r *http.Request) {
+		reply(c, r.Header.Get("X-Id"), "ok", "")
+	})
+	p := pool(t)
+	first, err := p.Send(t.Context(), address, request("1"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(first)
+	require.NoError(t, err)
+	first.Keep()
+	_, err = send(t, p, address, "2")
+	require.NoError(t, err)
+	require.Equal(t, 1, first.Number())
+}
