--- a/internal/daemon/ingress/body_test.go
+++ b/internal/daemon/ingress/body_test.go
@@ -105,7 +105,7 @@
 			r, err := http.NewRequest(http.MethodPost, e.url+"/book/", body)
 			require.NoError(t, err)
 			r.Host = "h"
-			r.Header.Set("Id", "x")
+			r.Header.Set("Id", fmt.Sprintf("x%d-%t", size, chunked))
 			r.Header.Set("Key", "secret")
 			resp, err := e.client.Do(r)
 			require.NoError(t, err)
--- a/internal/daemon/ingress/cut_test.go
+++ b/internal/daemon/ingress/cut_test.go
@@ -61,7 +61,7 @@
 			head := strings.Index(c.text, "\r\n\r\n") + 4
 			for n := range length + 1 {
 				s.cut.Store(int64(n))
-				resp, body, err := e.do(c.path)
+				resp, body, err := e.do(c.path, "Id", "x1")
 				if err != nil || resp.StatusCode != http.StatusOK {
 					require.Less(t, n, length, "the whole answer was not delivered: %v", err)
 					continue
--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -149,6 +149,8 @@
 	// received holds, for each request that reached a server, the server's name.
 	received []string
 	client   *http.Client
+	// requests counts the requests of do and doTo, which gives each an ID of its own.
+	requests atomic.Int32
 	// stopsAt is set while the instance is shutting down, which began leavingFor before.
 	stopsAt    atomic.Pointer[time.Time]
 	leavingFor atomic.Int64
@@ -320,7 +322,8 @@
 	r, err := http.NewRequestWithContext(e.t.Context(), http.MethodPost, e.url+path, strings.NewReader("body"))
 	require.NoError(e.t, err)
 	r.Host = "h"
-	r.Header.Set("Id", "x1")
+	// A connection to a server carries each ID once. The first request is x1.
+	r.Header.Set("Id", fmt.Sprintf("x%d", e.requests.Add(1)))
 	r.Header.Set("Key", "secret")
 	for i := 0; i < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
