--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -89,6 +89,13 @@
 			c.refuse(c.finalFault(staleRulesFault("the confirmation of the rules expired while the request waited")))
 			return
 		}
+		if !c.repeatAllowed() {
+			g.Report(scheduler.Report{
+				Event: scheduler.Cancelled,
+			})
+			c.refuse(c.finalFault(c.lastErr))
+			return
+		}
 		c.countGrant(g)
 		result := c.exchange(g)
 		if result == ended {
@@ -120,7 +127,7 @@
 
 // mayRetry reports whether the request may be sent again.
 func (c *call) mayRetry(result exchangeResult, unreachable int) bool {
-	if c.ctx.Err() != nil {
+	if c.ctx.Err() != nil || !c.repeatAllowed() {
 		return false
 	}
 	switch result {
@@ -129,10 +136,14 @@
 	case rejected:
 		return c.sends < c.route.Attempts+extraSends
 	default:
-		return c.runs < c.route.Attempts && c.repeatable()
+		return c.runs < c.route.Attempts
 	}
 }
 
+// repeatAllowed reports whether the request may run now: it has certainly not run yet, or may
+// run more than once.
+func (c *call) repeatAllowed() bool { return c.runs == 0 || c.repeatable() }
+
 // repeatable reports whether the request may run more than once, by the rules that admitted
 // it and by those in force now.
 func (c *call) repeatable() bool {
