Plain services: redirects are not followed

What callers would see: a call runs twice, or is recorded as not run although it ran. Cause: the client followed redirects. A server that executes a call and answers 3xx made it send the call again, or take the failed connection to the second address as proof that the call was not executed. Change: the first response counts. A redirect leaves open whether the call ran.

--- a/internal/edge/plainservice/plainservice.go
+++ b/internal/edge/plainservice/plainservice.go
@@ -48,6 +48,8 @@
 				DisableKeepAlives:      true,
 				MaxResponseHeaderBytes: link.MaxHeaderBytes,
 			},
+			// A followed redirect would be a second call.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
 }
