Engines: calls whose response changes state have connections of their own

What callers would see: the cache of one chat imported as that of another, or an order that its engine rejected recorded as done. Cause: responses over Connect do not name their call, and connections were kept, so that a late copy of an earlier response was taken for the next one. Change: Cancel, ExportCache, ImportCache and Order each have a new connection. Infer names its request in each frame; Load and CacheEvents are only read.

--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -1,4 +1,8 @@
 // Package engine calls model engines over Connect.
+//
+// Responses do not name the call that they answer. Calls whose response says what was done, or
+// whose cache it holds, each have a connection of their own: on a kept one, a late copy of an
+// earlier response could be taken for theirs.
 package engine
 
 // This file defines Client.
@@ -11,6 +15,7 @@
 	"connectrpc.com/connect"
 
 	"camphorspoke/internal/edge"
+	"camphorspoke/internal/edge/link"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/gen/camphorspoke/v1/camphorspokev1connect"
 )
@@ -21,24 +26,43 @@
 
 // Client calls engines by address. The zero value is ready to use.
 type Client struct {
-	// HTTP sends the calls; if nil, http.DefaultClient is used.
+	// HTTP sends the calls that keep connections; if nil, http.DefaultClient is used.
 	HTTP connect.HTTPClient
 
-	// clients holds an EngineServiceClient for each address.
-	clients sync.Map
+	// clients holds an EngineServiceClient for each address, and unpooled one whose calls each
+	// have a connection of their own.
+	clients  sync.Map
+	unpooled sync.Map
 }
 
 var _ edge.Engine = (*Client)(nil)
 
+// clientFor returns the client for calls that keep connections.
 func (c *Client) clientFor(address string) camphorspokev1connect.EngineServiceClient {
-	if v, ok := c.clients.Load(address); ok {
-		return v.(camphorspokev1connect.EngineServiceClient)
-	}
 	hc := c.HTTP
 	if hc == nil {
 		hc = http.DefaultClient
 	}
-	v, _ := c.clients.LoadOrStore(address, camphorspokev1connect.NewEngineServiceClient(hc, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes)))
+	return loadOrStore(&c.clients, address, hc)
+}
+
+// unpooledFor returns the client for calls that each have a connection of their own.
+func (c *Client) unpooledFor(address string) camphorspokev1connect.EngineServiceClient {
+	return loadOrStore(&c.unpooled, address, &http.Client{
+		Transport: &http.Transport{
+			DialContext:            link.Dialer().DialContext,
+			DisableKeepAlives:      true,
+			MaxResponseHeaderBytes: link.MaxHeaderBytes,
+		},
+	})
+}
+
+// loadOrStore returns the client for an address, which sends its calls with hc if it is new.
+func loadOrStore(clients *sync.Map, address string, hc connect.HTTPClient) camphorspokev1connect.EngineServiceClient {
+	if v, ok := clients.Load(address); ok {
+		return v.(camphorspokev1connect.EngineServiceClient)
+	}
+	v, _ := clients.LoadOrStore(address, camphorspokev1connect.NewEngineServiceClient(hc, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes)))
 	return v.(camphorspokev1connect.EngineServiceClient)
 }
 
@@ -69,7 +93,7 @@
 
 // Cancel cancels a request.
 func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
-	_, err := c.clientFor(address).Cancel(ctx, connect.NewRequest(&pb.CancelRequest{
+	_, err := c.unpooledFor(address).Cancel(ctx, connect.NewRequest(&pb.CancelRequest{
 		RequestId: requestID,
 	}))
 	return err
@@ -77,7 +101,7 @@
 
 // ExportCache returns the KV cache of a chat.
 func (c *Client) ExportCache(ctx context.Context, address, chat string) (*pb.ExportCacheResponse, error) {
-	r, err := c.clientFor(address).ExportCache(ctx, connect.NewRequest(&pb.ExportCacheRequest{
+	r, err := c.unpooledFor(address).ExportCache(ctx, connect.NewRequest(&pb.ExportCacheRequest{
 		Chat: chat,
 	}))
 	if err != nil {
@@ -88,7 +112,7 @@
 
 // ImportCache loads the KV cache of a chat into an engine.
 func (c *Client) ImportCache(ctx context.Context, address string, r *pb.ImportCacheRequest) error {
-	_, err := c.clientFor(address).ImportCache(ctx, connect.NewRequest(r))
+	_, err := c.unpooledFor(address).ImportCache(ctx, connect.NewRequest(r))
 	return err
 }
 
@@ -114,6 +138,6 @@
 
 // Order sends an order with its fencing number.
 func (c *Client) Order(ctx context.Context, address string, r *pb.OrderRequest) error {
-	_, err := c.clientFor(address).Order(ctx, connect.NewRequest(r))
+	_, err := c.unpooledFor(address).Order(ctx, connect.NewRequest(r))
 	return err
 }
