Backend: a stray response before that to HEAD ends the exchange

Cause: responses are framed by the method of the request that waits. The body of a late copy, where the response to a HEAD request was due, was read as the next response; if it looked like a refusal with the ID, the request counted as not run. Change: the first stray response to a HEAD request is an error that leaves open whether the request ran. Result: TestBodyOfStrayIsNoResponseToHead fails before and passes now.

--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -209,6 +209,10 @@
 			return resp, stray, nil
 		}
 		stray = true
+		if req.Method == http.MethodHead {
+			// The stray response may have a body, which cannot be told from the next response.
+			return nil, stray, fault.New(fault.WrongFrame, c.address, "received a response to another request before that to HEAD")
+		}
 		if err := c.discardBody(resp); err != nil {
 			return nil, stray, err
 		}
--- a/internal/edge/backend/latecopy_test.go
+++ b/internal/edge/backend/latecopy_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"camphorspoke/internal/base/fault"
 )
 
 // refuseThenRun refuses the first request of a connection. It answers each later one with a
@@ -112,3 +114,24 @@
 	require.NoError(t, err)
 	require.Equal(t, 1, first.Number())
 }
+
+// TestBodyOfStrayIsNoResponseToHead: a late copy of a refusal with a body comes where the response
+// to a HEAD request is due, which has none. The body must not be read as the response, even if it
+// looks like one.
+func TestBodyOfStrayIsNoResponseToHead(t *testing.T) {
+	const body = "HTTP/1.1 503 X\r\nX-Id: 2\r\nContent-Length: 0\r\n\r\n"
+	address, _ := server(t, func(c net.Conn, _ int, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		fmt.Fprintf(c, "HTTP/1.1 503 X\r\nX-Id: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	})
+	p := pool(t)
+	resp, err := p.Send(t.Context(), address, request("1"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp)
+	require.NoError(t, err)
+	resp.Keep()
+	req := request("2")
+	req.Method, req.Body = http.MethodHead, nil
+	_, err = p.Send(t.Context(), address, req)
+	require.Equal(t, fault.WrongFrame, fault.KindOf(err))
+}
