Soak: servers become other incarnations and repeat refusals late

A copy of the latest refusal on a connection is written while the connection carries the next request that is executed. The existing checks judge it.

--- a/cmd/camphor-soak/main.go
+++ b/cmd/camphor-soak/main.go
@@ -30,6 +30,7 @@
 	planned := fs.Bool("planned", false, "inject planned operations only")
 	failAll := fs.Bool("fail-all", false, "let all servers of a service fail half of their requests at times")
 	evacuate := fs.Bool("evacuate", false, "evacuate failure domains")
+	rename := fs.Bool("rename", false, "let backend servers become other incarnations at their addresses, and repeat refusals late")
 	killFirst := fs.Bool("kill-first-start", true, "kill a seed while the control group forms")
 	grace := fs.Duration("grace", 4*time.Second, "grace period of planned stops")
 	keep := fs.String("keep", "", "directory for the logs of failed seeds; if empty, logs are not kept")
@@ -52,6 +53,7 @@
 					PlannedOnly:   *planned,
 					FailAll:       *failAll,
 					Evacuate:      *evacuate,
+					RenameServers: *rename,
 					Grace:         *grace,
 
 					KillFirstStart: *killFirst,
--- a/internal/check/soak/cold.go
+++ b/internal/check/soak/cold.go
@@ -52,7 +52,7 @@
 	if left == 0 {
 		return
 	}
-	b.checker.ColdArrival(id, b.id, now, coldPerSecond*coldOverage+coldSlack)
+	b.checker.ColdArrival(id, b.id(), now, coldPerSecond*coldOverage+coldSlack)
 	w.Header().Set(wireformat.ColdHeader, strconv.FormatInt(left.Milliseconds(), 10))
 }
 
--- a/internal/check/soak/faults.go
+++ b/internal/check/soak/faults.go
@@ -284,7 +284,7 @@
 		time.Sleep(f.randomDuration(2 * f.s.checker.Bounds.Drain))
 	}
 	old.draining.Store(true)
-	f.s.checker.Draining(old.id, time.Now())
+	f.s.checker.Draining(old.id(), time.Now())
 	time.Sleep(2 * f.s.checker.Bounds.Drain)
 	f.s.serverList.remove(old)
 	time.Sleep(time.Second)
--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -39,12 +39,19 @@
 
 // backend is a stand-in for a backend server, which daemons reach through a proxy.
 type backend struct {
-	id      string
+	// name begins the ID of each incarnation.
+	name    string
 	service string
 	domain  string
-	checker *guarantee.Checker
-	server  *httptest.Server
-	proxy   *proxy
+	// incarnation is the number of the current incarnation, and listed of the one that the
+	// list shows.
+	incarnation atomic.Int64
+	listed      atomic.Int64
+	// repeatsRefusals is true if late copies of its refusals are sent.
+	repeatsRefusals bool
+	checker         *guarantee.Checker
+	server          *httptest.Server
+	proxy           *proxy
 	// partlyFailing is true while about half of all requests fail after their execution: with
 	// status 500, with a status of a refusal, or with a response that breaks off.
 	partlyFailing atomic.Bool
@@ -62,15 +69,17 @@
 	executing sync.WaitGroup
 }
 
-func newBackend(id, service, domain string, checker *guarantee.Checker) (*backend, error) {
+func newBackend(name, service, domain string, checker *guarantee.Checker) (*backend, error) {
 	b := &backend{
-		id:      id,
+		name:    name,
 		service: service,
 		domain:  domain,
 		checker: checker,
 	}
-	checker.Located(id, domain)
-	b.server = httptest.NewServer(b)
+	checker.Located(b.id(), domain)
+	b.server = httptest.NewUnstartedServer(b)
+	b.server.Config.ConnContext = withRefusals
+	b.server.Start()
 	var err error
 	if b.proxy, err = newProxy(strings.TrimPrefix(b.server.URL, "http://")); err != nil {
 		b.server.Close()
@@ -89,8 +98,9 @@
 // refuses a request that is addressed to another server, and states in the response
 // that the request was not executed.
 func (b *backend) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	serverID := b.id()
 	if req.URL.Path == "/health" {
-		w.Header().Set(wireformat.ServerNameHeader, b.id)
+		w.Header().Set(wireformat.ServerNameHeader, serverID)
 		return
 	}
 	if strings.HasPrefix(req.URL.Path, wireformat.EnginePathPrefix) {
@@ -99,33 +109,32 @@
 	}
 	id := req.Header.Get(wireformat.RequestIDHeader)
 	w.Header().Set(wireformat.RequestIDHeader, id)
-	if req.Header.Get(wireformat.ExpectedServerHeader) != b.id {
-		w.Header().Set(wireformat.NotRunHeader, "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
+	if req.Header.Get(wireformat.ExpectedServerHeader) != serverID {
+		b.refuse(w, req, http.StatusMisdirectedRequest)
 		return
 	}
 	if _, err := io.ReadAll(req.Body); err != nil {
 		return
 	}
 	now := time.Now()
-	b.checker.Arrived(id, b.id, now)
+	b.checker.Arrived(id, serverID, now)
 	b.announceCold(w, id, now)
 	if b.leaving.Load() {
 		w.Header().Set(wireformat.LeavingHeader, "1")
-		b.checker.Announced(id, b.id, now)
+		b.checker.Announced(id, serverID, now)
 	}
 	if pause := time.Duration(b.pauseMs.Load()) * time.Millisecond; pause > 0 {
-		b.checker.PushedBack(id, b.id, now, pause)
-		w.Header().Set(wireformat.NotRunHeader, "1")
+		b.checker.PushedBack(id, serverID, now, pause)
 		w.Header().Set(wireformat.RetryAfterHeader, fmt.Sprint(pause.Seconds()))
-		w.WriteHeader(http.StatusServiceUnavailable)
+		b.refuse(w, req, http.StatusServiceUnavailable)
 		return
 	}
-	b.checker.Executed(id, b.id, now)
+	b.checker.Executed(id, serverID, now)
 	b.executing.Add(1)
 	defer b.executing.Done()
-	defer func() { b.checker.Ended(id, b.id, time.Now()) }()
-	w.Header().Set(wireformat.SignatureHeader, b.id)
+	defer func() { b.checker.Ended(id, serverID, time.Now()) }()
+	b.repeatRefusal(req)
+	w.Header().Set(wireformat.SignatureHeader, serverID)
 	if b.partlyFailing.Load() && rand.IntN(2) == 0 {
 		b.fail(w, req, id)
 		return
@@ -213,7 +222,7 @@
 		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
 		fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
 	}[rand.IntN(2)]
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s", wireformat.RequestIDHeader, id, wireformat.SignatureHeader, b.id, framing)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s", wireformat.RequestIDHeader, id, wireformat.SignatureHeader, b.id(), framing)
 }
 
 // responseBody returns the response body of a plain request.
@@ -311,7 +320,7 @@
 			state = wireformat.StateDraining
 		}
 		out.Entries = append(out.Entries, wireformat.Entry{
-			ID:            b.id,
+			ID:            b.incarnationID(b.listed.Load()),
 			Service:       b.service,
 			Address:       b.proxy.address,
 			FailureDomain: b.domain,
--- a/internal/check/soak/soak.go
+++ b/internal/check/soak/soak.go
@@ -5,8 +5,9 @@
 // Processes are killed, frozen, stopped and restarted by signals; a replica's data
 // is deleted, or its log ends in a torn record; proxies delay, drop or reset the
 // traffic to backend servers, or drop only the responses; backend servers fail
-// some requests, ask for a pause, or are replaced; the platform's list is unavailable;
-// failure domains are evacuated.
+// some requests, ask for a pause, are replaced, or become another incarnation at the same
+// address and repeat refusals late; the platform's list is unavailable; failure domains are
+// evacuated.
 // Sequences of faults run concurrently and overlap. A seed determines which faults are
 // injected and in which order, not how the processes interleave.
 package soak
@@ -70,6 +71,9 @@
 	// Evacuate puts the backend servers into two failure domains and evacuates one of them
 	// at a time.
 	Evacuate bool
+	// RenameServers lets backend servers become other incarnations at their addresses, and
+	// repeat refusals late.
+	RenameServers bool
 	// KillFirstStart kills a seed while the group forms, and starts it again.
 	KillFirstStart bool
 	// Grace is the grace period of a planned stop; zero is defaultGrace.
@@ -207,6 +211,7 @@
 	s.backendCount++
 	b, err := newBackend(fmt.Sprintf("i-%s-%d", service, s.backendCount), service, domain, s.checker)
 	if err == nil {
+		b.repeatsRefusals = s.cfg.RenameServers
 		s.backends = append(s.backends, b)
 	}
 	return b, err
@@ -287,6 +292,9 @@
 	if s.cfg.Evacuate {
 		kinds = append(kinds, evacuateKind)
 	}
+	if s.cfg.RenameServers {
+		kinds = append(kinds, renameKind)
+	}
 	return kinds
 }
 
