Soak test: servers that are renamed and repeat refusals

Change: TestSoak has a case with seed 7 in which servers become other incarnations and repeat refusals late. The other cases keep their seeds and settings.

--- a/internal/check/soak/soak_test.go
+++ b/internal/check/soak/soak_test.go
@@ -80,6 +80,14 @@
 			Callers:  8,
 			Evacuate: true,
 		},
+		// Backend servers become other incarnations at their addresses and repeat refusals late:
+		// a request that goes to an address for the second time takes no copy of its first
+		// refusal for the response, which would run it twice or report that it did not run.
+		"servers are renamed and repeat refusals": {
+			Seed:          7,
+			Callers:       12,
+			RenameServers: true,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
