--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,6 +13,7 @@
 
 	"camphorspoke/internal/base/fault"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/serverlimit"
 )
 
 // Platform lists the live and leaving backend servers. The list may lag behind
@@ -156,6 +157,8 @@
 	Leaving bool
 	// ColdFor is for how long the backend server announces to stay cold; zero if it does not.
 	ColdFor time.Duration
+	// Limit is what the response says of the limit of its server.
+	Limit serverlimit.Statement
 }
 
 // Dialect encodes and decodes the metadata of HTTP requests and responses in the
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"camphorspoke/internal/routing/prefixcache"
+	"camphorspoke/internal/routing/serverlimit"
 )
 
 // Service holds the settings of a service.
@@ -153,6 +154,8 @@
 	PromptTokens int
 	Reuse        string
 	RereadTokens int
+	// Limit is what the server has said of its limit, as far as the scheduler knows.
+	Limit serverlimit.Statement
 }
 
 // Event is the kind of event that a Report gives for a granted request.
@@ -200,6 +203,8 @@
 	Leaving bool
 	// ColdFor is for how long the server announced to stay cold; zero if it did not.
 	ColdFor time.Duration
+	// Limit is what the response says of the limit of its server.
+	Limit serverlimit.Statement
 	// HedgeWon is true if the request is a hedge whose response answers it, while the server
 	// that it was sent to before had not begun any.
 	HedgeWon bool
