--- a/internal/check/entryfleet/entryfleet_test.go
+++ b/internal/check/entryfleet/entryfleet_test.go
@@ -237,23 +237,29 @@
 
 // sendPath is like sendRequest, with a path.
 func (f *fleet) sendPath(i int, path, id, key string) (int, string) {
+	status, body, _ := f.send(i, path, id, key)
+	return status, body
+}
+
+// send is like sendPath, and returns the header of the response too.
+func (f *fleet) send(i int, path, id, key string) (int, string, http.Header) {
 	r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+f.addr(i, frontPort)+path, strings.NewReader("b"))
 	if err != nil {
-		return 0, err.Error()
+		return 0, err.Error(), nil
 	}
 	r.Host = "h.example"
 	r.Header.Set("X-Attempt-Id", id)
 	r.Header.Set("Authorization", "Token "+key)
 	resp, err := client.Do(r)
 	if err != nil {
-		return 0, err.Error()
+		return 0, err.Error(), nil
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, err.Error()
+		return 0, err.Error(), nil
 	}
-	return resp.StatusCode, string(b)
+	return resp.StatusCode, string(b), resp.Header
 }
 
 // requireServes sends requests with a key until the backend server answers one.
