Scheduler: record the limits that servers name; they limit nothing yet

Cause: nothing keeps what a response states of the limit of its server, so that no decision can take it into account.

Change: serverlimit.Limit keeps the newest statement of a server. Reports and LearnLimit record it, Limit and Decision.Limit return it with its age. Another incarnation of a server begins without a limit, and responses to requests of the one before say nothing of it. A response that comes over a second after its grant may have been held up in a frozen instance; it neither ends nor raises a limit that was received after that grant.

--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -56,6 +56,7 @@
 		server:     sv,
 		request:    req,
 		grantedAt:  now,
+		listing:    sv.listing,
 		missTokens: promptTokens(req) - cached,
 	}
 	s.granted[req.ID] = g
@@ -76,6 +77,7 @@
 		FetchFrom:        from,
 		FetchedTokens:    fetched,
 		PromptTokens:     promptTokens(req),
+		Limit:            sv.limit.Statement(now),
 	}
 	if len(req.Parts) > 0 {
 		g.beginRead()
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -104,6 +104,8 @@
 	// cold holds the rates of cold servers, and hasListed is true once a server was listed.
 	cold      coldRates
 	hasListed bool
+	// limited is the number of listed servers that name a limit.
+	limited int
 }
 
 // grant is a request that counts as running on a server.
@@ -111,6 +113,8 @@
 	server    *server
 	request   Request
 	grantedAt time.Duration
+	// listing identifies the incarnation of the server at the time of the grant.
+	listing departure.Listing
 	// missTokens are the prompt tokens that were not cached at the time of the grant.
 	missTokens int
 	// startedAt is when the response began, if started is true.
@@ -165,6 +169,7 @@
 			s.servers[l.Name] = sv
 		}
 		s.recordColdListing(sv, l)
+		sv.recordLimitListing(l)
 		sv.applyListing(l)
 		sv.accepting = sv.accepting && !s.departures.Leaving(l.Name)
 		sv.setService(s.svc)
@@ -182,6 +187,7 @@
 	}
 	s.hasListed = s.hasListed || len(list) > 0
 	s.updateIndex()
+	s.countLimited()
 	s.limitAt, s.full = -maxLimitAge, false
 }
 
@@ -275,6 +281,7 @@
 	s.recordPause(now, g.server, g.request.Instance, r.RetryAfter)
 	s.recordDeparture(g.server, r)
 	s.recordColdReport(now, g, r)
+	s.recordLimitReport(now, g, r)
 	s.recordSpeed(now, g, r)
 	g.pushedBack = g.pushedBack || r.RetryAfter > 0
 	started := g.started
@@ -424,6 +431,7 @@
 			Parts:    parts,
 		},
 		grantedAt: now,
+		listing:   sv.listing,
 	}
 	s.granted[id] = g
 	s.holdMemory(g)
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -11,6 +11,7 @@
 	"camphorspoke/internal/routing/departure"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/pushback"
+	"camphorspoke/internal/routing/serverlimit"
 	"camphorspoke/internal/routing/speed"
 	"camphorspoke/internal/routing/tokenmemory"
 )
@@ -114,6 +115,8 @@
 	lastOutcomeAt   time.Duration
 	// cold holds whether the server has started recently.
 	cold coldness
+	// limit is what the server has said of its limit.
+	limit serverlimit.Limit
 }
 
 func newServer(name string) *server {
