Package ratelimit: the limiter, the division and the delay of shares, apart from cold periods

Cause: only servers that have started recently get requests at a bounded rate over all instances. Servers that name a limit need the same, and a second mechanism beside the first would be a second place for the same faults.

Change: Limiter, Division and Share move from coldstart to ratelimit, with their tests. The window is part of an Allowance, and a Limiter holds no cold period; that is coldstart.Period. A server has one Limiter, which counts the grants of services without cold servers too, as a limit may be named right after a burst.

Result: the tests of cold servers pass with no change but the names.

--- a/internal/daemon/placer/cold.go
+++ b/internal/daemon/placer/cold.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
-	"camphorspoke/internal/routing/coldstart"
+	"camphorspoke/internal/routing/ratelimit"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/rules/ruleset"
 )
@@ -20,10 +20,10 @@
 	if rule.ColdTime <= 0 || rule.ColdRate <= 0 {
 		return
 	}
-	division := coldstart.Division{
-		PerSecond: rule.ColdRate,
-		Overage:   c.ColdOverage,
-		Slack:     c.ColdSlack,
+	division := ratelimit.Division{
+		Rate:    rule.ColdRate,
+		Overage: c.ColdOverage,
+		Slack:   c.ColdSlack,
 	}
 	svc.ColdTime = rule.ColdTime
 	svc.ColdRate = division.Decider(rank, instances)
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -85,7 +85,7 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	// ColdOverage and ColdSlack limit the requests that a cold server gets from all
-	// instances; see coldstart.Division.
+	// instances; see ratelimit.Division.
 	ColdOverage float64
 	ColdSlack   float64
 	// HedgePercent limits the hedged requests of a service whose rule sets no limit, as a
--- a/internal/routing/coldstart/division.go
+++ b/internal/routing/ratelimit/division.go
@@ -1,4 +1,4 @@
-package coldstart
+package ratelimit
 
 // This file defines Division and Share.
 
@@ -18,19 +18,19 @@
 	raiseDelay = 2 * time.Second
 )
 
-// Division divides the rate of a cold server among the instances that may decide.
+// Division divides the rate of a server among the instances that may decide.
 type Division struct {
-	// PerSecond is the number of requests a second that a cold server can take.
-	PerSecond float64
-	// Overage and Slack give the limit over all instances in any second: Overage times
-	// PerSecond, plus Slack. An Overage below one counts as one.
+	// Rate is the number of requests that the server can take in a unit of time.
+	Rate float64
+	// Overage and Slack give the limit over all instances in any such time: Overage times
+	// Rate, plus Slack. An Overage below one counts as one.
 	Overage float64
 	Slack   float64
 }
 
 // above returns what the limit leaves above the rate.
 func (d Division) above() float64 {
-	return max(d.Overage-1, 0)*d.PerSecond + max(d.Slack, 0)
+	return max(d.Overage-1, 0)*d.Rate + max(d.Slack, 0)
 }
 
 // Decider returns the rate of an instance that decides for all instances, by its position
@@ -38,7 +38,7 @@
 func (d Division) Decider(rank, instances int) float64 {
 	switch rank {
 	case 0:
-		return d.PerSecond
+		return d.Rate
 	case 1:
 		return secondShare * d.above()
 	default:
--- a/internal/routing/coldstart/main_test.go
+++ b/internal/routing/ratelimit/main_test.go
@@ -1,4 +1,4 @@
-package coldstart_test
+package ratelimit_test
 
 import (
 	"testing"
--- a/internal/routing/scheduler/cold.go
+++ b/internal/routing/scheduler/cold.go
@@ -1,7 +1,7 @@
 package scheduler
 
 // This file defines how servers that have started recently get requests at a limited rate;
-// see package coldstart.
+// see packages coldstart and ratelimit.
 //
 // Load pattern: a third of the servers of a service comes back at a time, empty. They are
 // the cheapest choice for every request, and crash above a rate far below their usual one.
@@ -13,6 +13,7 @@
 	"time"
 
 	"camphorspoke/internal/routing/coldstart"
+	"camphorspoke/internal/routing/ratelimit"
 )
 
 // coldCostFactor is multiplied with the cost of placing a request on a cold server, so that
@@ -26,28 +27,28 @@
 	// decider and alone are the rates that follow from the settings, deciderShare and
 	// aloneShare those in use.
 	decider, alone           float64
-	deciderShare, aloneShare coldstart.Share
+	deciderShare, aloneShare ratelimit.Share
 	// until is the time until which any server may be cold, and changed is true if a
 	// change of the settings or of the list was not applied yet.
 	until   time.Duration
 	changed bool
 }
 
-// rate returns the rate at which a cold server may get requests like req.
-func (c *coldRates) rate(now time.Duration, req Request) float64 {
+// allowance returns how many requests like req a cold server may get.
+func (c *coldRates) allowance(now time.Duration, req Request) ratelimit.Allowance {
 	if req.Alone {
-		return c.aloneShare.Rate(now)
+		return coldstart.Allowance(c.aloneShare.Rate(now))
 	}
-	return c.deciderShare.Rate(now)
+	return coldstart.Allowance(c.deciderShare.Rate(now))
 }
 
 // any reports whether any server may be cold.
 func (c *coldRates) any(now time.Duration) bool { return c.period > 0 && now < c.until }
 
-// coldness holds whether a server is cold, and the requests that it gets.
+// coldness holds whether a server is cold.
 type coldness struct {
-	rates   *coldRates
-	limiter coldstart.Limiter
+	rates  *coldRates
+	period coldstart.Period
 	// pending is for how long the server is cold from the time of the next UpdateCold on.
 	pending time.Duration
 	// index is that of the last announcement in the list, and evacuated whether the failure
@@ -80,11 +81,11 @@
 	var out []ColdChange
 	for _, sv := range s.listedServers {
 		c := &sv.cold
-		if isCold := s.cold.period > 0 && c.limiter.Cold(now); isCold != c.logged {
+		if isCold := s.cold.period > 0 && c.period.Cold(now); isCold != c.logged {
 			c.logged = isCold
 			out = append(out, ColdChange{
 				Server: sv.name,
-				Left:   c.limiter.Left(now),
+				Left:   c.period.Left(now),
 			})
 		}
 	}
@@ -98,7 +99,7 @@
 func (s *Scheduler) ColdServers(now time.Duration) int {
 	n := 0
 	for _, sv := range s.listedServers {
-		if s.cold.any(now) && sv.cold.limiter.Cold(now) {
+		if s.cold.any(now) && sv.cold.period.Cold(now) {
 			n++
 		}
 	}
@@ -150,8 +151,8 @@
 	if s.cold.period == 0 || period <= 0 {
 		return
 	}
-	sv.cold.limiter.Begin(now, period)
-	s.cold.until = max(s.cold.until, now+sv.cold.limiter.Left(now))
+	sv.cold.period.Begin(now, period)
+	s.cold.until = max(s.cold.until, now+sv.cold.period.Left(now))
 }
 
 // recordColdReport takes from a report whether the server is cold: it says so, or answers
@@ -175,13 +176,6 @@
 	}
 }
 
-// recordColdGrant counts a granted request.
-func (sv *server) recordColdGrant(now time.Duration) {
-	if c := &sv.cold; c.rates != nil && c.rates.period > 0 {
-		c.limiter.Record(now)
-	}
-}
-
 // coldAllows reports whether the rate of a cold server allows req. A server that may have
 // restarted gets no more either. An instance whose rate allows nothing sends such a server
 // one request at a time, as it would never find it answering otherwise.
@@ -190,21 +184,21 @@
 	if c.rates == nil || c.rates.period == 0 {
 		return true
 	}
-	if c.limiter.Cold(now) {
-		return c.limiter.Places(now, c.rates.rate(now, req)) > 0
+	if c.period.Cold(now) {
+		return sv.grants.Places(now, c.rates.allowance(now, req)) > 0
 	}
 	if !c.mayHaveRestarted {
 		return true
 	}
-	if rate := c.rates.rate(now, req); rate >= 1 {
-		return c.limiter.Places(now, rate) > 0
+	if a := c.rates.allowance(now, req); a.Grants > 0 {
+		return sv.grants.Places(now, a) > 0
 	}
 	return !sv.probed(now)
 }
 
 // coldFactor is multiplied with the cost of placing a request on the server.
 func (sv *server) coldFactor(now time.Duration) float64 {
-	if c := &sv.cold; c.rates != nil && c.rates.any(now) && c.limiter.Cold(now) {
+	if c := &sv.cold; c.rates != nil && c.rates.any(now) && c.period.Cold(now) {
 		return coldCostFactor
 	}
 	return 1
@@ -218,20 +212,20 @@
 		return 0
 	}
 	warm, free, next := time.Duration(math.MaxInt64), 0, time.Duration(math.MaxInt64)
-	perWindow := 0.0
-	rate := s.cold.rate(now, req)
+	perSecond := 0.0
+	allowance := s.cold.allowance(now, req)
 	for _, sv := range s.listedServers {
 		if !sv.mayRun(req) {
 			continue
 		}
-		if !sv.cold.limiter.Cold(now) {
+		if !sv.cold.period.Cold(now) {
 			return 0
 		}
-		warm = min(warm, sv.cold.limiter.Left(now))
-		if wait, ok := sv.cold.limiter.Wait(now, rate); ok {
+		warm = min(warm, sv.cold.period.Left(now))
+		if wait, ok := sv.grants.Wait(now, allowance); ok {
 			next = min(next, wait)
-			free += sv.cold.limiter.Places(now, rate)
-			perWindow += math.Floor(rate)
+			free += sv.grants.Places(now, allowance)
+			perSecond += allowance.PerSecond()
 		}
 	}
 	if warm == math.MaxInt64 {
@@ -241,10 +235,10 @@
 	if behind <= 0 {
 		return 0
 	}
-	if perWindow == 0 {
+	if perSecond == 0 {
 		return warm
 	}
-	wait := time.Duration(float64(behind-1) / perWindow * float64(coldstart.Window))
+	wait := time.Duration(float64(behind-1) / perSecond * float64(time.Second))
 	return min(warm, next+wait)
 }
 
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -63,7 +63,7 @@
 	s.predict(now, g)
 	s.holdMemory(g)
 	sv.recordGrant(g)
-	sv.recordColdGrant(now)
+	sv.grants.Record(now)
 	sv.pendingTokens += g.missTokens
 	d := Decision{
 		ID:               req.ID,
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -11,6 +11,7 @@
 	"camphorspoke/internal/routing/departure"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/pushback"
+	"camphorspoke/internal/routing/ratelimit"
 	"camphorspoke/internal/routing/serverlimit"
 	"camphorspoke/internal/routing/speed"
 	"camphorspoke/internal/routing/tokenmemory"
@@ -113,6 +114,8 @@
 	// lastFailureRate is the failure rate as of lastOutcomeAt.
 	lastFailureRate float64
 	lastOutcomeAt   time.Duration
+	// grants holds the times of the latest grants.
+	grants ratelimit.Limiter
 	// cold holds whether the server has started recently.
 	cold coldness
 	// limit is what the server has said of its limit.
