--- a/internal/routing/ratelimit/division.go
+++ b/internal/routing/ratelimit/division.go
@@ -2,7 +2,10 @@
 
 // This file defines Division and Share.
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// secondShare is the fraction that the second instance in the order of deciders uses
@@ -12,10 +15,10 @@
 	// themselves as deciders, and again the fraction that all instances divide for the
 	// requests on which each decides alone.
 	othersShare = 0.4
-	// raiseDelay is the time until an instance uses a larger share. Instances see a change
+	// defaultDelay is the time until an instance uses a larger share. Instances see a change
 	// of the order of deciders up to about a second after one another, and the grants of
-	// the instance that had the share before stay in the window for another second.
-	raiseDelay = 2 * time.Second
+	// the instance that had the share before stay in a window of a second for another one.
+	defaultDelay = 2 * time.Second
 )
 
 // Division divides the rate of a server among the instances that may decide.
@@ -52,8 +55,11 @@
 }
 
 // Share holds the rate that an instance uses. A lower rate applies at once, a higher one
-// after raiseDelay. The zero value allows nothing.
+// after Delay. The zero value allows nothing.
 type Share struct {
+	// Delay is the time until a higher rate applies; zero is 2 s.
+	Delay time.Duration
+
 	rate float64
 	next float64
 	// raiseAt is when next applies, if it is higher than rate.
@@ -67,7 +73,7 @@
 	case rate <= current:
 		s.rate, s.next = rate, rate
 	case rate != s.next:
-		s.rate, s.next, s.raiseAt = current, rate, now+raiseDelay
+		s.rate, s.next, s.raiseAt = current, rate, now+cmp.Or(s.Delay, defaultDelay)
 	}
 }
 
@@ -78,3 +84,11 @@
 	}
 	return s.rate
 }
+
+// RaiseIn returns the time until a higher rate applies; zero if none was set.
+func (s *Share) RaiseIn(now time.Duration) time.Duration {
+	if s.next <= s.rate {
+		return 0
+	}
+	return max(s.raiseAt-now, 0)
+}
--- a/internal/routing/serverlimit/limit.go
+++ b/internal/routing/serverlimit/limit.go
@@ -21,7 +21,7 @@
 // name or lower one, as the next response of a later request corrects that. Observe reports
 // whether the limit has changed.
 func (l *Limit) Observe(now, grantedAt time.Duration, st Statement) bool {
-	if !st.Known {
+	if !st.valid() {
 		return false
 	}
 	before, receivedAt := l.statement, now-st.Age
--- a/internal/routing/serverlimit/limit_test.go
+++ b/internal/routing/serverlimit/limit_test.go
@@ -3,6 +3,7 @@
 // This file tests what becomes known of the limit of one server.
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -54,6 +55,7 @@
 		{"late raise", []observation{{10 * s, 10 * s, named(8)}, {12 * s, 9 * s, named(9)}}, named(8)},
 		{"late, granted after", []observation{{10 * s, 10 * s, named(8)}, {14 * s, 11 * s, unlimited}}, unlimited},
 		{"late name", []observation{{10 * s, 10 * s, unlimited}, {12 * s, 9 * s, named(9)}}, named(9)},
+		{"no number", []observation{{s, s, named(8)}, {2 * s, 2 * s, named(math.NaN())}, {2 * s, 2 * s, named(-1)}, {2 * s, 2 * s, named(math.Inf(1))}}, named(8)},
 		{"late and first", []observation{{12 * s, 9 * s, named(8)}}, named(8)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
