Placement stream: reports and decisions carry the limits of servers

Cause: what a server says of its limit ends at the instance that got the answer; the rule is over all instances.

Change: every report that carries the load of a server carries its statement on its limit, and every decision what the decider knows of it, with its age. A message without it says nothing, so that builds before this one are understood; they ignore the field. The outcome line of a request has the field serverLimit if the server named one.

--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -150,6 +150,7 @@
 		RetryAfter:  a.info.RetryAfter,
 		Leaving:     a.info.Leaving,
 		ColdFor:     a.info.ColdFor,
+		Limit:       a.info.Limit,
 	}
 }
 
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -442,6 +442,9 @@
 		if c.info.WorkPercent > 0 {
 			fields["workPercent"] = c.info.WorkPercent
 		}
+		if c.info.Limit.Named {
+			fields["serverLimit"] = c.info.Limit.PerSecond
+		}
 		if g.Withdrawn > 0 {
 			fields["withdrawn"] = g.Withdrawn
 		}
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing/pushback"
 	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/routing/serverlimit"
 )
 
 const (
@@ -129,6 +131,7 @@
 			Leaving:      r.Leaving,
 			HedgeWon:     r.HedgeWon,
 			ColdMs:       ceilMilliseconds(r.ColdFor),
+			Limit:        fromLimit(r.Limit),
 		},
 	})
 }
@@ -139,6 +142,33 @@
 	return uint32((min(d, pushback.MaxPause) + time.Millisecond - 1).Milliseconds())
 }
 
+// fromLimit returns the message for a statement; nil if it says nothing.
+func fromLimit(st serverlimit.Statement) *pb.ServerLimit {
+	if !st.Known {
+		return nil
+	}
+	return &pb.ServerLimit{
+		Named:     st.Named,
+		PerSecond: st.PerSecond,
+		AgeMs:     ceilMilliseconds(st.Age),
+	}
+}
+
+// toLimit returns the statement in a message; one that says nothing if the message is absent
+// or its limit is not a rate.
+func toLimit(m *pb.ServerLimit) serverlimit.Statement {
+	perSecond := m.GetPerSecond()
+	if m == nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return serverlimit.Statement{}
+	}
+	return serverlimit.Statement{
+		Known:     true,
+		Named:     m.GetNamed(),
+		PerSecond: perSecond,
+		Age:       time.Duration(m.GetAgeMs()) * time.Millisecond,
+	}
+}
+
 // toAsk returns the message that asks for a placement.
 func toAsk(service string, req scheduler.Request) *pb.PlaceAsk {
 	ids, tokens := fromParts(req.Parts)
@@ -211,6 +241,7 @@
 				RereadTokens:     int(m.GetReread()),
 				Reuse:            m.GetReuse(),
 				Quarantine:       m.GetQuarantine(),
+				Limit:            toLimit(m.GetLimit()),
 			}, true
 		case <-timer.C:
 			withdraw()
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -140,6 +140,7 @@
 		Reread:              uint32(d.RereadTokens),
 		Reuse:               d.Reuse,
 		Quarantine:          d.Quarantine,
+		Limit:               fromLimit(d.Limit),
 	})
 }
 
@@ -175,6 +176,7 @@
 		Leaving:     r.GetLeaving(),
 		ColdFor:     time.Duration(r.GetColdMs()) * time.Millisecond,
 		HedgeWon:    r.GetHedgeWon(),
+		Limit:       toLimit(r.GetLimit()),
 	})
 }
 
