Placer: instances learn limits with decisions and hold them against others

Cause: an instance that never got an answer of a server does not know of its limit when it begins to decide, and the next decider grants what the former one did not. A report without content was dropped, also one that names a limit or ends one.

Change: an instance records the statement of each decision. If the decider did not know of a limit that this instance knows of, the grant is given back with the statement and its age, and the request is placed again; once for a request at most and not at its last placement, so that a disagreement on a limit refuses nothing. No hedge is sent then. A report that names a limit is never dropped, nor one that ends a limit that the instance or the decider knows of.

--- a/internal/daemon/placer/hedge.go
+++ b/internal/daemon/placer/hedge.go
@@ -86,9 +86,14 @@
 		})
 		return hedgeFault(g.service, "the decider refused the copy, or its choice is not listed here")
 	}
-	if u := p.unavailable(g.Server); u.any() {
+	if g.stream != nil {
+		p.schedulers.learnLimit(g.service, g.Server, d.Limit)
+	}
+	u := p.unavailable(g.Server)
+	u.limit = p.unknownLimit(g)
+	if u.any() {
 		p.withdraw(g, u)
-		return hedgeFault(g.service, "the chosen backend server has asked for a pause, leaves or is evacuated")
+		return hedgeFault(g.service, "the chosen backend server has asked for a pause, named a limit, leaves or is evacuated")
 	}
 	return nil
 }
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -49,8 +49,8 @@
 	minSkipPeriod = 200 * time.Millisecond
 	maxSkipPeriod = 1600 * time.Millisecond
 	// maxPlacements is how often a request is placed, as long as each server chosen has
-	// asked this instance for a pause, announced that it leaves or is evacuated, and the
-	// decider has not received that.
+	// asked this instance for a pause, announced that it leaves, named a limit or is
+	// evacuated, and the decider has not received that.
 	maxPlacements = 4
 	// withdrawnRetryAfter is the retry delay for a request whose decisions were all
 	// withdrawn, if no server has named a time.
@@ -157,8 +157,10 @@
 	// Waited is how long the request waited for the decision.
 	Waited time.Duration
 	// Withdrawn is the number of decisions before this one whose server had asked this
-	// instance for a pause, announced that it leaves or was evacuated.
-	Withdrawn int
+	// instance for a pause, announced that it leaves or was evacuated, or for which the
+	// decider did not know of a limit. WithdrawnForLimit is the number of the latter.
+	Withdrawn         int
+	WithdrawnForLimit int
 
 	p       *Placer
 	service string
@@ -258,9 +260,12 @@
 	req.Instance = p.cfg.Instance
 	var left time.Duration
 	var withdrawn []string
-	for range maxPlacements {
+	withdrawnForLimit := 0
+	for n := range maxPlacements {
 		g := &Grant{
-			Withdrawn: len(withdrawn),
+			Withdrawn:         len(withdrawn),
+			WithdrawnForLimit: withdrawnForLimit,
+
 			p:         p,
 			service:   service,
 			hasPrompt: len(req.Parts) > 0,
@@ -270,10 +275,17 @@
 			return nil, err
 		}
 		u := p.unavailable(g.Server)
+		if withdrawnForLimit == 0 && n < maxPlacements-1 {
+			// Once at most, so that a disagreement on a limit refuses no request.
+			u.limit = p.unknownLimit(g)
+		}
 		if !u.any() {
 			g.Waited = p.cfg.Now() - start
 			return g, nil
 		}
+		if u.limit.Named {
+			withdrawnForLimit++
+		}
 		left = u.pauseLeft
 		p.withdraw(g, u)
 		req.Counted = true
@@ -320,6 +332,7 @@
 			return refusalFault(g.service, d)
 		}
 		if p.completeGrant(g, d, i.GetName()) {
+			p.schedulers.learnLimit(g.service, d.Server, d.Limit)
 			g.localID = p.schedulers.adopt(g.service, d.Server, req.Parts, true)
 			return nil
 		}
@@ -421,7 +434,7 @@
 func (g *Grant) Report(r scheduler.Report) {
 	g.p.recordPause(g.Server, r.RetryAfter)
 	g.p.recordDeparture(g.Server, r.Leaving)
-	if r.Event == scheduler.Started && !r.HasLoad && !g.hasPrompt && r.RetryAfter == 0 && !r.Leaving && r.ColdFor == 0 {
+	if r.Event == scheduler.Started && !r.HasLoad && !g.hasPrompt && r.RetryAfter == 0 && !r.Leaving && r.ColdFor == 0 && !g.changesLimit(r) {
 		// The start of such a request changes nothing that the schedulers know.
 		return
 	}
@@ -433,6 +446,19 @@
 	}
 }
 
+// changesLimit reports whether a report names a limit of the server, or states that there is
+// none while the decider or this instance knows of one.
+func (g *Grant) changesLimit(r scheduler.Report) bool {
+	switch {
+	case !r.Limit.Known:
+		return false
+	case r.Limit.Named || g.Limit.Named:
+		return true
+	default:
+		return g.p.schedulers.limit(g.service, g.Server).Named
+	}
+}
+
 func toParts(ids []uint64, tokens []uint32) []prefixcache.Part {
 	n := min(len(ids), len(tokens))
 	out := make([]prefixcache.Part, n)
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -44,6 +44,8 @@
 	// ignoresExclusions makes it decide like a build that does not read the excluded
 	// domains of a request.
 	ignoresExclusions atomic.Bool
+	// ignoresLimits makes it decide like a build that does not read the limits of servers.
+	ignoresLimits atomic.Bool
 	// streams counts the placement streams that other instances have opened.
 	streams atomic.Int32
 	stop    func()
@@ -73,6 +75,9 @@
 	if ask := m.GetAsk(); ask != nil && r.instance.ignoresExclusions.Load() {
 		ask.ExcludedDomains = nil
 	}
+	if report := m.GetReport(); report != nil && r.instance.ignoresLimits.Load() {
+		report.Limit = nil
+	}
 	return m, err
 }
 
--- a/internal/daemon/placer/unavailable.go
+++ b/internal/daemon/placer/unavailable.go
@@ -1,7 +1,8 @@
 package placer
 
 // This file defines how an instance records what servers have announced of themselves: that it
-// is to send them nothing for a while, or that they leave. This and the evacuations in the
+// is to send them nothing for a while, or that they leave, and how it gives back a grant of a
+// decider that has not received that or a limit of the server. This and the evacuations in the
 // instance's view hold whoever decides, as they are looked at between the decision and the
 // send.
 
@@ -12,6 +13,7 @@
 
 	"camphorspoke/internal/routing/departure"
 	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/routing/serverlimit"
 )
 
 // recordPause records that a server asked this instance to send it nothing for a while.
@@ -61,9 +63,13 @@
 	// evacuated.
 	evacuated bool
 	domain    string
+	// limit is the limit of the server if the decider did not know of it.
+	limit serverlimit.Statement
 }
 
-func (u unavailability) any() bool { return u.pauseLeft > 0 || u.leaving || u.evacuated }
+func (u unavailability) any() bool {
+	return u.pauseLeft > 0 || u.leaving || u.evacuated || u.limit.Named
+}
 
 // unavailable returns why this instance must not send a request to a server; the zero
 // value if it may.
@@ -79,6 +85,20 @@
 	}
 }
 
+// unknownLimit returns the limit that the server of a grant has named, if another instance made
+// the choice without knowing of it. This instance has learned what that decider knows, so that
+// a limit that is known here is newer.
+func (p *Placer) unknownLimit(g *Grant) serverlimit.Statement {
+	if g.stream == nil || g.Limit.Named {
+		return serverlimit.Statement{}
+	}
+	st := p.schedulers.limit(g.service, g.Server)
+	if !st.Named {
+		return serverlimit.Statement{}
+	}
+	return st
+}
+
 // excludedDomains returns the failure domains that this instance has as evacuated.
 func (p *Placer) excludedDomains() []string {
 	p.mu.Lock()
@@ -100,7 +120,7 @@
 }
 
 // withdraw gives back a grant whose server must not get a request of this instance. It
-// reports a pause or a departure to the schedulers, which do not know of it: another
+// reports a pause, a departure or a limit to the schedulers, which do not know of it: another
 // decider may have granted the request that the server answered. An evacuation reaches
 // them with their own view.
 func (p *Placer) withdraw(g *Grant, u unavailability) {
@@ -110,10 +130,20 @@
 		"pauseLeftMs": u.pauseLeft.Milliseconds(),
 		"leaving":     u.leaving,
 		"evacuated":   u.evacuated,
-	}).Info("placer: the chosen server has asked for a pause, leaves or is evacuated; the request is placed again")
+		"serverLimit": u.limit.PerSecond,
+	}).Info(u.reason())
 	g.Report(scheduler.Report{
 		Event:      scheduler.Cancelled,
 		RetryAfter: u.pauseLeft,
 		Leaving:    u.leaving,
+		Limit:      u.limit,
 	})
 }
+
+// reason returns the log line for a grant that is given back.
+func (u unavailability) reason() string {
+	if u.limit.Named {
+		return "placer: the decider did not know of the limit that the chosen server has named; the request is placed again"
+	}
+	return "placer: the chosen server has asked for a pause, leaves or is evacuated; the request is placed again"
+}
