Metrics: servers that name a limit, and grants withdrawn because of one

Change: the gauge camphorspoke.limited.servers gives the number of such servers by service, beside that of cold servers. Grants that were withdrawn because the decider did not know of a limit count as the event withdrawnForLimit of camphorspoke.pushbacks.

--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -106,7 +106,8 @@
 	c.grant = g
 	c.h.Meters.Prompt(c.ctx, c.service, g.Reuse, g.RereadTokens)
 	c.h.Meters.Placement(c.ctx, c.service, g.OverLimit, g.Alone)
-	c.h.Meters.Pushbacks(c.ctx, c.service, metrics.PushbackWithdrawn, g.Withdrawn)
+	c.h.Meters.Pushbacks(c.ctx, c.service, metrics.PushbackWithdrawn, g.Withdrawn-g.WithdrawnForLimit)
+	c.h.Meters.Pushbacks(c.ctx, c.service, metrics.PushbackWithdrawnForLimit, g.WithdrawnForLimit)
 }
 
 // abandon records an attempt that did not answer the request.
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -49,6 +49,9 @@
 	// ColdServers returns the number of backend servers that count as cold, by service; it
 	// may be nil.
 	ColdServers func() map[string]int
+	// LimitedServers returns the number of backend servers that name a limit, by service; it
+	// may be nil.
+	LimitedServers func() map[string]int
 	// Evacuated returns 1 for each evacuated failure domain; it may be nil.
 	Evacuated func() map[string]int
 	// Connections returns the number of open connections of clients by address; it may be
@@ -80,7 +83,7 @@
 	m.reusedTokens = b.counter("camphorspoke.reused.tokens", "Prompt tokens found in the prefix cache.")
 	m.rereadTokens = b.counter("camphorspoke.reread.tokens", "Prompt tokens that a server reads although another one has them cached, by reason.")
 	m.placements = b.counter("camphorspoke.placements", "Requests granted a server, by whether the server was over its load limit and by who decided.")
-	m.pushbacks = b.counter("camphorspoke.pushbacks", "Refusals with which a server asked for a pause, and grants withdrawn because of one, a departure or an evacuation, by service and event.")
+	m.pushbacks = b.counter("camphorspoke.pushbacks", "Refusals with which a server asked for a pause, and grants withdrawn because of one, a departure, an evacuation or a limit, by service and event.")
 	m.abandoned = b.counter("camphorspoke.attempts.abandoned", "Attempts that did not answer their request, by service, result and what became of the connection.")
 	m.retries = b.counter("camphorspoke.retries", "Retries by service.")
 	m.unreadable = b.counter("camphorspoke.unreadable.headers", "Headers of servers of which a value cannot be read, by header.")
@@ -95,6 +98,9 @@
 	if callbacks.ColdServers != nil {
 		b.observableGauge("camphorspoke.cold.servers", "Backend servers that count as cold, by service.", "service", func() map[string]int64 { return toInt64(callbacks.ColdServers()) })
 	}
+	if callbacks.LimitedServers != nil {
+		b.observableGauge("camphorspoke.limited.servers", "Backend servers that name a limit, by service.", "service", func() map[string]int64 { return toInt64(callbacks.LimitedServers()) })
+	}
 	if callbacks.Evacuated != nil {
 		b.observableGauge("camphorspoke.evacuated.domains", "1 for each failure domain that this instance has as evacuated.", "failureDomain", func() map[string]int64 { return toInt64(callbacks.Evacuated()) })
 	}
@@ -217,9 +223,13 @@
 	// PushbackWithdrawn is a grant that was not used, as its server had asked for a pause,
 	// announced that it leaves or was evacuated.
 	PushbackWithdrawn = "withdrawn"
+	// PushbackWithdrawnForLimit is a grant that was not used, as its decider did not know of
+	// the limit that the server had named.
+	PushbackWithdrawnForLimit = "withdrawnForLimit"
 )
 
-// Pushbacks counts n events of servers that ask this instance for a pause.
+// Pushbacks counts n events of servers that ask this instance for a pause or are not to get
+// what it was granted.
 func (m *Meters) Pushbacks(ctx context.Context, svc, event string, n int) {
 	if m == nil || n == 0 {
 		return
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -168,6 +168,8 @@
 		ColdServers:  in.coldServers,
 		Evacuated:    in.evacuatedDomains,
 		Connections:  e.connectionCounts,
+
+		LimitedServers: in.limitedServers,
 	})
 	if err != nil {
 		return err
@@ -289,6 +291,14 @@
 	return in.entry.placer.Schedulers().ColdServers()
 }
 
+// limitedServers returns the number of servers that name a limit, by service.
+func (in *instance) limitedServers() map[string]int {
+	if in.entry == nil || in.entry.placer == nil {
+		return nil
+	}
+	return in.entry.placer.Schedulers().LimitedServers()
+}
+
 // recordQuarantine records a change of a quarantine in the log of the control group.
 func (in *instance) recordQuarantine(ctx context.Context, q *pb.Quarantine) error {
 	r, err := in.control.Propose(ctx, &pb.Command{
