--- a/internal/check/entryfleet/serverlimit_test.go
+++ b/internal/check/entryfleet/serverlimit_test.go
@@ -19,8 +19,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-
-	"camphorspoke/internal/check/stall"
 )
 
 const (
@@ -110,15 +108,14 @@
 
 // mostInWindow returns the largest number of requests that arrived in a window of
 // limitWindow that begins limitSettles after the server first named its limit, or later, and
-// ends by the given time, and the number of windows. Those in which the machine stalled don't
-// count, as what was held up arrives at once.
-func (s *limitedServer) mostInWindow(machine *stall.Monitor, until time.Time) (most, windows int) {
+// ends by the given time, and the number of windows.
+func (s *limitedServer) mostInWindow(until time.Time) (most, windows int) {
 	s.mu.Lock()
 	begins, first := slices.Clone(s.arrivals), s.named.Add(limitSettles)
 	s.mu.Unlock()
 	for _, begin := range begins {
 		end := begin.Add(limitWindow)
-		if begin.Before(first) || end.After(until) || machine.Stalled(begin, end) {
+		if begin.Before(first) || end.After(until) {
 			continue
 		}
 		windows++
@@ -210,9 +207,9 @@
 
 // requireLimited checks the arrivals at a server until the end of its limit, and how the
 // callers were answered.
-func (l *limitedFleet) requireLimited(t *testing.T, machine *stall.Monitor, s *limitedServer, until time.Time) {
+func (l *limitedFleet) requireLimited(t *testing.T, s *limitedServer, until time.Time) {
 	t.Helper()
-	most, windows := s.mostInWindow(machine, until)
+	most, windows := s.mostInWindow(until)
 	t.Logf("%s: at most %d of %.0f requests in %d windows, outcomes %v", s.id, most, maxInLimitWindow, windows, l.outcomes)
 	require.NotZero(t, windows)
 	assert.LessOrEqual(t, float64(most), maxInLimitWindow, s.id)
@@ -230,12 +227,12 @@
 // no longer names a limit gets its share again.
 func TestServersThatNameALimitGetNoMore(t *testing.T) {
 	l := newLimitedFleet(t)
-	machine, stopMonitor := stall.New(nil)
-	defer stopMonitor()
 	limited := l.servers[0]
 	l.load(500 * time.Millisecond)
 	limited.naming.Store(true)
 	l.load(limitSettles + time.Second)
+	_, gauges := get("http://" + l.addr(1, operatorServicePort) + "/metrics")
+	assert.Regexp(t, `camphorspoke_limited_servers\{.*service="app".*\} 1\n`, gauges)
 	decider := int(l.deciders.last.Load().(string)[1] - '0')
 	l.stopped.Store(int32(decider))
 	var restart sync.WaitGroup
@@ -255,7 +252,7 @@
 	assert.Greater(t, float64(share), 1.5*limitPerSecond)
 	restart.Wait()
 	l.wg.Wait()
-	l.requireLimited(t, machine, limited, end.Add(-3*time.Second))
+	l.requireLimited(t, limited, end.Add(-3*time.Second))
 
 	for _, s := range l.servers {
 		s.mu.Lock()
@@ -267,6 +264,6 @@
 	end = time.Now()
 	l.wg.Wait()
 	for _, s := range l.servers {
-		l.requireLimited(t, machine, s, end)
+		l.requireLimited(t, s, end)
 	}
 }
--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -31,6 +31,7 @@
 	"camphorspoke/internal/edge/backend"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing/durations"
+	"camphorspoke/internal/routing/serverlimit"
 	"camphorspoke/internal/routing/view"
 	"camphorspoke/internal/rules/parse"
 	"camphorspoke/internal/rules/ruleset"
@@ -89,6 +90,13 @@
 		Signed:      h.Get("Signed") != "",
 	}
 	info.WorkPercent, _ = strconv.Atoi(h.Get("Work"))
+	if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		info.Limit = serverlimit.Statement{
+			Known:     true,
+			Named:     true,
+			PerSecond: perSecond,
+		}
+	}
 	if h.Get("Odd") != "" {
 		info.UnreadableHeaders = []string{"Odd"}
 	}
