Scheduler: servers that name a limit get no more requests than it allows

Cause: placement by load gives a server that runs less than it usually does as many requests as the others, or more, as it is emptier. Nothing reads the limit that it names.

Change: a server that names a limit gets the share of this instance of it, counted in the sliding window that cold servers have too, for all requests: first ones, retries, hedges and probes. Such a server costs as much more as a cold one. While all servers that may run a request are cold or limited, its wait follows from their rates (paceWait, which was coldWait), so that it is queued or refused at once with that time. Where a limit allows the next request while others are queued, one that arrives does not overtake those of its rank. Explain names limitUsed.

--- a/internal/routing/scheduler/cold.go
+++ b/internal/routing/scheduler/cold.go
@@ -9,17 +9,12 @@
 // granted as the rate allows.
 
 import (
-	"math"
 	"time"
 
 	"camphorspoke/internal/routing/coldstart"
 	"camphorspoke/internal/routing/ratelimit"
 )
 
-// coldCostFactor is multiplied with the cost of placing a request on a cold server, so that
-// the warm ones are preferred until they run some requests more.
-const coldCostFactor = 1.25
-
 // coldRates holds the rates of all cold servers of a service. The zero value limits none.
 type coldRates struct {
 	// period is Service.ColdTime; if zero, no server is cold.
@@ -74,7 +69,7 @@
 // the last settings, and returns the servers that have become cold or warm since the last
 // call. The caller calls it after SetService and SetServers, and now and then.
 func (s *Scheduler) UpdateCold(now time.Duration) []ColdChange {
-	s.applyCold(now)
+	s.applySettings(now)
 	if s.cold.until == 0 {
 		return nil
 	}
@@ -195,56 +190,3 @@
 	}
 	return !sv.probed(now)
 }
-
-// coldFactor is multiplied with the cost of placing a request on the server.
-func (sv *server) coldFactor(now time.Duration) float64 {
-	if c := &sv.cold; c.rates != nil && c.rates.any(now) && c.period.Cold(now) {
-		return coldCostFactor
-	}
-	return 1
-}
-
-// coldWait returns how long req would wait for the rates of the cold servers; zero unless
-// all servers that it may go to are cold. It is the time in which the rates allow the queued
-// requests ahead of it, but no longer than until the first server is warm.
-func (s *Scheduler) coldWait(now time.Duration, req Request) time.Duration {
-	if !s.cold.any(now) {
-		return 0
-	}
-	warm, free, next := time.Duration(math.MaxInt64), 0, time.Duration(math.MaxInt64)
-	perSecond := 0.0
-	allowance := s.cold.allowance(now, req)
-	for _, sv := range s.listedServers {
-		if !sv.mayRun(req) {
-			continue
-		}
-		if !sv.cold.period.Cold(now) {
-			return 0
-		}
-		warm = min(warm, sv.cold.period.Left(now))
-		if wait, ok := sv.grants.Wait(now, allowance); ok {
-			next = min(next, wait)
-			free += sv.grants.Places(now, allowance)
-			perSecond += allowance.PerSecond()
-		}
-	}
-	if warm == math.MaxInt64 {
-		return 0
-	}
-	behind := s.queuedAhead(req) + 1 - free
-	if behind <= 0 {
-		return 0
-	}
-	if perSecond == 0 {
-		return warm
-	}
-	wait := time.Duration(float64(behind-1) / perSecond * float64(time.Second))
-	return min(warm, next+wait)
-}
-
-// refusedByAloneRate reports whether no server was found for req, perhaps, because of the lower
-// rate of cold servers for requests that an instance decides on alone. Other requests may
-// still be granted.
-func (s *Scheduler) refusedByAloneRate(now time.Duration, req Request) bool {
-	return req.Alone && s.cold.any(now)
-}
--- a/internal/routing/scheduler/explain.go
+++ b/internal/routing/scheduler/explain.go
@@ -34,6 +34,9 @@
 	EvacuatedDomain = "evacuated"
 	// ColdRateUsed is a cold server that has got all requests that its rate allows now.
 	ColdRateUsed = "coldRateUsed"
+	// LimitUsed is a server that has got all requests that its limit allows now from the
+	// instance that decides.
+	LimitUsed = "limitUsed"
 	// NoMemory is an engine whose memory cannot hold the request besides those in progress.
 	NoMemory = "noMemory"
 )
@@ -96,7 +99,7 @@
 	req.surging = s.surges.Surging(now, req.Account)
 	out := Explanation{
 		Outcome:        WouldWait,
-		ExpectedWaitMs: max(s.expectedWait(req), s.pauseLeft(now, req), s.coldWait(now, req)).Milliseconds(),
+		ExpectedWaitMs: max(s.expectedWait(req), s.pauseLeft(now, req), s.paceWait(now, req)).Milliseconds(),
 		MaxWaitMs:      req.MaxWait.Milliseconds(),
 		Queued:         len(s.queue),
 		Surging:        req.surging,
@@ -166,6 +169,7 @@
 		{OverLoadLimit, float64(c.Load+1) > limit},
 		{EvacuatedDomain, s.evacuated[sv.domain] || slices.Contains(req.ExcludedDomains, sv.domain)},
 		{ColdRateUsed, !sv.coldAllows(now, req)},
+		{LimitUsed, !sv.limitAllows(now, req)},
 		{NoMemory, !s.hasMemory(sv, req)},
 	} {
 		if r.applies {
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -176,7 +176,7 @@
 	if !s.anyHealthy(now, req) {
 		return s.chooseFrom(now, req, s.listedServers, allServers, math.Inf(1))
 	}
-	if s.index != nil && !s.restricted(req) && !s.anyPaused(now) && !s.cold.any(now) && !s.memoryShort {
+	if s.index != nil && !s.restricted(req) && !s.anyPaused(now) && !s.anyPaced(now) && !s.memoryShort {
 		s.full, s.fullAt = true, now
 	}
 	return nil
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -26,6 +26,9 @@
 //   - Failing servers: a server that could not be reached or broke off responses is
 //     ejected for a time that doubles. The more often a server has failed recently,
 //     the higher is the cost of placing a request there.
+//   - Servers that have just started, or that name a limit: they get no more requests a second
+//     than they take from all instances together. While all are like that, requests wait for
+//     these rates or are refused at once, with the time in which the rates allow them.
 //   - Servers that turn requests away and ask for a pause: they get none from the instance
 //     that they asked. While all of them have asked it, its requests are refused at once,
 //     with the time until the first pause ends.
@@ -106,6 +109,10 @@
 	hasListed bool
 	// limited is the number of listed servers that name a limit.
 	limited int
+	// limitShares holds the shares of what limited servers take. limitsObserved is true if a
+	// limit may have changed since the last TakeLimitChanges.
+	limitShares    limitShares
+	limitsObserved bool
 }
 
 // grant is a request that counts as running on a server.
@@ -152,6 +159,14 @@
 		sv.setService(svc)
 	}
 	s.setColdRates()
+	s.limitShares.changed = true
+}
+
+// applySettings applies the shares that follow from the last settings, and the cold periods that
+// follow from the last list.
+func (s *Scheduler) applySettings(now time.Duration) {
+	s.applyCold(now)
+	s.applyLimitShares(now)
 }
 
 // SetServers replaces the list of servers. A server that is no longer listed stops
@@ -169,7 +184,7 @@
 			s.servers[l.Name] = sv
 		}
 		s.recordColdListing(sv, l)
-		sv.recordLimitListing(l)
+		s.recordLimitListing(sv, l)
 		sv.applyListing(l)
 		sv.accepting = sv.accepting && !s.departures.Leaving(l.Name)
 		sv.setService(s.svc)
@@ -194,7 +209,7 @@
 // Schedule decides on a request at once, or queues it and returns false; the decision is
 // then returned by a later Tick or Report.
 func (s *Scheduler) Schedule(now time.Duration, req Request) (Decision, bool) {
-	s.applyCold(now)
+	s.applySettings(now)
 	if req.Hedge {
 		return s.scheduleHedge(now, req), true
 	}
@@ -229,7 +244,7 @@
 	// While a queued request waits for memory, smaller ones are granted ahead of it. Its wait is
 	// bounded by MaxWait.
 	if len(s.queue) == 0 || !req.surging && (!s.svc.Engine || s.memoryBlocks) {
-		if sv := s.choose(now, req); sv != nil {
+		if sv := s.choose(now, req); sv != nil && !s.overtakes(sv, req) {
 			return sv, nil
 		}
 	}
@@ -237,7 +252,7 @@
 		d := refuse(req, NoServer, noServerRetryAfter)
 		return nil, &d
 	}
-	if max(s.expectedWait(req), s.pauseLeft(now, req), s.coldWait(now, req)) > req.MaxWait {
+	if max(s.expectedWait(req), s.pauseLeft(now, req), s.paceWait(now, req)) > req.MaxWait {
 		d := refuse(req, Overloaded, s.retryAfter(now, req))
 		return nil, &d
 	}
@@ -324,7 +339,7 @@
 // Tick refuses the queued requests that have waited too long, grants the free slots to
 // others, and returns the decisions.
 func (s *Scheduler) Tick(now time.Duration) []Decision {
-	s.applyCold(now)
+	s.applySettings(now)
 	out := append(s.expire(now), s.expelQuarantined(now)...)
 	out = append(out, s.expelEvacuated()...)
 	for {
@@ -371,7 +386,7 @@
 		sv := s.choose(now, w.request)
 		if sv == nil {
 			s.memoryBlocks = s.memoryBlocks || s.memoryShort
-			if !s.restricted(w.request) && !s.anyPaused(now) && !s.refusedByAloneRate(now, w.request) && !s.memoryShort {
+			if !s.restricted(w.request) && !s.anyPaused(now) && !s.refusedByAloneShare(now, w.request) && !s.memoryShort {
 				// No server has room even for a request that may run on any of them.
 				break
 			}
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -12,7 +12,6 @@
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/pushback"
 	"camphorspoke/internal/routing/ratelimit"
-	"camphorspoke/internal/routing/serverlimit"
 	"camphorspoke/internal/routing/speed"
 	"camphorspoke/internal/routing/tokenmemory"
 )
@@ -119,7 +118,7 @@
 	// cold holds whether the server has started recently.
 	cold coldness
 	// limit is what the server has said of its limit.
-	limit serverlimit.Limit
+	limit limitState
 }
 
 func newServer(name string) *server {
@@ -205,7 +204,7 @@
 }
 
 func (sv *server) eligible(now time.Duration, req Request) bool {
-	return sv.mayRun(req) && now >= sv.fullUntil && sv.pauses.Left(now, req.Instance) == 0 && sv.coldAllows(now, req)
+	return sv.mayRun(req) && now >= sv.fullUntil && sv.pauses.Left(now, req.Instance) == 0 && sv.coldAllows(now, req) && sv.limitAllows(now, req)
 }
 
 // responding reports whether the server has responses in progress. A server that is down
@@ -251,9 +250,9 @@
 }
 
 // costFactor is multiplied with the cost of placing a request on the server; it is 1
-// for a warm server without failures.
+// for a server without failures that is neither cold nor limited.
 func (sv *server) costFactor(now time.Duration) float64 {
-	return (1 + failurePenalty*sv.failureRate(now)) * sv.coldFactor(now)
+	return (1 + failurePenalty*sv.failureRate(now)) * sv.pacedFactor(now)
 }
 
 // recordResponse ends the ejection of a server that has begun a response to a request
--- a/internal/routing/scheduler/serverlimit.go
+++ b/internal/routing/scheduler/serverlimit.go
@@ -1,14 +1,81 @@
 package scheduler
 
-// This file defines how servers that name a limit get requests at no higher rate; see package
-// serverlimit.
+// This file defines how servers that name a limit get requests at no higher rate; see packages
+// serverlimit and ratelimit.
+//
+// Load pattern: most servers of a service run half of what they usually do, and say so. The
+// requests above their limits go to the other servers, or wait, or are refused with the time
+// in which the limits allow them. Without the limits they would be the emptiest servers, as
+// they refuse what they get above it.
 
 import (
 	"time"
 
+	"camphorspoke/internal/routing/ratelimit"
 	"camphorspoke/internal/routing/serverlimit"
 )
 
+// limitShares holds the shares of the limits of all servers of a service. The zero value
+// allows nothing to servers that name one.
+type limitShares struct {
+	decider, alone serverlimit.DelayedShare
+	// changed is true if the shares of the settings were not applied yet.
+	changed bool
+}
+
+// share returns the share that applies to requests like req.
+func (l *limitShares) share(req Request) *serverlimit.DelayedShare {
+	if req.Alone {
+		return &l.alone
+	}
+	return &l.decider
+}
+
+// limitState holds what a server has said of its limit.
+type limitState struct {
+	serverlimit.Limit
+
+	shares *limitShares
+	// logged is what LimitChange has reported last.
+	logged serverlimit.Statement
+}
+
+// LimitChange is a limit that a server has named, changed or ended.
+type LimitChange struct {
+	Server string
+	// Before and Now are the limits; one that is not Named has not been or is over.
+	Before serverlimit.Statement
+	Now    serverlimit.Statement
+}
+
+// minLimitChange is the smallest change of a limit that TakeLimitChanges returns, as a fraction
+// of the limit before.
+const minLimitChange = 0.1
+
+// TakeLimitChanges returns the limits of listed servers that were named, changed or ended since
+// the last call. Small changes are left out.
+func (s *Scheduler) TakeLimitChanges() []LimitChange {
+	if !s.limitsObserved {
+		return nil
+	}
+	s.limitsObserved = false
+	var out []LimitChange
+	for _, sv := range s.listedServers {
+		before, now := sv.limit.logged, sv.limit.Statement(0)
+		diff := max(now.PerSecond-before.PerSecond, before.PerSecond-now.PerSecond)
+		if now.Named == before.Named && diff <= minLimitChange*before.PerSecond {
+			continue
+		}
+		sv.limit.logged = now
+		out = append(out, LimitChange{
+			Server: sv.name,
+			Before: before,
+			Now:    now,
+		})
+	}
+	return out
+}
+
 // LearnLimit records what another scheduler knows of the limit of a server.
 func (s *Scheduler) LearnLimit(now time.Duration, name string, st serverlimit.Statement) {
 	if sv := s.servers[name]; sv != nil {
@@ -44,18 +111,46 @@
 }
 
 // recordLimitListing ends the limit of a server of which the list shows another incarnation.
-func (sv *server) recordLimitListing(l Server) {
+func (s *Scheduler) recordLimitListing(sv *server, l Server) {
+	sv.limit.shares = &s.limitShares
 	if !sv.listing.SameIncarnation(l.departureListing()) {
-		sv.limit = serverlimit.Limit{}
+		sv.limit.Limit = serverlimit.Limit{}
 	}
 }
 
 // countLimited counts the listed servers that name a limit.
 func (s *Scheduler) countLimited() {
-	s.limited = 0
+	s.limited, s.limitsObserved = 0, true
 	for _, sv := range s.listedServers {
 		if sv.limit.Named() {
 			s.limited++
 		}
 	}
 }
+
+// applyLimitShares applies the shares of the last settings.
+func (s *Scheduler) applyLimitShares(now time.Duration) {
+	if !s.limitShares.changed {
+		return
+	}
+	s.limitShares.changed = false
+	s.limitShares.decider.Set(now, s.svc.LimitShare)
+	s.limitShares.alone.Set(now, s.svc.AloneLimitShare)
+}
+
+// limitAllowance returns how many requests like req a server that names a limit may get.
+func (sv *server) limitAllowance(now time.Duration, req Request) ratelimit.Allowance {
+	return sv.limit.shares.share(req).Allowance(now, sv.limit.PerSecond())
+}
+
+// limitAllows reports whether the limit of a server, if it names one, allows req.
+func (sv *server) limitAllows(now time.Duration, req Request) bool {
+	return !sv.limit.Named() || sv.grants.Places(now, sv.limitAllowance(now, req)) > 0
+}
+
+// overtakes reports whether req would be granted a limited server ahead of queued requests of
+// its rank or a higher one. A limit allows the next request after some time, and not at the
+// end of a request, when the queue is processed.
+func (s *Scheduler) overtakes(sv *server, req Request) bool {
+	return sv.limit.Named() && len(s.queue) > 0 && s.queuedAhead(req) > 0
+}
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -37,6 +37,10 @@
 	ColdTime      time.Duration
 	ColdRate      float64
 	AloneColdRate float64
+	// LimitShare and AloneLimitShare are the shares of this instance of what a server that
+	// names a limit takes: when it decides for all instances, and for its own requests only.
+	LimitShare      serverlimit.Share
+	AloneLimitShare serverlimit.Share
 	// HedgeShare is the largest share of the requests in RetryWindow that get a hedge.
 	HedgeShare float64
 }
--- a/internal/routing/serverlimit/share.go
+++ b/internal/routing/serverlimit/share.go
@@ -10,10 +10,10 @@
 
 const (
 	// Span is the time in which the requests to a server that names a limit are counted. Over
-	// all instances it may get Overage times what its limit allows in it, and Slack requests.
+	// all instances it may get overage times what its limit allows in it, and slack requests.
 	Span    = 4 * time.Second
-	Overage = 1.5
-	Slack   = 5
+	overage = 1.5
+	slack   = 5
 	// firstConstant is how many requests of the slack belong to the first in the order of
 	// deciders. It makes up for rounding down, and lets a server that names a limit of zero
 	// get a request now and then, as nothing else shows that the limit has ended.
@@ -35,15 +35,15 @@
 	Constant float64
 }
 
-// perLimit and constant divide Overage times the limit, and Slack.
+// perLimit and constant divide overage times the limit, and slack.
 var (
 	perLimit = ratelimit.Division{
 		Rate:    Span.Seconds(),
-		Overage: Overage,
+		Overage: overage,
 	}
 	constant = ratelimit.Division{
 		Rate:  firstConstant,
-		Slack: Slack - firstConstant,
+		Slack: slack - firstConstant,
 	}
 )
 
