Placer: the shares of cold servers follow the order of deciders, the leader last

Cause: the order in which deciders are queried passes over the leader of the control group, the division of the rate of cold servers and of the retry slack did not. While the leader was first in the order of a service, its decider used the share of the second.

Change: ranks are positions in the order with the leader last.

Result: TestSharesFollowTheOrderOfDeciders failed before (6 requests granted to a cold server that takes 14) and passes.

--- a/internal/daemon/placer/deciders.go
+++ b/internal/daemon/placer/deciders.go
@@ -13,10 +13,7 @@
 // while there are others, as neither its answers to heartbeats nor decisions should
 // wait for the other.
 func (p *Placer) deciders(service string) []*pb.Instance {
-	leader := ""
-	if p.cfg.Leader != nil {
-		leader = p.cfg.Leader()
-	}
+	leader := p.cfg.leader()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.cfg.Now()
--- a/internal/daemon/placer/order.go
+++ b/internal/daemon/placer/order.go
@@ -13,18 +13,32 @@
 	"camphorspoke/internal/routing/view"
 )
 
-// ranks returns the position of an instance in the order of the deciders of each service.
-func ranks(order map[string][]*pb.Instance, instance string) map[string]int {
+// ranks returns the position of an instance in the order of the deciders of each service, in
+// which the leader of the control group comes last; see Placer.deciders.
+func ranks(order map[string][]*pb.Instance, instance, leader string) map[string]int {
 	out := make(map[string]int, len(order))
 	for service, list := range order {
-		out[service] = slices.IndexFunc(list, func(i *pb.Instance) bool { return i.GetName() == instance })
-		if out[service] < 0 {
-			out[service] = len(list)
-		}
+		out[service] = rankIn(list, instance, leader)
 	}
 	return out
 }
 
+// rankIn returns the position of an instance in one order; its length if it is not there.
+func rankIn(list []*pb.Instance, instance, leader string) int {
+	rank := slices.IndexFunc(list, func(i *pb.Instance) bool { return i.GetName() == instance })
+	led := slices.IndexFunc(list, func(i *pb.Instance) bool { return i.GetName() == leader })
+	switch {
+	case rank < 0:
+		return len(list)
+	case rank == led:
+		return len(list) - 1
+	case led >= 0 && led < rank:
+		return rank - 1
+	default:
+		return rank
+	}
+}
+
 // deciderOrder returns, for each service, the instances that may decide for it, the
 // first choice in front. Instances with a larger processor share come first, as all
 // requests of the service pass through its decider, and instances with equal shares
--- a/internal/daemon/placer/order_test.go
+++ b/internal/daemon/placer/order_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/routing/view"
 	"camphorspoke/internal/rules/parse"
 )
@@ -105,3 +107,68 @@
 	reachable = ""
 	require.Equal(t, []string{leader}, names())
 }
+
+// TestSharesFollowTheOrderOfDeciders: the leader of the control group is first in the order, so that
+// its successor decides. It must use the share of the first in the order, or cold servers get
+// half of what they take; and as soon as the leader is another one, without a new view, the
+// share of the second, or the two together exceed the limit.
+func TestSharesFollowTheOrderOfDeciders(t *testing.T) {
+	const first, second = 14, 6
+	f, err := parse.Rules("r", []byte("service a type=plain slots=64 cold-time=600s cold-rate=14 # t: t\n"))
+	require.NoError(t, err)
+	row := &pb.BackendServer{
+		Name:      "e1",
+		Service:   "a",
+		Address:   "e1:1",
+		ColdMs:    600_000,
+		ColdIndex: 1,
+	}
+	v := viewOf(t, 4).WithTables(2, false, []*pb.BackendServer{row}, nil).WithRules(2, nil, f)
+	order := deciderOrder(v)["a"]
+	leader := order[0].GetName()
+	now := time.Duration(0)
+	cfg := Config{
+		Now:         func() time.Duration { return now },
+		LoadBound:   2,
+		RetryWindow: 10 * time.Second,
+		ColdOverage: 1.5,
+		ColdSlack:   5,
+		Instance:    order[1].GetName(),
+		Leader:      func() string { return leader },
+		Logger:      logrus.New(),
+	}
+	p := &Placer{
+		cfg:        cfg,
+		schedulers: newSchedulers(cfg),
+		skipped:    make(map[string]skip),
+	}
+	p.schedulers.entitled = p.isEntitled
+	granted := func() int {
+		n := 0
+		for range 2 * first {
+			p.schedulers.submit("a", true, scheduler.Request{}, func(d scheduler.Decision) {
+				if d.Server != "" {
+					n++
+				}
+			})
+		}
+		return n
+	}
+	p.schedulers.tick()
+	p.Update(v)
+	now += 10 * time.Second
+	require.Equal(t, first, granted())
+	for _, c := range []struct {
+		leader string
+		want   int
+	}{
+		{order[2].GetName(), second},
+		{order[0].GetName(), first},
+		{"", second},
+	} {
+		leader = c.leader
+		p.schedulers.tick()
+		now += 10 * time.Second
+		require.Equal(t, c.want, granted(), "leader %q", leader)
+	}
+}
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -238,7 +238,7 @@
 	p.view, p.order = v, order
 	p.departures.Update(p.listing)
 	p.mu.Unlock()
-	p.schedulers.update(v, ranks(order, p.cfg.Instance))
+	p.schedulers.update(v, order)
 	for name := range v.Rules.Services {
 		// Open the stream now, so that the first request does not wait for it.
 		if order := p.deciders(name); len(order) > 0 && order[0].GetName() != p.cfg.Instance {
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -13,6 +13,7 @@
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/routing/view"
+	"camphorspoke/internal/rules/ruleset"
 )
 
 const (
@@ -49,8 +50,11 @@
 	nextID   uint64
 	// waiting holds the answer callbacks of queued requests, by request ID.
 	waiting map[uint64]func(scheduler.Decision)
-	// view is the view that was applied last.
-	view *view.View
+	// view is the view that was applied last, order the order of the deciders of each service
+	// in it, and leader the instance that led the control group then or at the last tick.
+	view   *view.View
+	order  map[string][]*pb.Instance
+	leader string
 	// engines holds the model engines of each service.
 	engines map[string][]engine
 	// standbys holds what is sent to the standby of each service.
@@ -86,8 +90,10 @@
 
 // tick lets the schedulers decide on waiting requests.
 func (d *Schedulers) tick() {
+	leader := d.cfg.leader()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.setLeader(leader)
 	for name, s := range d.services {
 		d.updateCold(name, s)
 		for _, account := range s.TakeSurges() {
@@ -115,10 +121,55 @@
 	}
 }
 
-// update applies a new view. ranks holds, by service, the position of this instance in the
-// order of its deciders.
-func (d *Schedulers) update(v *view.View, ranks map[string]int) {
-	instances := max(len(v.Routers()), 1)
+// leader returns the instance that leads the control group; "" if none is known.
+func (c Config) leader() string {
+	if c.Leader == nil {
+		return ""
+	}
+	return c.Leader()
+}
+
+// setLeader applies a change of the leader of the control group, as the ranks of the instances
+// depend on it. The caller holds mu.
+func (d *Schedulers) setLeader(leader string) {
+	if leader == d.leader {
+		return
+	}
+	d.leader = leader
+	if d.view.Rules == nil {
+		return
+	}
+	ranks := ranks(d.order, d.cfg.Instance, leader)
+	for name, rule := range d.view.Rules.Services {
+		d.services[name].SetService(d.settings(name, rule, ranks[name]))
+		d.updateCold(name, d.services[name])
+	}
+}
+
+// settings returns the settings of a service by the rank of this instance in the order of its
+// deciders. The caller holds mu.
+func (d *Schedulers) settings(name string, rule ruleset.Service, rank int) scheduler.Service {
+	instances := max(len(d.view.Routers()), 1)
+	svc := scheduler.Service{
+		Name:            name,
+		Engine:          !rule.Plain,
+		Slots:           rule.Slots,
+		CacheTokens:     rule.CacheTokens,
+		FetchesPrefixes: rule.FetchesPrefixes,
+		LoadBound:       d.cfg.LoadBound,
+		RetryWindow:     d.cfg.RetryWindow,
+		RetryRatio:      d.cfg.RetryRatio,
+		RetrySlack:      d.cfg.RetrySlack * deciderSlackShare(rank, instances),
+		AloneRetrySlack: d.cfg.RetrySlack * othersSlackShare / float64(instances),
+		HedgeShare:      rule.HedgeShare(d.cfg.HedgePercent),
+	}
+	d.cfg.setCold(&svc, rule, rank, instances)
+	return svc
+}
+
+// update applies a new view, and the order of the deciders of each service in it.
+func (d *Schedulers) update(v *view.View, order map[string][]*pb.Instance) {
+	leader := d.cfg.leader()
 	lists := make(map[string][]scheduler.Server)
 	engines := make(map[string][]engine)
 	for _, s := range v.Servers {
@@ -146,22 +197,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.engines, d.view = engines, v
+	d.engines, d.view, d.order, d.leader = engines, v, order, leader
+	ranks := ranks(order, d.cfg.Instance, leader)
 	for name, rule := range v.Rules.Services {
-		svc := scheduler.Service{
-			Name:            name,
-			Engine:          !rule.Plain,
-			Slots:           rule.Slots,
-			CacheTokens:     rule.CacheTokens,
-			FetchesPrefixes: rule.FetchesPrefixes,
-			LoadBound:       d.cfg.LoadBound,
-			RetryWindow:     d.cfg.RetryWindow,
-			RetryRatio:      d.cfg.RetryRatio,
-			RetrySlack:      d.cfg.RetrySlack * deciderSlackShare(ranks[name], instances),
-			AloneRetrySlack: d.cfg.RetrySlack * othersSlackShare / float64(instances),
-			HedgeShare:      rule.HedgeShare(d.cfg.HedgePercent),
-		}
-		d.cfg.setCold(&svc, rule, ranks[name], instances)
+		svc := d.settings(name, rule, ranks[name])
 		s := d.services[name]
 		if s == nil {
 			s = scheduler.New(svc)
