Placer: divide the limits that servers name among the instances, and log them

Cause: the scheduler keeps to the share of a limit that its settings give, and nothing sets it.

Change: each instance has the share of its rank in the order of deciders, the leader last, and that for the requests on which it decides alone. One log line states that a server names a limit, changes it by more than a tenth, or names none any more.

Result: 70 instances out of contact, each of which decides for all and alone, send a server that names 8 a second 42 requests in 4 s, of 53 that are allowed (TestSumOfAllDecidersKeepsTheNamedLimit).

--- a/internal/daemon/placer/limits.go
+++ b/internal/daemon/placer/limits.go
@@ -3,7 +3,39 @@
 // This file defines how the limits that servers name are divided among the instances, and how
 // they are logged and counted.
 
-import "camphorspoke/internal/routing/serverlimit"
+import (
+	"github.com/sirupsen/logrus"
+
+	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/routing/serverlimit"
+)
+
+// setLimitShares sets the shares of this instance of what servers that name a limit take, by
+// its position in the order of deciders.
+func setLimitShares(svc *scheduler.Service, rank, instances int) {
+	svc.LimitShare = serverlimit.DeciderShare(rank, instances)
+	svc.AloneLimitShare = serverlimit.AloneShare(instances)
+}
+
+// logLimits logs the limits that servers of a service have named, changed or ended. The caller
+// holds mu.
+func (d *Schedulers) logLimits(service string, s *scheduler.Scheduler) {
+	for _, c := range s.TakeLimitChanges() {
+		log := d.cfg.Logger.WithFields(logrus.Fields{
+			"server":         c.Server,
+			"service":        service,
+			"limitPerSecond": c.Now.PerSecond,
+		})
+		switch {
+		case !c.Now.Named:
+			log.WithField("limitPerSecond", c.Before.PerSecond).Info("placer: a server no longer names a limit")
+		case c.Before.Named:
+			log.Info("placer: a server has changed its limit")
+		default:
+			log.Info("placer: a server names a limit; it gets no more requests than that")
+		}
+	}
+}
 
 // learnLimit records what the decider of a service knows of the limit of a server.
 func (d *Schedulers) learnLimit(service, server string, st serverlimit.Statement) {
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -96,6 +96,7 @@
 	d.setLeader(leader)
 	for name, s := range d.services {
 		d.updateCold(name, s)
+		d.logLimits(name, s)
 		for _, account := range s.TakeSurges() {
 			d.cfg.Logger.WithField("account", account).WithField("service", name).
 				Info("placer: an account sends far more requests than it usually does; they wait behind those of others")
@@ -164,6 +165,7 @@
 		HedgeShare:      rule.HedgeShare(d.cfg.HedgePercent),
 	}
 	d.cfg.setCold(&svc, rule, rank, instances)
+	setLimitShares(&svc, rank, instances)
 	return svc
 }
 
