Placer tests: the fleets have run for some seconds

Cause: an instance that has just started sends limited servers nothing for 3 s, so that tests of fleets that start with them would wait for that in real time.

Change: the clock of all instances of such a fleet is 10 s ahead after the start.

--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -124,6 +124,8 @@
 	if unresponsive > 0 {
 		answerTimeout = 0
 	}
+	clock := boottime.New()
+	var offset atomic.Int64
 	fleet := make(map[string]*instance)
 	var rows []*pb.Instance
 	var names []routing.Server
@@ -135,7 +137,7 @@
 		in := &instance{}
 		var stopPlacer func()
 		in.placer, stopPlacer = placer.New(placer.Config{
-			Now:         boottime.New().Now,
+			Now:         func() time.Duration { return clock.Now() + time.Duration(offset.Load()) },
 			LoadBound:   2,
 			RetryWindow: 10 * time.Second,
 			RetryRatio:  0.2,
@@ -186,6 +188,8 @@
 	for _, in := range fleet {
 		in.placer.Update(v)
 	}
+	// The shares of what limited servers take apply to instances that have run for some seconds.
+	offset.Store(int64(10 * time.Second))
 	return fleet, order, v
 }
 
