--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -44,6 +44,8 @@
 	// ignoresExclusions makes it decide like a build that does not read the excluded
 	// domains of a request.
 	ignoresExclusions atomic.Bool
+	// ignoresLimits makes it decide like a build that does not read the limits of servers.
+	ignoresLimits atomic.Bool
 	// streams counts the placement streams that other instances have opened.
 	streams atomic.Int32
 	stop    func()
@@ -73,6 +75,9 @@
 	if ask := m.GetAsk(); ask != nil && r.instance.ignoresExclusions.Load() {
 		ask.ExcludedDomains = nil
 	}
+	if report := m.GetReport(); report != nil && r.instance.ignoresLimits.Load() {
+		report.Limit = nil
+	}
 	return m, err
 }
 
@@ -124,6 +129,8 @@
 	if unresponsive > 0 {
 		answerTimeout = 0
 	}
+	clock := boottime.New()
+	var offset atomic.Int64
 	fleet := make(map[string]*instance)
 	var rows []*pb.Instance
 	var names []routing.Server
@@ -135,7 +142,7 @@
 		in := &instance{}
 		var stopPlacer func()
 		in.placer, stopPlacer = placer.New(placer.Config{
-			Now:         boottime.New().Now,
+			Now:         func() time.Duration { return clock.Now() + time.Duration(offset.Load()) },
 			LoadBound:   2,
 			RetryWindow: 10 * time.Second,
 			RetryRatio:  0.2,
@@ -186,6 +193,8 @@
 	for _, in := range fleet {
 		in.placer.Update(v)
 	}
+	// The shares of what limited servers take apply to instances that have run for some seconds.
+	offset.Store(int64(10 * time.Second))
 	return fleet, order, v
 }
 
