Scheduler: a large service without room is not searched for each request while limits apply

Cause: a large service remembers for 10 ms that no server has room, except while a server is cold or names a limit, as their rates free places with time. A limit may last for long, and each request then compares all servers several times.

Change: the service counts as full until the first rate allows another request, for 10 ms at most, or until a limit changes. The wait behind cold and limited servers is computed only if no other server may run the request.

--- a/internal/routing/scheduler/explain.go
+++ b/internal/routing/scheduler/explain.go
@@ -93,8 +93,8 @@
 // Explain returns what Schedule would decide on a request that is no retry. The scheduler and
 // its budgets stay as they are.
 func (s *Scheduler) Explain(now time.Duration, req Request) Explanation {
-	full, fullAt, memoryShort := s.full, s.fullAt, s.memoryShort
-	defer func() { s.full, s.fullAt, s.memoryShort = full, fullAt, memoryShort }()
+	full, fullUntil, memoryShort := s.full, s.fullUntil, s.memoryShort
+	defer func() { s.full, s.fullUntil, s.memoryShort = full, fullUntil, memoryShort }()
 	limit := s.currentLimit(now)
 	req.surging = s.surges.Surging(now, req.Account)
 	out := Explanation{
--- a/internal/routing/scheduler/pace.go
+++ b/internal/routing/scheduler/pace.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"camphorspoke/internal/routing/ratelimit"
@@ -88,9 +89,15 @@
 	}
 }
 
+// paced reports whether the server is cold or names a limit.
+func (sv *server) paced(now time.Duration) bool {
+	c := &sv.cold
+	return sv.limit.Named() || c.rates != nil && c.rates.any(now) && c.period.Cold(now)
+}
+
 // pacedFactor is multiplied with the cost of placing a request on the server.
 func (sv *server) pacedFactor(now time.Duration) float64 {
-	if c := &sv.cold; sv.limit.Named() || c.rates != nil && c.rates.any(now) && c.period.Cold(now) {
+	if sv.paced(now) {
 		return pacedCostFactor
 	}
 	return 1
@@ -104,7 +111,7 @@
 // which these allow the queued requests ahead of it, but no longer than until the first server
 // is no longer limited.
 func (s *Scheduler) paceWait(now time.Duration, req Request) time.Duration {
-	if !s.anyPaced(now) {
+	if !s.anyPaced(now) || slices.ContainsFunc(s.listedServers, func(sv *server) bool { return !sv.paced(now) && sv.mayRun(req) }) {
 		return 0
 	}
 	all := pace{
@@ -116,11 +123,8 @@
 		if !sv.mayRun(req) {
 			continue
 		}
-		p, paced := s.pace(now, sv, req)
-		if !paced {
-			return 0
-		}
 		found = true
+		p, _ := s.pace(now, sv, req)
 		all.ends = min(all.ends, p.ends)
 		if p.perSecond > 0 {
 			all.next = min(all.next, p.next)
@@ -143,6 +147,26 @@
 	}
 }
 
+// nextPlace returns the time until the rate of a cold or limited server allows a request like
+// req that it does not allow now; math.MaxInt64 if there is none.
+func (s *Scheduler) nextPlace(now time.Duration, req Request) time.Duration {
+	next := time.Duration(math.MaxInt64)
+	if !s.anyPaced(now) {
+		return next
+	}
+	for _, sv := range s.listedServers {
+		p, paced := s.pace(now, sv, req)
+		if !paced || p.free > 0 {
+			continue
+		}
+		next = min(next, p.ends)
+		if p.perSecond > 0 {
+			next = min(next, p.next)
+		}
+	}
+	return next
+}
+
 // refusedByAloneShare reports whether no server was found for req, perhaps, because of the lower
 // share of cold and limited servers for requests that an instance decides on alone. Other
 // requests may still be granted.
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -151,7 +151,7 @@
 	if s.memoryShort {
 		return nil
 	}
-	if s.full && now-s.fullAt < maxLimitAge {
+	if s.full && now < s.fullUntil {
 		return nil
 	}
 	limit := s.currentLimit(now).requests
@@ -176,8 +176,8 @@
 	if !s.anyHealthy(now, req) {
 		return s.chooseFrom(now, req, s.listedServers, allServers, math.Inf(1))
 	}
-	if s.index != nil && !s.restricted(req) && !s.anyPaused(now) && !s.anyPaced(now) && !s.memoryShort {
-		s.full, s.fullAt = true, now
+	if s.index != nil && !s.restricted(req) && !s.anyPaused(now) && !s.refusedByAloneShare(now, req) && !s.memoryShort {
+		s.full, s.fullUntil = true, now+min(maxLimitAge, s.nextPlace(now, req))
 	}
 	return nil
 }
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -85,12 +85,12 @@
 	// candidateList and candidateRound hold the servers compared last.
 	candidateList  []*server
 	candidateRound uint64
-	// limit is the load limit as of limitAt, and full is set if no server had room
-	// at fullAt and no request has ended since; both only in a large service.
-	limit   loadLimit
-	limitAt time.Duration
-	full    bool
-	fullAt  time.Duration
+	// limit is the load limit as of limitAt. full is set if no server had room and no request
+	// has ended since; it holds until fullUntil. Both only in a large service.
+	limit     loadLimit
+	limitAt   time.Duration
+	full      bool
+	fullUntil time.Duration
 	// memory counts the tokens that granted requests hold, as if all servers were one.
 	memory tokenmemory.Memory
 	// memoryShort is true if the last choice left out a server with room for its memory alone.
@@ -238,7 +238,7 @@
 }
 
 // decide returns the server for a request, or the refusal, or neither if the request is to be
-// queued. Apart from the cached results of choose (full, fullAt, memoryShort) it changes no
+// queued. Apart from the cached results of choose (full, fullUntil, memoryShort) it changes no
 // state.
 func (s *Scheduler) decide(now time.Duration, req Request) (*server, *Decision) {
 	// While a queued request waits for memory, smaller ones are granted ahead of it. Its wait is
--- a/internal/routing/scheduler/serverlimit.go
+++ b/internal/routing/scheduler/serverlimit.go
@@ -118,9 +118,9 @@
 	}
 }
 
-// countLimited counts the listed servers that name a limit.
+// countLimited counts the listed servers that name a limit, after a change.
 func (s *Scheduler) countLimited() {
-	s.limited, s.limitsObserved = 0, true
+	s.limited, s.limitsObserved, s.full = 0, true, false
 	for _, sv := range s.listedServers {
 		if sv.limit.Named() {
 			s.limited++
--- a/internal/routing/scheduler/serverlimit_test.go
+++ b/internal/routing/scheduler/serverlimit_test.go
@@ -507,6 +507,16 @@
 	freed := began + limitSpan + limitTransit
 	require.Empty(t, s.Tick(freed-time.Millisecond))
 	require.Len(t, s.Tick(freed), 1)
+	f.now = freed
+	for range servers {
+		f.request(0, scheduler.Request{})
+	}
+	require.Equal(t, servers-1, len(s.Tick(freed)))
+	require.Zero(t, len(s.Tick(freed)))
+	s.LearnLimit(freed, "e0", serverlimit.Statement{
+		Known: true,
+	})
+	require.Len(t, s.Tick(freed), 2, "a server takes more again")
 }
 
 // TestEqualServersWithoutALimitComeFirst: the few requests that a server in need takes must not be
