serverlimit: instances of the test apply each order of deciders that they see

Cause: an instance of TestMachineSumOfAllInstances applied an order only when it granted a request. The placer applies each view at once, and the test changes the order no faster than instances see it, so that none misses one.

Change: each instance applies an order at the latest before the next one reaches it. The bound, the draws and the delays are as they were.

--- a/internal/routing/serverlimit/share_test.go
+++ b/internal/routing/serverlimit/share_test.go
@@ -33,13 +33,18 @@
 	rankAt time.Duration
 }
 
-// grants lets the instance grant as many of n requests as its share of a limit allows, all of
-// them if there is none, and returns how many it has granted.
-func (d *decider) grants(now time.Duration, n int, alone bool, limit float64, instances int) int {
+// apply lets the instance apply the order that it has seen last.
+func (d *decider) apply(now time.Duration, instances int) {
 	if now >= d.rankAt {
 		d.share.Set(now, serverlimit.DeciderShare(d.rank, instances))
 		d.alone.Set(now, serverlimit.AloneShare(instances))
 	}
+}
+
+// grants lets the instance grant as many of n requests as its share of a limit allows, all of
+// them if there is none, and returns how many it has granted.
+func (d *decider) grants(now time.Duration, n int, alone bool, limit float64, instances int) int {
+	d.apply(now, instances)
 	share := &d.share
 	if alone {
 		share = &d.alone
@@ -89,6 +94,7 @@
 				lastChange = now
 				order := rapid.Permutation(seq(n)).Draw(t, "order")
 				for i := range instances {
+					instances[i].apply(now, n)
 					instances[i].rank = order[i]
 					instances[i].rankAt = now + time.Duration(rapid.IntRange(0, int(maxViewLag/time.Millisecond)).Draw(t, "lagMs"))*time.Millisecond
 				}
