ratelimit: instances of the cold servers' test apply each order of deciders that they see

Cause: an instance of the model that was idle while it was demoted and promoted again kept the larger share without the delay. The placer applies each view at once; the model changes the order no faster than instances see it. Change: each instance applies an order before the next one reaches it. Bounds, draws and delays are as they were.

--- a/internal/routing/ratelimit/ratelimit_test.go
+++ b/internal/routing/ratelimit/ratelimit_test.go
@@ -86,6 +86,8 @@
 				lastChange = now
 				order := rapid.Permutation(seq(n)).Draw(t, "order")
 				for i := range instances {
+					// An instance applies each order that it sees, also if it grants nothing meanwhile.
+					instances[i].grants(now, 0, false, division, n)
 					instances[i].rank = order[i]
 					instances[i].rankAt = now + time.Duration(rapid.IntRange(0, int(maxViewLag/time.Millisecond)).Draw(t, "lagMs"))*time.Millisecond
 				}
