LIMIT: ranks without lost instances, shares anew after a freeze; retries keep their shares

The shares of limits followed the order of the registered instances: after the loss of the first decider the second used a quarter of what servers take for up to ten minutes, and a third one nothing. A view could bring back a former leader. The shares of the retry budget had begun to move with the leader, at once (120 retries in a window where 100 are allowed). Change: limits are divided among the instances that respond, by the control group's list; ranks are determined and applied under one lock. A process that was run over a second late begins its shares anew. Cold servers keep the order of all instances, whose sum has to hold without contact, and the retry budget its own. A limit over 30 s old is not reported to a decider that has not received it. Names and log lines say receive in place of know.

--- a/internal/daemon/placer/hedge.go
+++ b/internal/daemon/placer/hedge.go
@@ -57,10 +57,7 @@
 // firstDecider returns the instance that decides for a service while all instances are sound,
 // or nil if it is not reachable. The instances after it know less of the load.
 func (p *Placer) firstDecider(service string) *pb.Instance {
-	leader := ""
-	if p.cfg.Leader != nil {
-		leader = p.cfg.Leader()
-	}
+	leader := p.cfg.leader()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	order := p.order[service]
@@ -87,10 +84,10 @@
 		return hedgeFault(g.service, "the decider refused the copy, or its choice is not listed here")
 	}
 	if g.stream != nil {
-		p.schedulers.learnLimit(g.service, g.Server, d.Limit)
+		p.schedulers.recordLimit(g.service, g.Server, d.Limit)
 	}
 	u := p.unavailable(g.Server)
-	u.limit = p.unknownLimit(g)
+	u.limit = p.unreportedLimit(g)
 	if u.any() {
 		p.withdraw(g, u)
 		return hedgeFault(g.service, "the chosen backend server has asked for a pause, named a limit, leaves or is evacuated")
--- a/internal/daemon/placer/limits.go
+++ b/internal/daemon/placer/limits.go
@@ -32,17 +32,17 @@
 		case c.Before.Named:
 			log.Info("placer: a server has changed its limit")
 		default:
-			log.Info("placer: a server names a limit; it gets no more requests than that")
+			log.Info("placer: a server names a limit; requests to it are limited to that rate over all instances")
 		}
 	}
 }
 
-// learnLimit records what the decider of a service knows of the limit of a server.
-func (d *Schedulers) learnLimit(service, server string, st serverlimit.Statement) {
+// recordLimit records what the decider of a service knows of the limit of a server.
+func (d *Schedulers) recordLimit(service, server string, st serverlimit.Statement) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s := d.services[service]; s != nil {
-		s.LearnLimit(d.cfg.Now(), server, st)
+		s.RecordLimit(d.cfg.Now(), server, st)
 	}
 }
 
--- a/internal/daemon/placer/limitshares_test.go
+++ b/internal/daemon/placer/limitshares_test.go
@@ -71,7 +71,7 @@
 	granted := 0
 	for _, i := range v.Routers() {
 		d, now := limitedSchedulers(v, i.GetName(), logger)
-		d.learnLimit("b", "e1", named(limit))
+		d.recordLimit("b", "e1", named(limit))
 		require.Equal(t, map[string]int{"b": 1}, d.LimitedServers())
 		require.True(t, d.limit("b", "e1").Named)
 		for range 16 {
@@ -103,7 +103,7 @@
 		of   float64
 	}{
 		{unlimited, "", 0},
-		{named(8), "placer: a server names a limit; it gets no more requests than that", 8},
+		{named(8), "placer: a server names a limit; requests to it are limited to that rate over all instances", 8},
 		{named(8), "", 0},
 		{named(8.7), "", 0},
 		{named(9), "placer: a server has changed its limit", 9},
@@ -114,7 +114,7 @@
 	} {
 		hook.Reset()
 		*now += time.Second
-		d.learnLimit("b", "e1", c.st)
+		d.recordLimit("b", "e1", c.st)
 		d.tick()
 		d.tick()
 		if c.want == "" {
--- a/internal/daemon/placer/order.go
+++ b/internal/daemon/placer/order.go
@@ -13,30 +13,32 @@
 	"camphorspoke/internal/routing/view"
 )
 
-// ranks returns the position of an instance in the order of the deciders of each service, in
-// which the leader of the control group comes last; see Placer.deciders.
-func ranks(order map[string][]*pb.Instance, instance, leader string) map[string]int {
-	out := make(map[string]int, len(order))
-	for service, list := range order {
-		out[service] = rankIn(list, instance, leader)
+// rank returns the position of an instance among those that decide in turn: the responsive
+// ones of an order, and the leader of the control group last; see Placer.deciders. It returns
+// maxDeciders for all positions from there on.
+func rank(order []*pb.Instance, instance, leader string, unresponsive func(string) bool) int {
+	n := 0
+	for _, i := range order {
+		name := i.GetName()
+		if name == leader || name != instance && unresponsive(name) {
+			continue
+		}
+		if name == instance || n == maxDeciders {
+			return n
+		}
+		n++
 	}
-	return out
+	return min(n, maxDeciders)
 }
 
-// rankIn returns the position of an instance in one order; its length if it is not there.
-func rankIn(list []*pb.Instance, instance, leader string) int {
-	rank := slices.IndexFunc(list, func(i *pb.Instance) bool { return i.GetName() == instance })
-	led := slices.IndexFunc(list, func(i *pb.Instance) bool { return i.GetName() == leader })
-	switch {
-	case rank < 0:
-		return len(list)
-	case rank == led:
-		return len(list) - 1
-	case led >= 0 && led < rank:
-		return rank - 1
-	default:
-		return rank
+// listedRank returns the position of an instance in an order, whoever responds; its length if it
+// is not there.
+func listedRank(order []*pb.Instance, instance string) int {
+	i := slices.IndexFunc(order, func(i *pb.Instance) bool { return i.GetName() == instance })
+	if i < 0 {
+		return len(order)
 	}
+	return i
 }
 
 // deciderOrder returns, for each service, the instances that may decide for it, the
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -62,6 +62,9 @@
 	// own schedulers. An instance that is slow itself skips one after the other, and each
 	// of them would begin to decide without knowing the engines' caches.
 	maxSkipped = 4
+	// maxLateness is how late this process may be run before other instances may have taken
+	// its place as decider.
+	maxLateness = time.Second
 	// latenessFactor times its own lateness is what this instance waits longer for an
 	// answer, maxExtraWait at most: the request and its answer both wait for its processor.
 	latenessFactor = 2
@@ -207,7 +210,11 @@
 			return
 		case <-t.C:
 			now := p.cfg.Now()
-			p.recordLateness(now, now-last-tickInterval)
+			late := now - last - tickInterval
+			p.recordLateness(now, late)
+			if late > maxLateness {
+				p.schedulers.restartShares()
+			}
 			last = now
 			p.schedulers.tick()
 			p.flushStandbys()
@@ -277,7 +284,7 @@
 		u := p.unavailable(g.Server)
 		if withdrawnForLimit == 0 && n < maxPlacements-1 {
 			// Once at most, so that a disagreement on a limit refuses no request.
-			u.limit = p.unknownLimit(g)
+			u.limit = p.unreportedLimit(g)
 		}
 		if !u.any() {
 			g.Waited = p.cfg.Now() - start
@@ -332,7 +339,7 @@
 			return refusalFault(g.service, d)
 		}
 		if p.completeGrant(g, d, i.GetName()) {
-			p.schedulers.learnLimit(g.service, d.Server, d.Limit)
+			p.schedulers.recordLimit(g.service, d.Server, d.Limit)
 			g.localID = p.schedulers.adopt(g.service, d.Server, req.Parts, true)
 			return nil
 		}
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -4,6 +4,7 @@
 // wait for their decisions.
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -40,21 +41,25 @@
 }
 
 // Schedulers holds one scheduler per service and decides on requests from this
-// instance and from others. Lock order: no other lock is taken while mu is held,
-// except inside the answer callbacks, which must not block.
+// instance and from others. Lock order: ranking, then mu; no other lock is taken while mu is
+// held, except inside the answer callbacks, which must not block.
 type Schedulers struct {
 	cfg Config
 
+	// ranking is held while ranks are determined and applied, so that an older leader does not
+	// replace a newer one.
+	ranking sync.Mutex
+
 	mu       sync.Mutex
 	services map[string]*scheduler.Scheduler
 	nextID   uint64
 	// waiting holds the answer callbacks of queued requests, by request ID.
 	waiting map[uint64]func(scheduler.Decision)
 	// view is the view that was applied last, order the order of the deciders of each service
-	// in it, and leader the instance that led the control group then or at the last tick.
-	view   *view.View
-	order  map[string][]*pb.Instance
-	leader string
+	// in it, and ranks the ranks of this instance in each.
+	view  *view.View
+	order map[string][]*pb.Instance
+	ranks map[string]serviceRanks
 	// engines holds the model engines of each service.
 	engines map[string][]engine
 	// standbys holds what is sent to the standby of each service.
@@ -90,10 +95,9 @@
 
 // tick lets the schedulers decide on waiting requests.
 func (d *Schedulers) tick() {
-	leader := d.cfg.leader()
+	d.updateRanks()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.setLeader(leader)
 	for name, s := range d.services {
 		d.updateCold(name, s)
 		d.logLimits(name, s)
@@ -130,26 +134,69 @@
 	return c.Leader()
 }
 
-// setLeader applies a change of the leader of the control group, as the ranks of the instances
-// depend on it. The caller holds mu.
-func (d *Schedulers) setLeader(leader string) {
-	if leader == d.leader {
-		return
-	}
-	d.leader = leader
-	if d.view.Rules == nil {
+// updateRanks applies changes of the ranks of this instance: the leader of the control group
+// has changed, or instances respond again or no longer.
+func (d *Schedulers) updateRanks() {
+	d.ranking.Lock()
+	defer d.ranking.Unlock()
+	d.mu.Lock()
+	order := d.order
+	d.mu.Unlock()
+	ranks := d.rankAll(order)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if maps.Equal(ranks, d.ranks) {
 		return
 	}
-	ranks := ranks(d.order, d.cfg.Instance, leader)
+	d.ranks = ranks
 	for name, rule := range d.view.Rules.Services {
-		d.services[name].SetService(d.settings(name, rule, ranks[name]))
+		d.services[name].SetService(d.settings(name, rule))
 		d.updateCold(name, d.services[name])
 	}
 }
 
-// settings returns the settings of a service by the rank of this instance in the order of its
-// deciders. The caller holds mu.
-func (d *Schedulers) settings(name string, rule ruleset.Service, rank int) scheduler.Service {
+// restartShares lets the shares of the rates of servers begin anew. After this process has not run
+// for some time, another instance may use the shares that this one had.
+func (d *Schedulers) restartShares() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services {
+		s.RestartShares()
+	}
+}
+
+// serviceRanks holds the ranks of an instance in the order of the deciders of a service: all, by
+// which the rate of cold servers is divided, and responsive, among those that respond, by which
+// limits are. A cold server crashes above its rate, so that the sum of the shares has to hold
+// also while instances take one another for lost; a limit is exceeded for a moment.
+type serviceRanks struct {
+	all        int
+	responsive int
+}
+
+// rankAll returns the ranks of this instance in the order of the deciders of each service.
+func (d *Schedulers) rankAll(order map[string][]*pb.Instance) map[string]serviceRanks {
+	leader := d.cfg.leader()
+	out := make(map[string]serviceRanks, len(order))
+	for service, list := range order {
+		out[service] = serviceRanks{
+			all:        rank(list, d.cfg.Instance, leader, func(string) bool { return false }),
+			responsive: rank(list, d.cfg.Instance, leader, d.cfg.unresponsive),
+		}
+	}
+	return out
+}
+
+// unresponsive reports whether an instance has not answered recently, as far as this one has
+// been informed.
+func (c Config) unresponsive(instance string) bool {
+	return c.Unresponsive != nil && c.Unresponsive(instance)
+}
+
+// settings returns the settings of a service. The share of the retry budget follows the order of
+// the deciders alone: retries are counted over seconds, and a larger share would apply at once.
+// The caller holds mu.
+func (d *Schedulers) settings(name string, rule ruleset.Service) scheduler.Service {
 	instances := max(len(d.view.Routers()), 1)
 	svc := scheduler.Service{
 		Name:            name,
@@ -160,18 +207,17 @@
 		LoadBound:       d.cfg.LoadBound,
 		RetryWindow:     d.cfg.RetryWindow,
 		RetryRatio:      d.cfg.RetryRatio,
-		RetrySlack:      d.cfg.RetrySlack * deciderSlackShare(rank, instances),
+		RetrySlack:      d.cfg.RetrySlack * deciderSlackShare(listedRank(d.order[name], d.cfg.Instance), instances),
 		AloneRetrySlack: d.cfg.RetrySlack * othersSlackShare / float64(instances),
 		HedgeShare:      rule.HedgeShare(d.cfg.HedgePercent),
 	}
-	d.cfg.setCold(&svc, rule, rank, instances)
-	setLimitShares(&svc, rank, instances)
+	d.cfg.setCold(&svc, rule, d.ranks[name].all, instances)
+	setLimitShares(&svc, d.ranks[name].responsive, instances)
 	return svc
 }
 
 // update applies a new view, and the order of the deciders of each service in it.
 func (d *Schedulers) update(v *view.View, order map[string][]*pb.Instance) {
-	leader := d.cfg.leader()
 	lists := make(map[string][]scheduler.Server)
 	engines := make(map[string][]engine)
 	for _, s := range v.Servers {
@@ -197,12 +243,14 @@
 		setColdListing(&l, s)
 		lists[s.GetService()] = append(lists[s.GetService()], l)
 	}
+	d.ranking.Lock()
+	defer d.ranking.Unlock()
+	ranks := d.rankAll(order)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.engines, d.view, d.order, d.leader = engines, v, order, leader
-	ranks := ranks(order, d.cfg.Instance, leader)
+	d.engines, d.view, d.order, d.ranks = engines, v, order, ranks
 	for name, rule := range v.Rules.Services {
-		svc := d.settings(name, rule, ranks[name])
+		svc := d.settings(name, rule)
 		s := d.services[name]
 		if s == nil {
 			s = scheduler.New(svc)
--- a/internal/daemon/placer/unavailable.go
+++ b/internal/daemon/placer/unavailable.go
@@ -16,6 +16,10 @@
 	"camphorspoke/internal/routing/serverlimit"
 )
 
+// maxReportedAge is the age up to which a limit is reported to a decider that has not received it.
+// An instance that has sent the server nothing for longer does not know whether it still holds.
+const maxReportedAge = 30 * time.Second
+
 // recordPause records that a server asked this instance to send it nothing for a while.
 func (p *Placer) recordPause(server string, pause time.Duration) {
 	if pause <= 0 {
@@ -85,15 +89,15 @@
 	}
 }
 
-// unknownLimit returns the limit that the server of a grant has named, if another instance made
+// unreportedLimit returns the limit that the server of a grant has named, if another instance made
 // the choice without knowing of it. This instance has learned what that decider knows, so that
 // a limit that is known here is newer.
-func (p *Placer) unknownLimit(g *Grant) serverlimit.Statement {
+func (p *Placer) unreportedLimit(g *Grant) serverlimit.Statement {
 	if g.stream == nil || g.Limit.Named {
 		return serverlimit.Statement{}
 	}
 	st := p.schedulers.limit(g.service, g.Server)
-	if !st.Named {
+	if !st.Named || st.Age > maxReportedAge {
 		return serverlimit.Statement{}
 	}
 	return st
@@ -143,7 +147,7 @@
 // reason returns the log line for a grant that is given back.
 func (u unavailability) reason() string {
 	if u.limit.Named {
-		return "placer: the decider did not know of the limit that the chosen server has named; the request is placed again"
+		return "placer: the decider had not received the limit that the chosen server has named; the request is placed again"
 	}
 	return "placer: the chosen server has asked for a pause, leaves or is evacuated; the request is placed again"
 }
--- a/internal/routing/scheduler/pace.go
+++ b/internal/routing/scheduler/pace.go
@@ -16,6 +16,10 @@
 // names a limit, so that the others are preferred until they run some requests more.
 const pacedCostFactor = 1.25
 
+// aloneRetryAfter bounds the retry delay, because of cold servers and limits, of a request on which
+// an instance decides alone: a decider that did not answer is skipped for about as long.
+const aloneRetryAfter = time.Second
+
 // pace is how fast a server gets requests while it is cold or names a limit.
 type pace struct {
 	// free is the number of requests that may be granted now, next the time until one may be.
@@ -173,3 +177,13 @@
 func (s *Scheduler) refusedByAloneShare(now time.Duration, req Request) bool {
 	return req.Alone && s.anyPaced(now)
 }
+
+// RestartShares lets the instance's shares of the rates of cold servers and of the limits of
+// others begin anew: nothing is granted to these servers until the delay of a larger share has
+// passed.
+func (s *Scheduler) RestartShares() {
+	s.cold.deciderShare, s.cold.aloneShare, s.cold.changed = ratelimit.Share{}, ratelimit.Share{}, true
+	s.limitShares = limitShares{
+		changed: true,
+	}
+}
