--- a/internal/daemon/placer/order.go
+++ b/internal/daemon/placer/order.go
@@ -13,16 +13,32 @@
 	"camphorspoke/internal/routing/view"
 )
 
-// ranks returns the position of an instance in the order of the deciders of each service.
-func ranks(order map[string][]*pb.Instance, instance string) map[string]int {
-	out := make(map[string]int, len(order))
-	for service, list := range order {
-		out[service] = slices.IndexFunc(list, func(i *pb.Instance) bool { return i.GetName() == instance })
-		if out[service] < 0 {
-			out[service] = len(list)
+// rank returns the position of an instance among those that decide in turn: the responsive
+// ones of an order, and the leader of the control group last; see Placer.deciders. It returns
+// maxDeciders for all positions from there on.
+func rank(order []*pb.Instance, instance, leader string, unresponsive func(string) bool) int {
+	n := 0
+	for _, i := range order {
+		name := i.GetName()
+		if name == leader || name != instance && unresponsive(name) {
+			continue
+		}
+		if name == instance || n == maxDeciders {
+			return n
 		}
+		n++
+	}
+	return min(n, maxDeciders)
+}
+
+// listedRank returns the position of an instance in an order, whoever responds; its length if it
+// is not there.
+func listedRank(order []*pb.Instance, instance string) int {
+	i := slices.IndexFunc(order, func(i *pb.Instance) bool { return i.GetName() == instance })
+	if i < 0 {
+		return len(order)
 	}
-	return out
+	return i
 }
 
 // deciderOrder returns, for each service, the instances that may decide for it, the
--- a/internal/routing/scheduler/cold.go
+++ b/internal/routing/scheduler/cold.go
@@ -1,7 +1,7 @@
 package scheduler
 
 // This file defines how servers that have started recently get requests at a limited rate;
-// see package coldstart.
+// see packages coldstart and ratelimit.
 //
 // Load pattern: a third of the servers of a service comes back at a time, empty. They are
 // the cheapest choice for every request, and crash above a rate far below their usual one.
@@ -9,16 +9,12 @@
 // granted as the rate allows.
 
 import (
-	"math"
 	"time"
 
 	"camphorspoke/internal/routing/coldstart"
+	"camphorspoke/internal/routing/ratelimit"
 )
 
-// coldCostFactor is multiplied with the cost of placing a request on a cold server, so that
-// the warm ones are preferred until they run some requests more.
-const coldCostFactor = 1.25
-
 // coldRates holds the rates of all cold servers of a service. The zero value limits none.
 type coldRates struct {
 	// period is Service.ColdTime; if zero, no server is cold.
@@ -26,28 +22,28 @@
 	// decider and alone are the rates that follow from the settings, deciderShare and
 	// aloneShare those in use.
 	decider, alone           float64
-	deciderShare, aloneShare coldstart.Share
+	deciderShare, aloneShare ratelimit.Share
 	// until is the time until which any server may be cold, and changed is true if a
 	// change of the settings or of the list was not applied yet.
 	until   time.Duration
 	changed bool
 }
 
-// rate returns the rate at which a cold server may get requests like req.
-func (c *coldRates) rate(now time.Duration, req Request) float64 {
+// allowance returns how many requests like req a cold server may get.
+func (c *coldRates) allowance(now time.Duration, req Request) ratelimit.Allowance {
 	if req.Alone {
-		return c.aloneShare.Rate(now)
+		return coldstart.Allowance(c.aloneShare.Rate(now))
 	}
-	return c.deciderShare.Rate(now)
+	return coldstart.Allowance(c.deciderShare.Rate(now))
 }
 
 // any reports whether any server may be cold.
 func (c *coldRates) any(now time.Duration) bool { return c.period > 0 && now < c.until }
 
-// coldness holds whether a server is cold, and the requests that it gets.
+// coldness holds whether a server is cold.
 type coldness struct {
-	rates   *coldRates
-	limiter coldstart.Limiter
+	rates  *coldRates
+	period coldstart.Period
 	// pending is for how long the server is cold from the time of the next UpdateCold on.
 	pending time.Duration
 	// index is that of the last announcement in the list, and evacuated whether the failure
@@ -73,18 +69,18 @@
 // the last settings, and returns the servers that have become cold or warm since the last
 // call. The caller calls it after SetService and SetServers, and now and then.
 func (s *Scheduler) UpdateCold(now time.Duration) []ColdChange {
-	s.applyCold(now)
+	s.applySettings(now)
 	if s.cold.until == 0 {
 		return nil
 	}
 	var out []ColdChange
 	for _, sv := range s.listedServers {
 		c := &sv.cold
-		if isCold := s.cold.period > 0 && c.limiter.Cold(now); isCold != c.logged {
+		if isCold := s.cold.period > 0 && c.period.Cold(now); isCold != c.logged {
 			c.logged = isCold
 			out = append(out, ColdChange{
 				Server: sv.name,
-				Left:   c.limiter.Left(now),
+				Left:   c.period.Left(now),
 			})
 		}
 	}
@@ -98,7 +94,7 @@
 func (s *Scheduler) ColdServers(now time.Duration) int {
 	n := 0
 	for _, sv := range s.listedServers {
-		if s.cold.any(now) && sv.cold.limiter.Cold(now) {
+		if s.cold.any(now) && sv.cold.period.Cold(now) {
 			n++
 		}
 	}
@@ -150,8 +146,8 @@
 	if s.cold.period == 0 || period <= 0 {
 		return
 	}
-	sv.cold.limiter.Begin(now, period)
-	s.cold.until = max(s.cold.until, now+sv.cold.limiter.Left(now))
+	sv.cold.period.Begin(now, period)
+	s.cold.until = max(s.cold.until, now+sv.cold.period.Left(now))
 }
 
 // recordColdReport takes from a report whether the server is cold: it says so, or answers
@@ -175,13 +171,6 @@
 	}
 }
 
-// recordColdGrant counts a granted request.
-func (sv *server) recordColdGrant(now time.Duration) {
-	if c := &sv.cold; c.rates != nil && c.rates.period > 0 {
-		c.limiter.Record(now)
-	}
-}
-
 // coldAllows reports whether the rate of a cold server allows req. A server that may have
 // restarted gets no more either. An instance whose rate allows nothing sends such a server
 // one request at a time, as it would never find it answering otherwise.
@@ -190,67 +179,14 @@
 	if c.rates == nil || c.rates.period == 0 {
 		return true
 	}
-	if c.limiter.Cold(now) {
-		return c.limiter.Places(now, c.rates.rate(now, req)) > 0
+	if c.period.Cold(now) {
+		return sv.grants.Places(now, c.rates.allowance(now, req)) > 0
 	}
 	if !c.mayHaveRestarted {
 		return true
 	}
-	if rate := c.rates.rate(now, req); rate >= 1 {
-		return c.limiter.Places(now, rate) > 0
+	if a := c.rates.allowance(now, req); a.Grants > 0 {
+		return sv.grants.Places(now, a) > 0
 	}
 	return !sv.probed(now)
 }
-
-// coldFactor is multiplied with the cost of placing a request on the server.
-func (sv *server) coldFactor(now time.Duration) float64 {
-	if c := &sv.cold; c.rates != nil && c.rates.any(now) && c.limiter.Cold(now) {
-		return coldCostFactor
-	}
-	return 1
-}
-
-// coldWait returns how long req would wait for the rates of the cold servers; zero unless
-// all servers that it may go to are cold. It is the time in which the rates allow the queued
-// requests ahead of it, but no longer than until the first server is warm.
-func (s *Scheduler) coldWait(now time.Duration, req Request) time.Duration {
-	if !s.cold.any(now) {
-		return 0
-	}
-	warm, free, next := time.Duration(math.MaxInt64), 0, time.Duration(math.MaxInt64)
-	perWindow := 0.0
-	rate := s.cold.rate(now, req)
-	for _, sv := range s.listedServers {
-		if !sv.mayRun(req) {
-			continue
-		}
-		if !sv.cold.limiter.Cold(now) {
-			return 0
-		}
-		warm = min(warm, sv.cold.limiter.Left(now))
-		if wait, ok := sv.cold.limiter.Wait(now, rate); ok {
-			next = min(next, wait)
-			free += sv.cold.limiter.Places(now, rate)
-			perWindow += math.Floor(rate)
-		}
-	}
-	if warm == math.MaxInt64 {
-		return 0
-	}
-	behind := s.queuedAhead(req) + 1 - free
-	if behind <= 0 {
-		return 0
-	}
-	if perWindow == 0 {
-		return warm
-	}
-	wait := time.Duration(float64(behind-1) / perWindow * float64(coldstart.Window))
-	return min(warm, next+wait)
-}
-
-// refusedByAloneRate reports whether no server was found for req, perhaps, because of the lower
-// rate of cold servers for requests that an instance decides on alone. Other requests may
-// still be granted.
-func (s *Scheduler) refusedByAloneRate(now time.Duration, req Request) bool {
-	return req.Alone && s.cold.any(now)
-}
--- a/internal/routing/scheduler/explain.go
+++ b/internal/routing/scheduler/explain.go
@@ -34,6 +34,9 @@
 	EvacuatedDomain = "evacuated"
 	// ColdRateUsed is a cold server that has got all requests that its rate allows now.
 	ColdRateUsed = "coldRateUsed"
+	// LimitUsed is a server that has got all requests that its limit allows now from the
+	// instance that decides.
+	LimitUsed = "limitUsed"
 	// NoMemory is an engine whose memory cannot hold the request besides those in progress.
 	NoMemory = "noMemory"
 )
@@ -90,13 +93,13 @@
 // Explain returns what Schedule would decide on a request that is no retry. The scheduler and
 // its budgets stay as they are.
 func (s *Scheduler) Explain(now time.Duration, req Request) Explanation {
-	full, fullAt, memoryShort := s.full, s.fullAt, s.memoryShort
-	defer func() { s.full, s.fullAt, s.memoryShort = full, fullAt, memoryShort }()
+	full, fullUntil, memoryShort := s.full, s.fullUntil, s.memoryShort
+	defer func() { s.full, s.fullUntil, s.memoryShort = full, fullUntil, memoryShort }()
 	limit := s.currentLimit(now)
 	req.surging = s.surges.Surging(now, req.Account)
 	out := Explanation{
 		Outcome:        WouldWait,
-		ExpectedWaitMs: max(s.expectedWait(req), s.pauseLeft(now, req), s.coldWait(now, req)).Milliseconds(),
+		ExpectedWaitMs: max(s.expectedWait(req), s.pauseLeft(now, req), s.paceWait(now, req)).Milliseconds(),
 		MaxWaitMs:      req.MaxWait.Milliseconds(),
 		Queued:         len(s.queue),
 		Surging:        req.surging,
@@ -166,6 +169,7 @@
 		{OverLoadLimit, float64(c.Load+1) > limit},
 		{EvacuatedDomain, s.evacuated[sv.domain] || slices.Contains(req.ExcludedDomains, sv.domain)},
 		{ColdRateUsed, !sv.coldAllows(now, req)},
+		{LimitUsed, !sv.limitAllows(now, req)},
 		{NoMemory, !s.hasMemory(sv, req)},
 	} {
 		if r.applies {
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -56,13 +56,14 @@
 		server:     sv,
 		request:    req,
 		grantedAt:  now,
+		listing:    sv.listing,
 		missTokens: promptTokens(req) - cached,
 	}
 	s.granted[req.ID] = g
 	s.predict(now, g)
 	s.holdMemory(g)
 	sv.recordGrant(g)
-	sv.recordColdGrant(now)
+	sv.grants.Record(now)
 	sv.pendingTokens += g.missTokens
 	d := Decision{
 		ID:               req.ID,
@@ -76,6 +77,7 @@
 		FetchFrom:        from,
 		FetchedTokens:    fetched,
 		PromptTokens:     promptTokens(req),
+		Limit:            sv.limit.Statement(now),
 	}
 	if len(req.Parts) > 0 {
 		g.beginRead()
@@ -149,7 +151,7 @@
 	if s.memoryShort {
 		return nil
 	}
-	if s.full && now-s.fullAt < maxLimitAge {
+	if s.full && now < s.fullUntil {
 		return nil
 	}
 	limit := s.currentLimit(now).requests
@@ -174,8 +176,8 @@
 	if !s.anyHealthy(now, req) {
 		return s.chooseFrom(now, req, s.listedServers, allServers, math.Inf(1))
 	}
-	if s.index != nil && !s.restricted(req) && !s.anyPaused(now) && !s.cold.any(now) && !s.memoryShort {
-		s.full, s.fullAt = true, now
+	if s.index != nil && !s.restricted(req) && !s.anyPaused(now) && !s.refusedByAloneShare(now, req) && !s.memoryShort {
+		s.full, s.fullUntil = true, now+min(maxLimitAge, s.nextPlace(now, req))
 	}
 	return nil
 }
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -26,6 +26,9 @@
 //   - Failing servers: a server that could not be reached or broke off responses is
 //     ejected for a time that doubles. The more often a server has failed recently,
 //     the higher is the cost of placing a request there.
+//   - Servers that have just started, or that name a limit: they get no more requests a second
+//     than they take from all instances together. While all are like that, requests wait for
+//     these rates or are refused at once, with the time in which the rates allow them.
 //   - Servers that turn requests away and ask for a pause: they get none from the instance
 //     that they asked. While all of them have asked it, its requests are refused at once,
 //     with the time until the first pause ends.
@@ -82,12 +85,12 @@
 	// candidateList and candidateRound hold the servers compared last.
 	candidateList  []*server
 	candidateRound uint64
-	// limit is the load limit as of limitAt, and full is set if no server had room
-	// at fullAt and no request has ended since; both only in a large service.
-	limit   loadLimit
-	limitAt time.Duration
-	full    bool
-	fullAt  time.Duration
+	// limit is the load limit as of limitAt. full is set if no server had room and no request
+	// has ended since; it holds until fullUntil. Both only in a large service.
+	limit     loadLimit
+	limitAt   time.Duration
+	full      bool
+	fullUntil time.Duration
 	// memory counts the tokens that granted requests hold, as if all servers were one.
 	memory tokenmemory.Memory
 	// memoryShort is true if the last choice left out a server with room for its memory alone.
@@ -104,6 +107,12 @@
 	// cold holds the rates of cold servers, and hasListed is true once a server was listed.
 	cold      coldRates
 	hasListed bool
+	// limited is the number of listed servers that name a limit.
+	limited int
+	// limitShares holds the shares of what limited servers take. limitsObserved is true if a
+	// limit may have changed since the last TakeLimitChanges.
+	limitShares    limitShares
+	limitsObserved bool
 }
 
 // grant is a request that counts as running on a server.
@@ -111,6 +120,8 @@
 	server    *server
 	request   Request
 	grantedAt time.Duration
+	// listing identifies the incarnation of the server at the time of the grant.
+	listing departure.Listing
 	// missTokens are the prompt tokens that were not cached at the time of the grant.
 	missTokens int
 	// startedAt is when the response began, if started is true.
@@ -148,6 +159,14 @@
 		sv.setService(svc)
 	}
 	s.setColdRates()
+	s.limitShares.changed = true
+}
+
+// applySettings applies the shares that follow from the last settings, and the cold periods that
+// follow from the last list.
+func (s *Scheduler) applySettings(now time.Duration) {
+	s.applyCold(now)
+	s.applyLimitShares(now)
 }
 
 // SetServers replaces the list of servers. A server that is no longer listed stops
@@ -156,20 +175,23 @@
 	listed := make(map[string]bool)
 	s.updateDepartures(list)
 	s.updateEvacuated(list)
-	s.listedServers = s.listedServers[:0]
+	var servers []*server
 	for _, l := range list {
 		listed[l.Name] = true
 		sv := s.servers[l.Name]
 		if sv == nil {
 			sv = newServer(l.Name)
 			s.servers[l.Name] = sv
+			s.inheritLimit(sv, l)
 		}
 		s.recordColdListing(sv, l)
+		s.recordLimitListing(sv, l)
 		sv.applyListing(l)
 		sv.accepting = sv.accepting && !s.departures.Leaving(l.Name)
 		sv.setService(s.svc)
-		s.listedServers = append(s.listedServers, sv)
+		servers = append(servers, sv)
 	}
+	s.listedServers = servers
 	for name, sv := range s.servers {
 		if listed[name] {
 			continue
@@ -182,13 +204,14 @@
 	}
 	s.hasListed = s.hasListed || len(list) > 0
 	s.updateIndex()
+	s.countLimited()
 	s.limitAt, s.full = -maxLimitAge, false
 }
 
 // Schedule decides on a request at once, or queues it and returns false; the decision is
 // then returned by a later Tick or Report.
 func (s *Scheduler) Schedule(now time.Duration, req Request) (Decision, bool) {
-	s.applyCold(now)
+	s.applySettings(now)
 	if req.Hedge {
 		return s.scheduleHedge(now, req), true
 	}
@@ -217,13 +240,13 @@
 }
 
 // decide returns the server for a request, or the refusal, or neither if the request is to be
-// queued. Apart from the cached results of choose (full, fullAt, memoryShort) it changes no
+// queued. Apart from the cached results of choose (full, fullUntil, memoryShort) it changes no
 // state.
 func (s *Scheduler) decide(now time.Duration, req Request) (*server, *Decision) {
 	// While a queued request waits for memory, smaller ones are granted ahead of it. Its wait is
 	// bounded by MaxWait.
 	if len(s.queue) == 0 || !req.surging && (!s.svc.Engine || s.memoryBlocks) {
-		if sv := s.choose(now, req); sv != nil {
+		if sv := s.choose(now, req); sv != nil && !s.overtakes(now, sv, req) {
 			return sv, nil
 		}
 	}
@@ -231,7 +254,7 @@
 		d := refuse(req, NoServer, noServerRetryAfter)
 		return nil, &d
 	}
-	if max(s.expectedWait(req), s.pauseLeft(now, req), s.coldWait(now, req)) > req.MaxWait {
+	if max(s.expectedWait(req), s.pauseLeft(now, req), s.paceWait(now, req)) > req.MaxWait {
 		d := refuse(req, Overloaded, s.retryAfter(now, req))
 		return nil, &d
 	}
@@ -275,6 +298,7 @@
 	s.recordPause(now, g.server, g.request.Instance, r.RetryAfter)
 	s.recordDeparture(g.server, r)
 	s.recordColdReport(now, g, r)
+	s.recordLimitReport(now, g, r)
 	s.recordSpeed(now, g, r)
 	g.pushedBack = g.pushedBack || r.RetryAfter > 0
 	started := g.started
@@ -317,7 +341,7 @@
 // Tick refuses the queued requests that have waited too long, grants the free slots to
 // others, and returns the decisions.
 func (s *Scheduler) Tick(now time.Duration) []Decision {
-	s.applyCold(now)
+	s.applySettings(now)
 	out := append(s.expire(now), s.expelQuarantined(now)...)
 	out = append(out, s.expelEvacuated()...)
 	for {
@@ -364,7 +388,7 @@
 		sv := s.choose(now, w.request)
 		if sv == nil {
 			s.memoryBlocks = s.memoryBlocks || s.memoryShort
-			if !s.restricted(w.request) && !s.anyPaused(now) && !s.refusedByAloneRate(now, w.request) && !s.memoryShort {
+			if !s.restricted(w.request) && !s.anyPaused(now) && !s.refusedByAloneShare(now, w.request) && !s.memoryShort {
 				// No server has room even for a request that may run on any of them.
 				break
 			}
@@ -424,6 +448,7 @@
 			Parts:    parts,
 		},
 		grantedAt: now,
+		listing:   sv.listing,
 	}
 	s.granted[id] = g
 	s.holdMemory(g)
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -11,6 +11,7 @@
 	"camphorspoke/internal/routing/departure"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/pushback"
+	"camphorspoke/internal/routing/ratelimit"
 	"camphorspoke/internal/routing/speed"
 	"camphorspoke/internal/routing/tokenmemory"
 )
@@ -112,8 +113,12 @@
 	// lastFailureRate is the failure rate as of lastOutcomeAt.
 	lastFailureRate float64
 	lastOutcomeAt   time.Duration
+	// grants holds the times of the latest grants.
+	grants ratelimit.Limiter
 	// cold holds whether the server has started recently.
 	cold coldness
+	// limit is what the server has said of its limit.
+	limit limitState
 }
 
 func newServer(name string) *server {
@@ -199,7 +204,7 @@
 }
 
 func (sv *server) eligible(now time.Duration, req Request) bool {
-	return sv.mayRun(req) && now >= sv.fullUntil && sv.pauses.Left(now, req.Instance) == 0 && sv.coldAllows(now, req)
+	return sv.mayRun(req) && now >= sv.fullUntil && sv.pauses.Left(now, req.Instance) == 0 && sv.coldAllows(now, req) && sv.limitAllows(now, req)
 }
 
 // responding reports whether the server has responses in progress. A server that is down
@@ -245,9 +250,9 @@
 }
 
 // costFactor is multiplied with the cost of placing a request on the server; it is 1
-// for a warm server without failures.
+// for a server without failures that is neither cold nor limited.
 func (sv *server) costFactor(now time.Duration) float64 {
-	return (1 + failurePenalty*sv.failureRate(now)) * sv.coldFactor(now)
+	return (1 + failurePenalty*sv.failureRate(now)) * sv.pacedFactor(now)
 }
 
 // recordResponse ends the ejection of a server that has begun a response to a request
