Platform's list: each call has a connection of its own

What callers would see: servers that are up get no requests, or are drained, as the list seems to be without them. Cause: pages do not name their request, and connections were kept, so that a late copy of one page was taken for another one. The pages name servers as faulty, not the platform; the mend costs one connection for each call of the leader. Change: link.UnpooledHTTPClient for the list, and for the calls to engines that had such a client of their own.

--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -90,7 +90,7 @@
 		Dialect: dialect.Dialect{},
 		List: &serverlist.Client{
 			Address: set.Entry.List,
-			HTTP:    link.HTTPClient(),
+			HTTP:    link.UnpooledHTTPClient(),
 			Logger:  log,
 			Limiter: listLimiter(set.Entry.ListRate),
 		},
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -209,7 +209,7 @@
 	in.onCleanUp(stop)
 	var list edge.Platform = platform.Client{
 		BaseURL: in.cfg.PlatformURL,
-		HTTP:    link.HTTPClient(),
+		HTTP:    link.UnpooledHTTPClient(),
 	}
 	if in.entry != nil {
 		list = in.adapters.List
--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -48,13 +48,7 @@
 
 // unpooledFor returns the client for calls that each have a connection of their own.
 func (c *Client) unpooledFor(address string) camphorspokev1connect.EngineServiceClient {
-	return loadOrStore(&c.unpooled, address, &http.Client{
-		Transport: &http.Transport{
-			DialContext:            link.Dialer().DialContext,
-			DisableKeepAlives:      true,
-			MaxResponseHeaderBytes: link.MaxHeaderBytes,
-		},
-	})
+	return loadOrStore(&c.unpooled, address, link.UnpooledHTTPClient())
 }
 
 // loadOrStore returns the client for an address, which sends its calls with hc if it is new.
--- a/internal/edge/link/link.go
+++ b/internal/edge/link/link.go
@@ -89,6 +89,19 @@
 	}
 }
 
+// UnpooledHTTPClient returns an HTTP client like HTTPClient whose requests each have a connection of
+// their own. It is for responses that do not name their request and are acted on: on a kept
+// connection, a late copy of an earlier response could be taken for the next one.
+func UnpooledHTTPClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:            Dialer().DialContext,
+			DisableKeepAlives:      true,
+			MaxResponseHeaderBytes: MaxHeaderBytes,
+		},
+	}
+}
+
 // Listen listens on a TCP address; accepted connections fail soon after the peer
 // stops responding.
 func Listen(address string) (net.Listener, error) {
