Names: the limits that servers name apart from the load limit; plain words

Cause: in package scheduler limit meant two things, and two package variables had the names of fields. Change: renames and words only. Result: the packages' tests pass.

--- a/internal/routing/ratelimit/ratelimit.go
+++ b/internal/routing/ratelimit/ratelimit.go
@@ -2,7 +2,7 @@
 // contact between them.
 //
 // Load patterns: a server that has just started crashes above a rate far below its usual one
-// (package coldstart), and a server in need names the rate that it takes from all instances
+// (package coldstart), and an overloaded server names the rate that it takes from all instances
 // together (package serverlimit). Requests are granted by the decider of a service, but while
 // it is lost or the order of deciders changes, any number of instances may grant some.
 //
--- a/internal/routing/scheduler/hedge.go
+++ b/internal/routing/scheduler/hedge.go
@@ -74,7 +74,7 @@
 
 // mayHedge reports whether a server has a free slot and no sign of being slow or failing.
 func (sv *server) mayHedge(now time.Duration, req Request) bool {
-	return sv.eligible(now, req) && !sv.ejected(now) && !sv.cold.period.Cold(now) && !sv.limit.Named() &&
+	return sv.eligible(now, req) && !sv.ejected(now) && !sv.cold.period.Cold(now) && !sv.serverLimit.Named() &&
 		sv.load(now) < sv.slots &&
 		sv.failureRate(now) < maxHedgeFailureRate &&
 		float64(sv.unstartedBefore(now-silentAfter)) <= maxSilentShare*float64(sv.running)
--- a/internal/routing/scheduler/pace.go
+++ b/internal/routing/scheduler/pace.go
@@ -66,7 +66,7 @@
 // share of the instance allows nothing, it is the pace from the time on at which a larger one
 // applies.
 func (s *Scheduler) limitPace(now time.Duration, sv *server, req Request) (pace, bool) {
-	if !sv.limit.Named() {
+	if !sv.serverLimit.Named() {
 		return pace{}, false
 	}
 	a := sv.limitAllowance(now, req)
@@ -96,7 +96,7 @@
 // paced reports whether the server is cold or names a limit.
 func (sv *server) paced(now time.Duration) bool {
 	c := &sv.cold
-	return sv.limit.Named() || c.rates != nil && c.rates.any(now) && c.period.Cold(now)
+	return sv.serverLimit.Named() || c.rates != nil && c.rates.any(now) && c.period.Cold(now)
 }
 
 // pacedFactor is multiplied with the cost of placing a request on the server.
@@ -108,7 +108,7 @@
 }
 
 // anyPaced reports whether any server may be cold or names a limit.
-func (s *Scheduler) anyPaced(now time.Duration) bool { return s.cold.any(now) || s.limited > 0 }
+func (s *Scheduler) anyPaced(now time.Duration) bool { return s.cold.any(now) || s.limitedServers > 0 }
 
 // paceWait returns how long req would wait for the rates of cold servers and the limits of
 // others; zero unless all servers that it may go to are cold or name a limit. It is the time in
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -77,7 +77,7 @@
 		FetchFrom:        from,
 		FetchedTokens:    fetched,
 		PromptTokens:     promptTokens(req),
-		Limit:            sv.limit.Statement(now),
+		Limit:            sv.serverLimit.Statement(now),
 	}
 	if len(req.Parts) > 0 {
 		g.beginRead()
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -107,8 +107,8 @@
 	// cold holds the rates of cold servers, and hasListed is true once a server was listed.
 	cold      coldRates
 	hasListed bool
-	// limited is the number of listed servers that name a limit.
-	limited int
+	// limitedServers is the number of listed servers that name a limit.
+	limitedServers int
 	// limitShares holds the shares of what limited servers take. limitsObserved is true if a
 	// limit may have changed since the last TakeLimitChanges.
 	limitShares    limitShares
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -117,8 +117,8 @@
 	grants ratelimit.Limiter
 	// cold holds whether the server has started recently.
 	cold coldness
-	// limit is what the server has said of its limit.
-	limit limitState
+	// serverLimit is what the server has said of its limit.
+	serverLimit limitState
 }
 
 func newServer(name string) *server {
--- a/internal/routing/scheduler/serverlimit.go
+++ b/internal/routing/scheduler/serverlimit.go
@@ -62,12 +62,12 @@
 	s.limitsObserved = false
 	var out []LimitChange
 	for _, sv := range s.listedServers {
-		before, now := sv.limit.logged, sv.limit.Statement(0)
+		before, now := sv.serverLimit.logged, sv.serverLimit.Statement(0)
 		diff := max(now.PerSecond-before.PerSecond, before.PerSecond-now.PerSecond)
 		if now.Named == before.Named && diff <= minLimitChange*before.PerSecond {
 			continue
 		}
-		sv.limit.logged = now
+		sv.serverLimit.logged = now
 		out = append(out, LimitChange{
 			Server: sv.name,
 			Before: before,
@@ -87,13 +87,13 @@
 // Limit returns what a server has said of its limit, as far as the scheduler knows.
 func (s *Scheduler) Limit(now time.Duration, name string) serverlimit.Statement {
 	if sv := s.servers[name]; sv != nil {
-		return sv.limit.Statement(now)
+		return sv.serverLimit.Statement(now)
 	}
 	return serverlimit.Statement{}
 }
 
 // LimitedServers returns the number of servers that name a limit.
-func (s *Scheduler) LimitedServers() int { return s.limited }
+func (s *Scheduler) LimitedServers() int { return s.limitedServers }
 
 // recordLimitReport takes from a report what the server says of its limit. That of an earlier
 // incarnation says nothing of this one.
@@ -106,7 +106,7 @@
 // observeLimit records what a response to a request that was granted at a time says of the
 // limit of its server.
 func (s *Scheduler) observeLimit(now time.Duration, sv *server, grantedAt time.Duration, st serverlimit.Statement) {
-	if sv.limit.Observe(now, grantedAt, st) {
+	if sv.serverLimit.Observe(now, grantedAt, st) {
 		s.countLimited()
 	}
 }
@@ -114,9 +114,9 @@
 // recordLimitListing keeps the limit of a server of which the list shows another incarnation
 // until that one answers: its process may have lived on.
 func (s *Scheduler) recordLimitListing(sv *server, l Server) {
-	sv.limit.shares = &s.limitShares
+	sv.serverLimit.shares = &s.limitShares
 	if !sv.listing.SameIncarnation(l.departureListing()) {
-		sv.limit.Limit = sv.limit.Limit.Unconfirmed()
+		sv.serverLimit.Limit = sv.serverLimit.Limit.Unconfirmed()
 	}
 }
 
@@ -125,7 +125,7 @@
 func (s *Scheduler) inheritLimit(sv *server, l Server) {
 	for _, o := range s.listedServers {
 		if l.Address != "" && o.listing.Address == l.Address && o.name != l.Name {
-			sv.limit.Limit, sv.grants = o.limit.Limit.Unconfirmed(), o.grants.Clone()
+			sv.serverLimit.Limit, sv.grants = o.serverLimit.Limit.Unconfirmed(), o.grants.Clone()
 			return
 		}
 	}
@@ -133,10 +133,10 @@
 
 // countLimited counts the listed servers that name a limit, after a change.
 func (s *Scheduler) countLimited() {
-	s.limited, s.limitsObserved, s.full = 0, true, false
+	s.limitedServers, s.limitsObserved, s.full = 0, true, false
 	for _, sv := range s.listedServers {
-		if sv.limit.Named() {
-			s.limited++
+		if sv.serverLimit.Named() {
+			s.limitedServers++
 		}
 	}
 }
@@ -153,19 +153,19 @@
 
 // limitAllowance returns how many requests like req a server that names a limit may get.
 func (sv *server) limitAllowance(now time.Duration, req Request) ratelimit.Allowance {
-	return sv.limit.shares.share(req).Allowance(now, sv.limit.PerSecond())
+	return sv.serverLimit.shares.share(req).Allowance(now, sv.serverLimit.PerSecond())
 }
 
 // limitAllows reports whether the limit of a server, if it names one, allows req.
 func (sv *server) limitAllows(now time.Duration, req Request) bool {
-	return !sv.limit.Named() || sv.grants.Places(now, sv.limitAllowance(now, req)) > 0
+	return !sv.serverLimit.Named() || sv.grants.Places(now, sv.limitAllowance(now, req)) > 0
 }
 
 // overtakes reports whether req would be granted a limited server ahead of queued requests of
 // its rank or a higher one that may go there too. A limit allows the next request after some
 // time, and not at the end of a request, when the queue is processed.
 func (s *Scheduler) overtakes(now time.Duration, sv *server, req Request) bool {
-	return sv.limit.Named() && slices.ContainsFunc(s.queue, func(w *queuedRequest) bool {
+	return sv.serverLimit.Named() && slices.ContainsFunc(s.queue, func(w *queuedRequest) bool {
 		return compareRanks(w.request, req) <= 0 && sv.eligible(now, w.request)
 	})
 }
--- a/internal/routing/scheduler/serverlimit_test.go
+++ b/internal/routing/scheduler/serverlimit_test.go
@@ -136,7 +136,7 @@
 }
 
 // TestLateStatementDoesNotEndALimit: a frozen instance reports a response that it received before
-// the limit was named. Taken as new, it would lift the limit of a server in need.
+// the limit was named. Taken as new, it would lift the limit of an overloaded server.
 func TestLateStatementDoesNotEndALimit(t *testing.T) {
 	f := newLimitedFleet(t, false, 1, 1)
 	s := f.instances[0]
@@ -248,7 +248,7 @@
 	require.Equal(t, waiting, decisions[0].ID)
 }
 
-// TestHedgesAvoidLimitedServers: a hedge to a server in need would take the place of a request.
+// TestHedgesAvoidLimitedServers: a hedge to an overloaded server would take the place of a request.
 func TestHedgesAvoidLimitedServers(t *testing.T) {
 	f := newLimitedFleet(t, false, 1, 2)
 	f.svc.HedgeShare, f.svc.RetryRatio = 1, 1
@@ -315,7 +315,7 @@
 	require.Len(t, s.Tick(freed), 2, "a server takes more again")
 }
 
-// TestEqualServersWithoutALimitComeFirst: the few requests that a server in need takes must not be
+// TestEqualServersWithoutALimitComeFirst: the few requests that an overloaded server takes must not be
 // spent on those that another one could run as well.
 func TestEqualServersWithoutALimitComeFirst(t *testing.T) {
 	f := newLimitedFleet(t, false, 1, 2)
--- a/internal/routing/serverlimit/share.go
+++ b/internal/routing/serverlimit/share.go
@@ -35,13 +35,13 @@
 	Constant float64
 }
 
-// perLimit and constant divide overage times the limit, and slack.
+// limitDivision and constantDivision divide overage times the limit, and slack.
 var (
-	perLimit = ratelimit.Division{
+	limitDivision = ratelimit.Division{
 		Rate:    Span.Seconds(),
 		Overage: overage,
 	}
-	constant = ratelimit.Division{
+	constantDivision = ratelimit.Division{
 		Rate:  firstConstant,
 		Slack: slack - firstConstant,
 	}
@@ -51,16 +51,16 @@
 // in the order of deciders, counted from zero.
 func DeciderShare(rank, instances int) Share {
 	return Share{
-		PerLimit: perLimit.Decider(rank, instances),
-		Constant: constant.Decider(rank, instances),
+		PerLimit: limitDivision.Decider(rank, instances),
+		Constant: constantDivision.Decider(rank, instances),
 	}
 }
 
 // AloneShare returns the share of an instance that decides for its own requests only.
 func AloneShare(instances int) Share {
 	return Share{
-		PerLimit: perLimit.Alone(instances),
-		Constant: constant.Alone(instances),
+		PerLimit: limitDivision.Alone(instances),
+		Constant: constantDivision.Alone(instances),
 	}
 }
 
