DRAIN: an instance sends nothing to a server that its own view has as leaving or drained

What callers saw: nothing; a leaving server got requests later than the rule allows, which it may not live to finish. Cause: a former leader, cut off from the control group but not from the other instances, goes on as decider with an old view. Instances with a newer view sent what it granted: between decision and send they looked at announcements, pauses and evacuations, but not at their list. Change: such a grant is withdrawn and the request placed again, as for the others.

--- a/internal/daemon/placer/unavailable.go
+++ b/internal/daemon/placer/unavailable.go
@@ -61,8 +61,11 @@
 	// pauseLeft is how much is left of the time for which the server has asked this
 	// instance to send it nothing.
 	pauseLeft time.Duration
-	// leaving is true if the server has announced that it leaves.
+	// leaving is true if the server has announced that it leaves, or this instance has it as
+	// leaving. A decider that is cut off from the control group may not have received either.
 	leaving bool
+	// drained is true if this instance has the server as drained by an operator.
+	drained bool
 	// evacuated is true if this instance has the failure domain of the server as
 	// evacuated.
 	evacuated bool
@@ -72,7 +75,7 @@
 }
 
 func (u unavailability) any() bool {
-	return u.pauseLeft > 0 || u.leaving || u.evacuated || u.limit.Named
+	return u.pauseLeft > 0 || u.leaving || u.drained || u.evacuated || u.limit.Named
 }
 
 // unavailable returns why this instance must not send a request to a server; the zero
@@ -83,7 +86,8 @@
 	s := p.view.Servers[server]
 	return unavailability{
 		pauseLeft: p.pauses.Left(p.cfg.Now(), server),
-		leaving:   p.departures.Leaving(server),
+		leaving:   p.departures.Leaving(server) || s.GetLeaving(),
+		drained:   s.GetDrained(),
 		evacuated: p.view.IsEvacuated(s),
 		domain:    s.GetFailureDomain(),
 	}
@@ -133,6 +137,7 @@
 		"decider":     g.Decider,
 		"pauseLeftMs": u.pauseLeft.Milliseconds(),
 		"leaving":     u.leaving,
+		"drained":     u.drained,
 		"evacuated":   u.evacuated,
 		"serverLimit": u.limit.PerSecond,
 	}).Info(u.reason())
@@ -149,5 +154,5 @@
 	if u.limit.Named {
 		return "placer: the decider had not received the limit that the chosen server has named; the request is placed again"
 	}
-	return "placer: the chosen server has asked for a pause, leaves or is evacuated; the request is placed again"
+	return "placer: the chosen server has asked for a pause, leaves, is drained or is evacuated; the request is placed again"
 }
