Placer tests: fleets wait for their shares of limits; no jump of the clock

Cause: the fleets of these tests put their clock ahead by 10 s after the start. Change: the fleets keep the real clock, and those of the limit tests wait until the shares apply, again after a stall of the test process.

--- a/internal/daemon/placer/limits_test.go
+++ b/internal/daemon/placer/limits_test.go
@@ -13,6 +13,27 @@
 	"camphorspoke/internal/routing/serverlimit"
 )
 
+const (
+	// shareDelay is longer than the time after which instances use their shares of limits, and
+	// longestStall shorter than the one after which they begin anew with them.
+	shareDelay   = 3200 * time.Millisecond
+	longestStall = 500 * time.Millisecond
+)
+
+// newLimitedFleet starts a fleet, and waits until its instances use their shares of what servers that
+// name a limit take. After a stall of this process they begin anew, as after a freeze.
+func newLimitedFleet(t *testing.T, n int) (map[string]*instance, []string) {
+	t.Helper()
+	fleet, order := newFleet(t, n, nil)
+	for began, last := time.Now(), time.Now(); time.Since(began) < shareDelay; last = time.Now() {
+		time.Sleep(10 * time.Millisecond)
+		if time.Since(last) > longestStall {
+			began = time.Now()
+		}
+	}
+	return fleet, order
+}
+
 // placeAt places requests until one is granted the given server.
 func placeAt(t *testing.T, p *placer.Placer, server string) *placer.Grant {
 	t.Helper()
@@ -65,7 +86,7 @@
 // names none ends it at the decider; as one without content it was dropped, also where the
 // instance knew of no limit any more, but the decider did.
 func TestInstancesLearnOfALimit(t *testing.T) {
-	fleet, order := newFleet(t, 4, nil)
+	fleet, order := newLimitedFleet(t, 4)
 	g := placeAt(t, fleet[order[2]].placer, "")
 	started(g, manyPerSecond)
 	requireLimited(t, fleet[order[0]], 1)
@@ -98,7 +119,7 @@
 // learned it with a decision gives the first grant back, so that the decider learns it too
 // before it places the request again.
 func TestLimitOutlivesTheDecider(t *testing.T) {
-	fleet, order := newFleet(t, 4, nil)
+	fleet, order := newLimitedFleet(t, 4)
 	g := placeAt(t, fleet[order[2]].placer, "")
 	started(g, manyPerSecond)
 	requireLimited(t, fleet[order[0]], 1)
@@ -120,7 +141,7 @@
 // TestDisagreementOnLimitsRefusesNothing: a decider of an older build, which does not read
 // limits, grants servers that name one. Each request is placed again once at most.
 func TestDisagreementOnLimitsRefusesNothing(t *testing.T) {
-	fleet, order := newFleet(t, 2, nil)
+	fleet, order := newLimitedFleet(t, 2)
 	fleet[order[0]].ignoresLimits.Store(true)
 	asking := fleet[order[1]].placer
 	for range 3 {
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -130,7 +130,6 @@
 		answerTimeout = 0
 	}
 	clock := boottime.New()
-	var offset atomic.Int64
 	fleet := make(map[string]*instance)
 	var rows []*pb.Instance
 	var names []routing.Server
@@ -142,7 +141,7 @@
 		in := &instance{}
 		var stopPlacer func()
 		in.placer, stopPlacer = placer.New(placer.Config{
-			Now:         func() time.Duration { return clock.Now() + time.Duration(offset.Load()) },
+			Now:         clock.Now,
 			LoadBound:   2,
 			RetryWindow: 10 * time.Second,
 			RetryRatio:  0.2,
@@ -193,8 +192,6 @@
 	for _, in := range fleet {
 		in.placer.Update(v)
 	}
-	// The shares of what limited servers take apply to instances that have run for some seconds.
-	offset.Store(int64(10 * time.Second))
 	return fleet, order, v
 }
 
