--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -223,7 +223,7 @@
 	// PushbackWithdrawn is a grant that was not used, as its server had asked for a pause,
 	// announced that it leaves or was evacuated.
 	PushbackWithdrawn = "withdrawn"
-	// PushbackWithdrawnForLimit is a grant that was not used, as its decider did not know of
+	// PushbackWithdrawnForLimit is a grant that was not used, as its decider had not received
 	// the limit that the server had named.
 	PushbackWithdrawnForLimit = "withdrawnForLimit"
 )
--- a/internal/daemon/placer/limits.go
+++ b/internal/daemon/placer/limits.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// recordLimit records what the decider of a service knows of the limit of a server.
+// recordLimit records what the decider of a service has received of the limit of a server.
 func (d *Schedulers) recordLimit(service, server string, st serverlimit.Statement) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -46,7 +46,7 @@
 	}
 }
 
-// limit returns what a server has said of its limit, as far as this instance knows.
+// limit returns what a server has stated of its limit, as far as this instance has received it.
 func (d *Schedulers) limit(service, server string) serverlimit.Statement {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -161,7 +161,7 @@
 	Waited time.Duration
 	// Withdrawn is the number of decisions before this one whose server had asked this
 	// instance for a pause, announced that it leaves or was evacuated, or for which the
-	// decider did not know of a limit. WithdrawnForLimit is the number of the latter.
+	// decider had not received a limit. WithdrawnForLimit is the number of the latter.
 	Withdrawn         int
 	WithdrawnForLimit int
 
--- a/internal/daemon/placer/unavailable.go
+++ b/internal/daemon/placer/unavailable.go
@@ -70,7 +70,7 @@
 	// evacuated.
 	evacuated bool
 	domain    string
-	// limit is the limit of the server if the decider did not know of it.
+	// limit is the limit of the server if the decider had not received it.
 	limit serverlimit.Statement
 }
 
--- a/internal/routing/scheduler/serverlimit.go
+++ b/internal/routing/scheduler/serverlimit.go
@@ -77,14 +77,14 @@
 	return out
 }
 
-// RecordLimit records what another scheduler knows of the limit of a server.
+// RecordLimit records what another scheduler has received of the limit of a server.
 func (s *Scheduler) RecordLimit(now time.Duration, name string, st serverlimit.Statement) {
 	if sv := s.servers[name]; sv != nil {
 		s.observeLimit(now, sv, now-st.Age, st)
 	}
 }
 
-// Limit returns what a server has said of its limit, as far as the scheduler knows.
+// Limit returns what a server has stated of its limit, as far as the scheduler has received it.
 func (s *Scheduler) Limit(now time.Duration, name string) serverlimit.Statement {
 	if sv := s.servers[name]; sv != nil {
 		return sv.serverLimit.Statement(now)
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -158,7 +158,7 @@
 	PromptTokens int
 	Reuse        string
 	RereadTokens int
-	// Limit is what the server has said of its limit, as far as the scheduler knows.
+	// Limit is what the server has stated of its limit, as far as the scheduler has received it.
 	Limit serverlimit.Statement
 }
 
--- a/internal/routing/serverlimit/limit.go
+++ b/internal/routing/serverlimit/limit.go
@@ -8,7 +8,7 @@
 // current. A later one may have been held up in an instance that was frozen.
 const maxAnswerTime = time.Second
 
-// Limit is what is known of the limit of one server. The zero value knows of none. It is not
+// Limit is the newest statement of the limit of one server. The zero value holds none. It is not
 // safe for concurrent use.
 type Limit struct {
 	statement  Statement
