--- a/internal/daemon/ingress/crash_test.go
+++ b/internal/daemon/ingress/crash_test.go
@@ -100,11 +100,15 @@
 			return
 		}
 		io.Copy(io.Discard, r.Body)
+		if r.Header.Get("Parts") == "" {
+			if !s.runPlain(c, r) {
+				return
+			}
+			continue
+		}
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
 		if strings.Contains(r.Header.Get("Parts"), deadlyPart) {
-			s.crashes.mu.Lock()
-			s.crashes.reached = append(s.crashes.reached, time.Now())
-			s.crashes.mu.Unlock()
+			s.crashes.recordReached()
 			time.Sleep(crashDelay)
 			s.crash()
 			return
@@ -147,14 +151,21 @@
 	return true
 }
 
-// fifthCrash returns the time of the fifth crash; false if there were fewer.
-func (l *crashLog) fifthCrash() (time.Time, bool) {
+// recordReached records that a deadly request has reached a server.
+func (l *crashLog) recordReached() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reached = append(l.reached, time.Now())
+}
+
+// crash returns the time of the n-th crash; false if there were fewer.
+func (l *crashLog) crash(n int) (time.Time, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.crashes) < 5 {
+	if len(l.crashes) < n {
 		return time.Time{}, false
 	}
-	return l.crashes[4], true
+	return l.crashes[n-1], true
 }
 
 // reachedSince returns the number of deadly requests that reached servers after a time.
@@ -210,14 +221,14 @@
 			}
 		})
 		time.Sleep(10 * time.Millisecond)
-		if fifth, ok := crashes.fifthCrash(); ok && time.Since(fifth) > stableWindow && since.Load() == nil {
+		if fifth, ok := crashes.crash(5); ok && time.Since(fifth) > stableWindow && since.Load() == nil {
 			now := time.Now()
 			since.Store(&now)
 			end = now.Add(1500 * time.Millisecond)
 		}
 	}
 	requests.Wait()
-	fifth, ok := crashes.fifthCrash()
+	fifth, ok := crashes.crash(5)
 	if !ok {
 		return
 	}
