Log and count the requests that are in flight at a server which goes down

The line on a server that goes down named the parts of the prompt, of which a plain request has none, so that the repeats of one request could not be told from other requests. It names the route and a fingerprint now, which is the same for requests of one account with the same method, path, query, prompt and body; camphorspoke_crashed_requests counts the requests. No decision changes.

--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -244,13 +244,16 @@
 	if c.ctx.Err() != nil || c.h.Pool.Accepts(g.Address) {
 		return scheduler.Broken
 	}
+	c.h.Meters.CrashedRequest(c.ctx, c.service)
 	c.h.Logger.WithFields(logrus.Fields{
-		"request": c.req.ID,
-		"server":  g.Server,
-		"service": c.service,
-		"account": c.account,
-		"relayed": relayed,
-		"parts":   prefixcache.FormatIDs(partIDs(c.req.Prompt)),
+		"request":     c.req.ID,
+		"server":      g.Server,
+		"service":     c.service,
+		"account":     c.account,
+		"route":       c.route.Name,
+		"fingerprint": formatFingerprint(c.fingerprint()),
+		"relayed":     relayed,
+		"parts":       prefixcache.FormatIDs(partIDs(c.req.Prompt)),
 	}).Warn("ingress: a server went down with the request in flight")
 	return scheduler.Down
 }
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -130,6 +130,8 @@
 	body         []byte
 	reservations []func(bytes int)
 	start        time.Duration
+	// hash is the fingerprint of the request, zero until it is needed.
+	hash uint64
 	// deadline is when the request times out, on the clock of Now.
 	deadline time.Duration
 	// requiresKey is true when the route is not public and the request was admitted
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -31,6 +31,7 @@
 	placements       metric.Int64Counter
 	pushbacks        metric.Int64Counter
 	abandoned        metric.Int64Counter
+	crashes          metric.Int64Counter
 	retries          metric.Int64Counter
 	unreadable       metric.Int64Counter
 	hedges           metric.Int64Counter
@@ -85,6 +86,7 @@
 	m.placements = b.counter("camphorspoke.placements", "Requests granted a server, by whether the server was over its load limit and by who decided.")
 	m.pushbacks = b.counter("camphorspoke.pushbacks", "Refusals with which a server asked for a pause, and grants withdrawn because of one, a departure, an evacuation or a limit, by service and event.")
 	m.abandoned = b.counter("camphorspoke.attempts.abandoned", "Attempts that did not answer their request, by service, result and what became of the connection.")
+	m.crashes = b.counter("camphorspoke.crashed.requests", "Requests that were in flight at a server which went down, by service.")
 	m.retries = b.counter("camphorspoke.retries", "Retries by service.")
 	m.unreadable = b.counter("camphorspoke.unreadable.headers", "Headers of servers of which a value cannot be read, by header.")
 	m.hedges = b.counter("camphorspoke.hedges", "Copies of requests for a second server, by service and by whether the copy answered the request, was sent in vain or was not sent.")
@@ -251,6 +253,14 @@
 	m.abandoned.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc), attribute.String("result", result), attribute.String("connection", connection)))
 }
 
+// CrashedRequest counts a request that was in flight at a server which went down.
+func (m *Meters) CrashedRequest(ctx context.Context, svc string) {
+	if m == nil {
+		return
+	}
+	m.crashes.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc)))
+}
+
 // ConnectionClosed counts a connection of a client that was closed at a limit.
 func (m *Meters) ConnectionClosed(ctx context.Context, reason string) {
 	if m == nil {
