--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -61,6 +61,8 @@
 	UnknownFailureDomain Kind = "unknownFailureDomain"
 	// PromptQuarantined means that parts of the prompt crash the servers that answer them.
 	PromptQuarantined Kind = "promptQuarantined"
+	// RequestQuarantined means that the request crashes the servers that run it.
+	RequestQuarantined Kind = "requestQuarantined"
 	// PromptTooLarge means that the prompt and its maximum output exceed the memory of every
 	// engine.
 	PromptTooLarge Kind = "promptTooLarge"
@@ -135,7 +137,7 @@
 		return class{code: connect.CodeAborted, outcome: notRun}
 	case DeadlineTooNear, BodyTimedOut:
 		return class{code: connect.CodeDeadlineExceeded, outcome: notRun}
-	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, PromptTooLarge, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
+	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, RequestQuarantined, PromptTooLarge, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
 		return class{code: connect.CodeUnavailable, outcome: notRun}
 	case InDoubt, LinkBroken, TimedOut:
 		return class{code: connect.CodeUnknown, outcome: pb.Outcome_OUTCOME_IN_DOUBT}
--- a/internal/client/command/quarantine.go
+++ b/internal/client/command/quarantine.go
@@ -1,6 +1,7 @@
 package command
 
-// This file defines the subcommands that list and end quarantines of parts of prompts.
+// This file defines the subcommands that list and end quarantines of requests and of parts of
+// prompts.
 
 import (
 	"cmp"
@@ -23,15 +24,24 @@
 	Service      string   `json:"service"`
 	ID           string   `json:"id"`
 	Parts        []string `json:"parts"`
+	WholeRequest bool     `json:"wholeRequest"`
 	FailedTrials uint32   `json:"failedTrials"`
 	Source       string   `json:"source"`
 }
 
+// kind returns what the quarantine refuses.
+func (q quarantineRow) kind() string {
+	if q.WholeRequest {
+		return "request"
+	}
+	return "prompt"
+}
+
 func (a *app) quarantines() *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "quarantines",
 		ShortUsage: "camphor quarantines",
-		ShortHelp:  "list the parts of prompts that are refused because they crash the servers which answer them",
+		ShortHelp:  "list the requests and the parts of prompts that are refused because they crash the servers which run them",
 		Exec: func(ctx context.Context, _ []string) error {
 			b, err := a.fetchDump(ctx)
 			if err != nil {
@@ -48,9 +58,9 @@
 			})
 			var rows [][]string
 			for _, q := range d.Quarantines {
-				rows = append(rows, []string{q.Service, q.ID, strings.Join(q.Parts, ","), strconv.FormatUint(uint64(q.FailedTrials), 10), q.Source})
+				rows = append(rows, []string{q.Service, q.ID, q.kind(), strings.Join(q.Parts, ","), strconv.FormatUint(uint64(q.FailedTrials), 10), q.Source})
 			}
-			return a.print(d.Quarantines, "SERVICE ID PARTS FAILEDTRIALS FOUNDBY", rows)
+			return a.print(d.Quarantines, "SERVICE ID KIND PARTS FAILEDTRIALS FOUNDBY", rows)
 		},
 	}
 }
@@ -61,7 +71,7 @@
 	return &ffcli.Command{
 		Name:       "release",
 		ShortUsage: "camphor release -reason WHY SERVICE ID",
-		ShortHelp:  "end a quarantine of parts of prompts",
+		ShortHelp:  "end a quarantine",
 		FlagSet:    fs,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 2 {
--- a/internal/control/ledger/quarantines.go
+++ b/internal/control/ledger/quarantines.go
@@ -44,7 +44,7 @@
 	}
 	row := proto.Clone(q).(*pb.Quarantine)
 	if q.GetReleased() {
-		row.Parts = old.GetParts()
+		row.Parts, row.WholeRequest = old.GetParts(), old.GetWholeRequest()
 	}
 	if old != nil && !old.GetReleased() {
 		row.FailedTrials = max(row.GetFailedTrials(), old.GetFailedTrials())
--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -204,6 +204,7 @@
 		MaxWait:         wait,
 		Account:         c.account,
 		Parts:           promptParts(c.req.Prompt),
+		Fingerprint:     c.fingerprint(),
 		PromptTokens:    c.req.Prompt.Tokens,
 		MaxOutputTokens: c.req.Prompt.MaxOutputTokens,
 		Urgency:         c.urgency,
--- a/internal/daemon/placer/enginequeries.go
+++ b/internal/daemon/placer/enginequeries.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"camphorspoke/internal/routing/prefixcache"
+	"camphorspoke/internal/routing/scheduler"
 )
 
 const (
@@ -125,6 +126,8 @@
 	for i, p := range cached {
 		parts[i] = prefixcache.Part(p)
 	}
-	d.adopt(service, e.name, parts, false)
+	d.adopt(service, e.name, scheduler.Request{
+		Parts: parts,
+	}, false)
 	return len(parts)
 }
--- a/internal/daemon/placer/hedge.go
+++ b/internal/daemon/placer/hedge.go
@@ -30,7 +30,7 @@
 		return nil, err
 	}
 	if g.stream != nil {
-		g.localID = p.schedulers.adopt(service, d.Server, req.Parts, true)
+		g.localID = p.schedulers.adopt(service, d.Server, req, true)
 	}
 	g.Waited = p.cfg.Now() - start
 	return g, nil
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -175,6 +175,7 @@
 	return &pb.PlaceAsk{
 		Service:       service,
 		Account:       req.Account,
+		Fingerprint:   req.Fingerprint,
 		Parts:         ids,
 		PartTokens:    tokens,
 		PromptTokens:  uint32(req.PromptTokens),
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -340,7 +340,7 @@
 		}
 		if p.completeGrant(g, d, i.GetName()) {
 			p.schedulers.recordLimit(g.service, d.Server, d.Limit)
-			g.localID = p.schedulers.adopt(g.service, d.Server, req.Parts, true)
+			g.localID = p.schedulers.adopt(g.service, d.Server, req, true)
 			return nil
 		}
 		// The decider chose a server that this instance's view does not list yet.
@@ -428,6 +428,20 @@
 			Advice:     "parts of the prompt crash the servers that answer them",
 			RetryAfter: d.RetryAfter,
 		}
+	case scheduler.RequestQuarantined:
+		return &fault.Fault{
+			Kind:       fault.RequestQuarantined,
+			Subject:    strconv.FormatUint(d.Quarantine, 16),
+			Advice:     "the request crashes the servers that run it",
+			RetryAfter: d.RetryAfter,
+		}
+	case scheduler.RequestSuspected:
+		return &fault.Fault{
+			Kind:       fault.RequestQuarantined,
+			Subject:    service,
+			Advice:     "the last servers that ran the request have crashed",
+			RetryAfter: d.RetryAfter,
+		}
 	}
 	return &fault.Fault{
 		Kind:       kind,
--- a/internal/daemon/placer/quarantine_test.go
+++ b/internal/daemon/placer/quarantine_test.go
@@ -94,3 +94,74 @@
 	_, err = requester.Place(t.Context(), service, newRequest(100, 4))
 	require.NoError(t, err, "an operator has released it")
 }
+
+// requestWith returns a request without a prompt.
+func requestWith(fingerprint uint64) scheduler.Request {
+	return scheduler.Request{
+		Fingerprint: fingerprint,
+		MaxWait:     time.Second,
+	}
+}
+
+// crashServersWith sends a request from one instance after the other until it is refused, each time
+// to a server that crashes, and returns how many did and the refusal.
+func crashServersWith(t *testing.T, requesters []*placer.Placer, fingerprint uint64) (int, error) {
+	t.Helper()
+	for n := 0; ; n++ {
+		g, err := requesters[n%len(requesters)].Place(t.Context(), service, requestWith(fingerprint))
+		if err != nil {
+			return n, err
+		}
+		g.Report(scheduler.Report{
+			Event: scheduler.Down,
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestRequestQuarantineOutlivesTheDecider: one request crashes servers, each time from another
+// instance. It is held off after the second, quarantined after the third for all instances,
+// also those that decide alone once the deciders have stopped, until an operator ends it.
+func TestRequestQuarantineOutlivesTheDecider(t *testing.T) {
+	const fingerprint = 99
+	rec := &recorder{
+		failures: 1,
+	}
+	fleet, order, v := newRecordingFleet(t, 4, rec.record)
+	requesters := []*placer.Placer{fleet[order[2]].placer, fleet[order[3]].placer}
+	crashed, err := crashServersWith(t, requesters, fingerprint)
+	require.Equal(t, 2, crashed)
+	var held *fault.Fault
+	require.ErrorAs(t, err, &held)
+	require.Equal(t, fault.RequestQuarantined, held.Kind)
+	require.False(t, fault.MayHaveRun(err))
+	require.Empty(t, rec.recorded(), "two servers prove too little to tell all instances")
+	time.Sleep(held.RetryAfter + 100*time.Millisecond)
+	crashed, err = crashServersWith(t, requesters, fingerprint)
+	require.Equal(t, 1, crashed)
+	require.Equal(t, fault.RequestQuarantined, fault.KindOf(err))
+	require.Eventually(t, func() bool { return len(rec.recorded()) == 1 }, 5*time.Second, 10*time.Millisecond)
+	require.True(t, rec.recorded()[0].GetWholeRequest())
+	next := v.WithQuarantines(false, rec.recorded())
+	for _, in := range fleet {
+		in.placer.Update(next)
+	}
+	fleet[order[0]].stop()
+	fleet[order[1]].stop()
+	for _, p := range requesters {
+		_, err = p.Place(t.Context(), service, requestWith(fingerprint))
+		require.Equal(t, fault.RequestQuarantined, fault.KindOf(err))
+		_, err = p.Place(t.Context(), service, requestWith(fingerprint+1))
+		require.NoError(t, err)
+	}
+	released := next.WithQuarantines(false, []*pb.Quarantine{{
+		Service:  service,
+		Id:       rec.recorded()[0].GetId(),
+		Released: true,
+	}})
+	for _, in := range fleet {
+		in.placer.Update(released)
+	}
+	_, err = requesters[0].Place(t.Context(), service, requestWith(fingerprint))
+	require.NoError(t, err, "an operator has released it")
+}
--- a/internal/daemon/placer/recorder.go
+++ b/internal/daemon/placer/recorder.go
@@ -1,6 +1,6 @@
 package placer
 
-// This file defines how quarantined parts of prompts are recorded for all instances.
+// This file defines how quarantined parts of prompts and requests are recorded for all instances.
 // The schedulers of the decider find them; the log of the control group holds them, so
 // that they outlive the decider, and all instances receive them with the tables.
 
@@ -34,6 +34,7 @@
 		out = append(out, quarantine.Quarantine{
 			ID:           id,
 			Parts:        slices.Clone(q.GetParts()),
+			WholeRequest: q.GetWholeRequest(),
 			FailedTrials: int(q.GetFailedTrials()),
 		})
 	}
@@ -42,16 +43,24 @@
 
 // recordChanges queues the changes of a scheduler to be recorded. The caller holds mu.
 func (d *Schedulers) recordChanges(service string, s *scheduler.Scheduler) {
+	for _, fingerprint := range s.TakeHeldOff() {
+		d.cfg.Logger.WithField("service", service).WithField("fingerprint", strconv.FormatUint(fingerprint, 16)).
+			Warn("placer: two servers in a row have crashed under a request; it is held off")
+	}
 	for _, q := range s.TakeQuarantineChanges() {
 		log := d.cfg.Logger.WithFields(logrus.Fields{
 			"service":      service,
 			"quarantine":   strconv.FormatUint(q.ID, 16),
 			"parts":        prefixcache.FormatIDs(q.Parts),
+			"wholeRequest": q.WholeRequest,
 			"failedTrials": q.FailedTrials,
 		})
-		if q.Released {
-			log.Info("placer: a quarantine of parts of prompts has ended")
-		} else {
+		switch {
+		case q.Released:
+			log.Info("placer: a quarantine has ended")
+		case q.WholeRequest:
+			log.Warn("placer: a request that crashes the servers which run it is quarantined")
+		default:
 			log.Warn("placer: parts of prompts that crash the servers which answer them are quarantined")
 		}
 		select {
@@ -59,6 +68,7 @@
 			Service:      service,
 			Id:           q.ID,
 			Parts:        q.Parts,
+			WholeRequest: q.WholeRequest,
 			FailedTrials: uint32(q.FailedTrials),
 			Released:     q.Released,
 			Source:       d.cfg.Instance,
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -11,7 +11,6 @@
 	"time"
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
-	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/routing/view"
 	"camphorspoke/internal/rules/ruleset"
@@ -322,20 +321,20 @@
 // adopt records a decision made by another instance. If running is true, the request
 // counts as in flight at the server, and adopt returns its ID; otherwise only the
 // prefix is recorded as cached there.
-func (d *Schedulers) adopt(service, server string, parts []prefixcache.Part, running bool) uint64 {
+func (d *Schedulers) adopt(service, server string, req scheduler.Request, running bool) uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.services[service]
 	if s == nil {
 		return 0
 	}
-	id := uint64(0)
+	req.ID, req.Instance = 0, d.cfg.Instance
 	if running {
 		d.nextID++
-		id = d.nextID
+		req.ID = d.nextID
 	}
-	s.Adopt(d.cfg.Now(), id, server, d.cfg.Instance, parts)
-	return id
+	s.Adopt(d.cfg.Now(), server, req)
+	return req.ID
 }
 
 // Running returns the number of requests that count as running on a server: those of all
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -71,7 +71,9 @@
 			if m.GetInformed() {
 				s.schedulers.fed(ad.GetService())
 			}
-			s.schedulers.adopt(ad.GetService(), ad.GetBackendServer(), toParts(ad.GetParts(), ad.GetPartTokens()), false)
+			s.schedulers.adopt(ad.GetService(), ad.GetBackendServer(), scheduler.Request{
+				Parts: toParts(ad.GetParts(), ad.GetPartTokens()),
+			}, false)
 		}
 	}
 }
@@ -109,6 +111,7 @@
 func toRequest(req *pb.PlaceAsk) scheduler.Request {
 	return scheduler.Request{
 		Account:         req.GetAccount(),
+		Fingerprint:     req.GetFingerprint(),
 		Parts:           toParts(req.GetParts(), req.GetPartTokens()),
 		PromptTokens:    int(req.GetPromptTokens()),
 		MaxOutputTokens: int(req.GetOutputTokens()),
--- a/internal/daemon/server/dump.go
+++ b/internal/daemon/server/dump.go
@@ -29,12 +29,14 @@
 	Evacuations  []evacuationDump  `json:"evacuations"`
 }
 
-// quarantineDump is a quarantine of parts of prompts, as listed in the view of this
-// process; the ID and the parts are in hexadecimal.
+// quarantineDump is a quarantine of parts of prompts or of a request, as listed in the view of
+// this process; the ID and the parts are in hexadecimal. The only part of a request is its
+// fingerprint.
 type quarantineDump struct {
 	Service      string   `json:"service"`
 	ID           string   `json:"id"`
 	Parts        []string `json:"parts"`
+	WholeRequest bool     `json:"wholeRequest"`
 	FailedTrials uint32   `json:"failedTrials"`
 	Source       string   `json:"source"`
 }
@@ -138,6 +140,7 @@
 				Service:      service,
 				ID:           strconv.FormatUint(id, 16),
 				Parts:        parts,
+				WholeRequest: q.GetWholeRequest(),
 				FailedTrials: q.GetFailedTrials(),
 				Source:       q.GetSource(),
 			})
--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -25,6 +25,10 @@
 // After a pause one request is let through as a trial: if it is answered, the quarantine
 // ends, otherwise the pause doubles.
 //
+// A whole request can be quarantined too, by its fingerprint; package crashsuspect finds
+// those. Such a quarantine shuts out nothing but the repeats of one request, so its pauses
+// grow faster, and after the last trial only an operator ends it.
+//
 // Tracker is a deterministic state machine without a clock or I/O.
 package quarantine
 
@@ -43,18 +47,24 @@
 	maxTrialPause = time.Hour
 	// trialTimeout is the time after which a trial without an outcome counts no longer.
 	trialTimeout = time.Minute
+	// requestPauseFactor is by how much each failed trial of a whole request lengthens the
+	// pause, and maxRequestTrials how many trials it gets. Each costs a server.
+	requestPauseFactor = 10
+	maxRequestTrials   = 3
 	// minRetryAfter is the least retry delay for a refused caller.
 	minRetryAfter = time.Second
 	// maxQuarantines bounds the memory, as callers may invent parts.
 	maxQuarantines = 256
 )
 
-// Quarantine is a set of parts that are refused in one prompt.
+// Quarantine is a set of parts that are refused in one prompt, or a request that is refused.
 type Quarantine struct {
 	// ID names the quarantine; it stays while parts are taken out.
 	ID uint64
-	// Parts are in ascending order.
-	Parts []uint64
+	// Parts are in ascending order. If WholeRequest is true, the fingerprint of the request is
+	// the only one.
+	Parts        []uint64
+	WholeRequest bool
 	// FailedTrials is the number of trials that crashed a server.
 	FailedTrials int
 	// Released is true if the quarantine has ended.
@@ -64,8 +74,9 @@
 // Refusal states why a request is refused.
 type Refusal struct {
 	// ID is that of the quarantine.
-	ID         uint64
-	RetryAfter time.Duration
+	ID           uint64
+	WholeRequest bool
+	RetryAfter   time.Duration
 }
 
 // Tracker holds the suspected and the quarantined parts of one service. Its zero value is
@@ -119,7 +130,7 @@
 	explained := false
 	for _, r := range c.requests {
 		for _, q := range t.quarantines {
-			if q.Released || !containsAll(r.Parts, q.Parts) {
+			if q.Released || !q.covers(r) {
 				continue
 			}
 			explained = true
@@ -134,17 +145,53 @@
 	if !q.trying || grantedAt < q.triedAt {
 		return
 	}
+	t.countFailedTrial(now, q)
+}
+
+// countFailedTrial ends a trial and schedules the next one.
+func (t *Tracker) countFailedTrial(now time.Duration, q *entry) {
 	q.trying = false
 	q.FailedTrials++
-	q.trialAt = now + trialPause(q.FailedTrials)
+	q.trialAt = now + q.trialPause()
 	t.change(q)
 }
 
+// covers reports whether a request is refused because of the quarantine.
+func (q *Quarantine) covers(r Request) bool {
+	if q.WholeRequest {
+		return r.Fingerprint != 0 && slices.Contains(q.Parts, r.Fingerprint)
+	}
+	return containsAll(r.Parts, q.Parts)
+}
+
 // trialPause returns the time until the next trial.
-func trialPause(failed int) time.Duration {
-	return min(minTrialPause<<min(failed, 8), maxTrialPause)
+func (q *Quarantine) trialPause() time.Duration {
+	if !q.WholeRequest {
+		return min(minTrialPause<<min(q.FailedTrials, 8), maxTrialPause)
+	}
+	pause := minTrialPause
+	for range min(q.FailedTrials, maxRequestTrials) {
+		pause *= requestPauseFactor
+	}
+	return min(pause, maxTrialPause)
 }
 
+// refusal returns the refusal of a request that the quarantine covers.
+func (q *entry) refusal(now time.Duration) *Refusal {
+	after := q.trialAt - now
+	if q.trialsSpent() {
+		after = maxTrialPause
+	}
+	return &Refusal{
+		ID:           q.ID,
+		WholeRequest: q.WholeRequest,
+		RetryAfter:   max(after, minRetryAfter),
+	}
+}
+
+// trialsSpent reports whether there is no further trial.
+func (q *Quarantine) trialsSpent() bool { return q.WholeRequest && q.FailedTrials >= maxRequestTrials }
+
 func (t *Tracker) change(q *entry) {
 	c := q.Quarantine
 	c.Parts = slices.Clone(q.Parts)
@@ -157,12 +204,42 @@
 	t.judgeCrashes(now)
 	t.suspects.clear(grantedAt, parts)
 	for _, q := range t.quarantines {
-		if !q.Released && grantedAt >= q.since {
+		if !q.Released && !q.WholeRequest && grantedAt >= q.since {
 			t.takeOut(now, q, parts)
 		}
 	}
 }
 
+// ClearRequest records that a server has responded to a request.
+func (t *Tracker) ClearRequest(now, grantedAt time.Duration, fingerprint uint64) {
+	q := t.quarantines[identify([]uint64{fingerprint})]
+	if q != nil && q.WholeRequest && !q.Released && grantedAt >= q.since {
+		t.release(now, q)
+	}
+}
+
+// AddRequest adds a quarantine of a whole request. since is when it crashed the first server;
+// failedTrials is the number of its trials that have been made.
+func (t *Tracker) AddRequest(now, since time.Duration, fingerprint uint64, failedTrials int) {
+	parts := []uint64{fingerprint}
+	id := identify(parts)
+	if q := t.quarantines[id]; q != nil && !q.Released {
+		return
+	}
+	q := &entry{
+		Quarantine: Quarantine{
+			ID:           id,
+			Parts:        parts,
+			WholeRequest: true,
+			FailedTrials: failedTrials,
+		},
+		since: since,
+	}
+	q.trialAt = now + q.trialPause()
+	t.add(q)
+	t.change(q)
+}
+
 // takeOut takes cleared parts out of a quarantine, which is released if none is left.
 func (t *Tracker) takeOut(now time.Duration, q *entry, cleared []uint64) {
 	rest := slices.DeleteFunc(slices.Clone(q.Parts), func(p uint64) bool { return slices.Contains(cleared, p) })
@@ -184,27 +261,24 @@
 	}
 }
 
-// Peek returns the refusal of a request with the given parts by the quarantines known so far, or
-// nil. Unlike Check it changes nothing, and counts no request as the trial of a quarantine.
-func (t *Tracker) Peek(now time.Duration, parts []uint64) *Refusal {
+// Peek returns the refusal of a request by the quarantines known so far, or nil. Unlike Check it
+// changes nothing, and counts no request as the trial of a quarantine.
+func (t *Tracker) Peek(now time.Duration, r Request) *Refusal {
 	for _, id := range slices.Sorted(maps.Keys(t.quarantines)) {
 		q := t.quarantines[id]
-		if !q.Released && containsAll(parts, q.Parts) {
-			return &Refusal{
-				ID:         q.ID,
-				RetryAfter: max(q.trialAt-now, minRetryAfter),
-			}
+		if !q.Released && q.covers(r) {
+			return q.refusal(now)
 		}
 	}
 	return nil
 }
 
-// Check returns nil if a request may be sent. parts are those of its prompt but the last.
-// mayTry is true if it may be the trial of a quarantine. survived reports whether a
-// request with a part, granted after a time, is being answered.
-func (t *Tracker) Check(now time.Duration, parts []uint64, mayTry bool, survived func(part uint64, since time.Duration) bool) *Refusal {
+// Check returns nil if a request may be sent. mayTry is true if it may be the trial of a
+// quarantine. survived reports whether a request with a part, granted after a time, is being
+// answered.
+func (t *Tracker) Check(now time.Duration, r Request, mayTry bool, survived func(part uint64, since time.Duration) bool) *Refusal {
 	t.judgeCrashes(now)
-	for _, part := range parts {
+	for _, part := range r.Parts {
 		if set := t.suspects.quarantineSet(now, part, survived); len(set) > 0 {
 			t.quarantine(now, set)
 		}
@@ -212,14 +286,12 @@
 	var trial *entry
 	for _, id := range slices.Sorted(maps.Keys(t.quarantines)) {
 		q := t.quarantines[id]
-		if q.Released || !containsAll(parts, q.Parts) {
+		if q.Released || !q.covers(r) {
 			continue
 		}
+		t.expireTrial(now, q)
 		if !mayTry || !q.trialDue(now) || trial != nil {
-			return &Refusal{
-				ID:         q.ID,
-				RetryAfter: max(q.trialAt-now, minRetryAfter),
-			}
+			return q.refusal(now)
 		}
 		trial = q
 	}
@@ -231,15 +303,26 @@
 
 // trialDue reports whether a request may be let through as a trial.
 func (q *entry) trialDue(now time.Duration) bool {
+	if q.trialsSpent() {
+		return false
+	}
 	return now >= q.trialAt && (!q.trying || now-q.triedAt >= trialTimeout)
 }
 
+// expireTrial counts the trial of a whole request that has had no outcome in time as failed, as it
+// may have crashed a server all the same.
+func (t *Tracker) expireTrial(now time.Duration, q *entry) {
+	if q.WholeRequest && q.trying && now-q.triedAt >= trialTimeout {
+		t.countFailedTrial(now, q)
+	}
+}
+
 // quarantine adds a quarantine of suspected parts. Those of more specific prompts are
 // released, as the new one covers them.
 func (t *Tracker) quarantine(now time.Duration, parts []uint64) {
 	for _, q := range t.quarantines {
 		switch {
-		case q.Released:
+		case q.Released || q.WholeRequest:
 		case containsAll(parts, q.Parts):
 			return
 		case containsAll(q.Parts, parts):
@@ -300,7 +383,7 @@
 		t.add(&entry{
 			Quarantine: r,
 			since:      now,
-			trialAt:    now + trialPause(r.FailedTrials),
+			trialAt:    now + r.trialPause(),
 			recorded:   true,
 		})
 		return
@@ -308,7 +391,7 @@
 	q.recorded = true
 	if r.FailedTrials > q.FailedTrials {
 		q.FailedTrials = r.FailedTrials
-		q.trialAt = now + trialPause(q.FailedTrials)
+		q.trialAt = now + q.trialPause()
 		q.trying = false
 	}
 	if !q.Released {
--- a/internal/routing/quarantine/quarantine_test.go
+++ b/internal/routing/quarantine/quarantine_test.go
@@ -43,7 +43,9 @@
 }
 
 func refused(t *quarantine.Tracker, now time.Duration, parts ...uint64) bool {
-	return t.Check(now, parts, false, nothingSurvived) != nil
+	return t.Check(now, quarantine.Request{
+		Parts: parts,
+	}, false, nothingSurvived) != nil
 }
 
 // TestThreeServersCrashedInTurn: the prompt is refused after it has crashed three servers one
@@ -121,7 +123,11 @@
 	tracker := &quarantine.Tracker{}
 	now := crashServers(tracker, 0, 3, deadly)
 	require.True(t, refused(tracker, now, deadly))
-	try := func() bool { return tracker.Check(now, []uint64{deadly}, true, nothingSurvived) == nil }
+	try := func() bool {
+		return tracker.Check(now, quarantine.Request{
+			Parts: []uint64{deadly},
+		}, true, nothingSurvived) == nil
+	}
 	require.False(t, try())
 	now += 30 * time.Second
 	require.True(t, refused(tracker, now, deadly), "only the decider tries")
@@ -139,6 +145,60 @@
 	require.True(t, changes[len(changes)-1].Released)
 }
 
+// TestRequestTrialsAreFew guards against a request that crashes its servers and is tried for ever: it
+// gets three trials, after pauses that grow, also where a trial has no outcome.
+func TestRequestTrialsAreFew(t *testing.T) {
+	const fingerprint = 9
+	tracker := &quarantine.Tracker{}
+	tracker.AddRequest(0, 0, fingerprint, 0)
+	r := quarantine.Request{
+		Parts:       []uint64{common},
+		Fingerprint: fingerprint,
+	}
+	require.NotNil(t, tracker.Check(time.Second, r, true, nothingSurvived))
+	require.False(t, refused(tracker, time.Second, common), "no other request is refused")
+	trials := 0
+	for now := time.Duration(0); now < 48*time.Hour; now += 500 * time.Millisecond {
+		if tracker.Check(now, r, true, nothingSurvived) != nil {
+			continue
+		}
+		trials++
+		if trials == 1 {
+			continue // no outcome
+		}
+		crashed := r
+		crashed.GrantedAt = now
+		tracker.Crashed(now+40*time.Millisecond, fmt.Sprintf("e%d", trials), crashed)
+	}
+	require.Equal(t, 3, trials)
+	changes := tracker.TakeChanges()
+	last := changes[len(changes)-1]
+	require.True(t, last.WholeRequest)
+	require.Equal(t, 3, last.FailedTrials)
+	next := &quarantine.Tracker{}
+	next.SetRecorded(0, []quarantine.Quarantine{last})
+	require.NotNil(t, next.Check(48*time.Hour, r, true, nothingSurvived), "the next decider counts its trials")
+	next.SetRecorded(time.Second, nil)
+	require.Nil(t, next.Check(time.Minute, r, true, nothingSurvived), "an operator has ended it")
+}
+
+// TestSurvivedTrialEndsTheQuarantine: a server responds to the trial of a quarantined request.
+func TestSurvivedTrialEndsTheQuarantine(t *testing.T) {
+	const fingerprint = 9
+	tracker := &quarantine.Tracker{}
+	tracker.AddRequest(0, 0, fingerprint, 0)
+	r := quarantine.Request{
+		Fingerprint: fingerprint,
+	}
+	now := 30 * time.Second
+	require.Nil(t, tracker.Check(now, r, true, nothingSurvived))
+	require.NotNil(t, tracker.Check(now, r, true, nothingSurvived), "one trial at a time")
+	tracker.ClearRequest(now+time.Second, now, fingerprint)
+	require.Nil(t, tracker.Check(now+time.Second, r, true, nothingSurvived))
+	changes := tracker.TakeChanges()
+	require.True(t, changes[len(changes)-1].Released)
+}
+
 // TestRecordedQuarantine: another instance refuses what is recorded, until it no longer is.
 func TestRecordedQuarantine(t *testing.T) {
 	tracker := &quarantine.Tracker{}
--- a/internal/routing/quarantine/suspects.go
+++ b/internal/routing/quarantine/suspects.go
@@ -28,14 +28,17 @@
 	maxSuspects = 4096
 )
 
-// Request is a request that was in flight at a server when it crashed, and of which the
-// caller had no part of the answer.
+// Request is a request that is to be sent, or one that was in flight at a server when it
+// crashed and of which the caller had no part of the answer.
 type Request struct {
+	// GrantedAt and Begun are unused for a request that is to be sent.
 	GrantedAt time.Duration
 	// Begun is true if the server had begun its response.
 	Begun bool
 	// Parts are the parts of the prompt but the last.
 	Parts []uint64
+	// Fingerprint identifies the whole request; zero if it is unknown.
+	Fingerprint uint64
 }
 
 // crash is the crash of one server.
--- a/internal/routing/scheduler/explain.go
+++ b/internal/routing/scheduler/explain.go
@@ -120,9 +120,10 @@
 
 // explainOutcome sets the outcome of an explanation.
 func (s *Scheduler) explainOutcome(now time.Duration, req Request, out *Explanation) {
-	if r := s.quarantine.Peek(now, sharedParts(req.Parts)); r != nil {
-		out.Outcome, out.Refusal, out.Quarantine = WouldRefuse, Quarantined, r.ID
-		out.RetryAfterMs = r.RetryAfter.Milliseconds()
+	if r := s.quarantine.Peek(now, suspectOf(req)); r != nil {
+		d := refuseWith(req, r)
+		out.Outcome, out.Refusal, out.Quarantine = WouldRefuse, d.Refusal, d.Quarantine
+		out.RetryAfterMs = d.RetryAfter.Milliseconds()
 		return
 	}
 	if d, refused := s.refuseTooLarge(req); refused {
--- a/internal/routing/scheduler/fetch_test.go
+++ b/internal/routing/scheduler/fetch_test.go
@@ -61,7 +61,9 @@
 func TestFetchSource(t *testing.T) {
 	s, servers := newFetchScheduler("x", "x", "y", "y")
 	for _, name := range []string{"a", "c"} {
-		s.Adopt(0, 0, name, "", prompt(100, 1000)[:2])
+		s.Adopt(0, name, scheduler.Request{
+			Parts: prompt(100, 1000)[:2],
+		})
 	}
 	acceptingOnly := func(name string) {
 		for i := range servers {
--- a/internal/routing/scheduler/limitedfleet_test.go
+++ b/internal/routing/scheduler/limitedfleet_test.go
@@ -136,7 +136,9 @@
 		f.running = append(f.running, r)
 		f.arrivals[d.Server] = append(f.arrivals[d.Server], f.now+time.Duration(f.rng.Int64N(int64(limitTransit))))
 		if r.origin != r.decider {
-			f.instances[r.origin].Adopt(f.now, d.ID, d.Server, "", nil)
+			f.instances[r.origin].Adopt(f.now, d.Server, scheduler.Request{
+				ID: d.ID,
+			})
 			f.instances[r.origin].RecordLimit(f.now, d.Server, d.Limit)
 		}
 	}
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -60,6 +60,7 @@
 		missTokens: promptTokens(req) - cached,
 	}
 	s.granted[req.ID] = g
+	s.suspects.Sent(now, req.Fingerprint)
 	s.predict(now, g)
 	s.holdMemory(g)
 	sv.recordGrant(g)
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -36,6 +36,8 @@
 //     any, requests are refused at once, also those that are queued.
 //   - A part of prompts that crashes every server which answers it: requests with it are
 //     refused; see package quarantine.
+//   - A request that crashes every server which runs it: its repeats are held off, then
+//     refused; see package crashsuspect.
 package scheduler
 
 // This file defines Scheduler.
@@ -46,6 +48,7 @@
 	"time"
 
 	"camphorspoke/internal/routing/calibration"
+	"camphorspoke/internal/routing/crashsuspect"
 	"camphorspoke/internal/routing/departure"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/quarantine"
@@ -71,6 +74,8 @@
 	hedges retrybudget.Budget
 	// quarantine finds the parts of prompts that crash servers.
 	quarantine quarantine.Tracker
+	// suspects finds the requests that crash servers as a whole.
+	suspects crashsuspect.Tracker
 	// surges finds the accounts that send far more than they usually do.
 	surges surge.Tracker
 	// completions measures how fast slots become free.
@@ -224,6 +229,7 @@
 	if !s.withinBudget(now, req) {
 		return refuse(req, RetryBudget, 0), true
 	}
+	req.trial = !s.quarantine.Idle() && s.quarantine.Peek(now, suspectOf(req)) != nil
 	req.surging = s.surges.Surging(now, req.Account)
 	sv, refusal := s.decide(now, req)
 	if sv != nil {
@@ -351,6 +357,8 @@
 		}
 		out = append(out, s.grant(now, s.queue[i].request, sv))
 		s.queue = slices.Delete(s.queue, i, i+1)
+		// The grant of a suspect holds off its repeats.
+		out = append(out, s.expelQuarantined(now)...)
 	}
 }
 
@@ -428,29 +436,30 @@
 // QueueLen returns the number of queued requests.
 func (s *Scheduler) QueueLen() int { return len(s.queue) }
 
-// Adopt takes over a request of an instance that another scheduler granted: it counts the
-// request as running on the named server, and its parts as cached there. When id is zero,
-// it only records the parts.
-func (s *Scheduler) Adopt(now time.Duration, id uint64, name, instance string, parts []prefixcache.Part) {
+// Adopt takes over a request that another scheduler granted: it counts the request as running
+// on the named server, and its parts as cached there. Of the request, the ID, the instance, the
+// parts and the fingerprint are used. When its ID is zero, it only records the parts.
+func (s *Scheduler) Adopt(now time.Duration, name string, req Request) {
 	sv := s.servers[name]
 	if sv == nil {
 		return
 	}
-	sv.cache.Use(parts)
-	if id == 0 || s.granted[id] != nil {
+	sv.cache.Use(req.Parts)
+	if req.ID == 0 || s.granted[req.ID] != nil {
 		return
 	}
 	g := &grant{
 		server: sv,
 		request: Request{
-			ID:       id,
-			Instance: instance,
-			Parts:    parts,
+			ID:          req.ID,
+			Instance:    req.Instance,
+			Parts:       req.Parts,
+			Fingerprint: req.Fingerprint,
 		},
 		grantedAt: now,
 		listing:   sv.listing,
 	}
-	s.granted[id] = g
+	s.granted[req.ID] = g
 	s.holdMemory(g)
 	sv.recordGrant(g)
 }
--- a/internal/routing/scheduler/suspects.go
+++ b/internal/routing/scheduler/suspects.go
@@ -1,7 +1,7 @@
 package scheduler
 
-// This file defines how the scheduler finds and refuses requests whose prompts crash
-// the servers that answer them.
+// This file defines how the scheduler finds and refuses requests that crash the servers
+// which run them, by parts of their prompts or as a whole.
 
 import (
 	"slices"
@@ -28,28 +28,68 @@
 	return out
 }
 
-// refuseQuarantined refuses a request that has a quarantined part.
+// suspectOf returns what a request may be quarantined for.
+func suspectOf(req Request) quarantine.Request {
+	return quarantine.Request{
+		Parts:       sharedParts(req.Parts),
+		Fingerprint: req.Fingerprint,
+	}
+}
+
+// refuseQuarantined refuses a request that has a quarantined part, is quarantined as a whole, or is
+// held off because servers have crashed under it.
 func (s *Scheduler) refuseQuarantined(now time.Duration, req Request) (Decision, bool) {
+	if d, refused := s.refuseSuspect(now, req); refused {
+		return d, true
+	}
 	if s.quarantine.Idle() {
 		return Decision{}, false
 	}
-	r := s.quarantine.Check(now, sharedParts(req.Parts), req.MayTry, s.survived(now))
+	r := s.quarantine.Check(now, suspectOf(req), req.MayTry, s.survived(now))
 	if r == nil {
 		return Decision{}, false
 	}
-	d := refuse(req, Quarantined, r.RetryAfter)
+	return refuseWith(req, r), true
+}
+
+// refuseWith returns the decision for a refusal of a quarantine.
+func refuseWith(req Request, r *quarantine.Refusal) Decision {
+	reason := Quarantined
+	if r.WholeRequest {
+		reason = RequestQuarantined
+	}
+	d := refuse(req, reason, r.RetryAfter)
 	d.Quarantine = r.ID
-	return d, true
+	return d
+}
+
+// refuseSuspect refuses a request that is held off, and quarantines one that is guilty.
+func (s *Scheduler) refuseSuspect(now time.Duration, req Request) (Decision, bool) {
+	if req.Fingerprint == 0 || s.suspects.Idle() {
+		return Decision{}, false
+	}
+	v := s.suspects.Check(now, req.Fingerprint)
+	switch {
+	case v.Guilty:
+		s.suspects.Forget(req.Fingerprint)
+		s.quarantine.AddRequest(now, v.Since, req.Fingerprint, v.LateSends)
+	case v.HoldOff > 0:
+		return refuse(req, RequestSuspected, v.HoldOff), true
+	}
+	return Decision{}, false
 }
 
-// expelQuarantined refuses the queued requests that have a quarantined part.
+// expelQuarantined refuses the queued requests that refuseQuarantined refuses.
 func (s *Scheduler) expelQuarantined(now time.Duration) []Decision {
-	if s.quarantine.Len() == 0 {
+	if s.quarantine.Len() == 0 && s.suspects.Idle() {
 		return nil
 	}
 	var out []Decision
 	s.queue = slices.DeleteFunc(s.queue, func(w *queuedRequest) bool {
 		req := w.request
+		if req.trial {
+			return false
+		}
 		req.MayTry = false
 		d, refused := s.refuseQuarantined(now, req)
 		if refused {
@@ -73,24 +113,50 @@
 	}
 }
 
-// recordVerdict blames or clears the parts of a request that has ended. started is true if
-// its response had begun before.
+// recordVerdict blames or clears a request that has ended, and the parts of its prompt. started is
+// true if its response had begun before.
 func (s *Scheduler) recordVerdict(now time.Duration, g *grant, r Report, started bool) {
+	answered := r.Event == Done || r.Answered
+	if answered || r.Event == Failed {
+		s.suspects.Survived(g.grantedAt, g.request.Fingerprint)
+		s.quarantine.ClearRequest(now, g.grantedAt, g.request.Fingerprint)
+	}
 	switch {
-	case (r.Event == Done || r.Answered) && !s.quarantine.Idle():
+	case answered && !s.quarantine.Idle():
 		s.quarantine.Clear(now, g.grantedAt, sharedParts(g.request.Parts))
 	case r.Event == Down && !r.Answered:
-		s.quarantine.Crashed(now, g.server.name, quarantine.Request{
-			GrantedAt: g.grantedAt,
-			Begun:     started,
-			Parts:     sharedParts(g.request.Parts),
-		})
+		suspect := suspectOf(g.request)
+		suspect.GrantedAt, suspect.Begun = g.grantedAt, started
+		s.quarantine.Crashed(now, g.server.name, suspect)
+		s.recordSuspect(now, g)
+	default:
+		s.suspects.Ended(g.grantedAt, g.request.Fingerprint)
 	}
 }
 
+// recordSuspect counts a crash for a request, unless it is quarantined already.
+func (s *Scheduler) recordSuspect(now time.Duration, g *grant) {
+	fingerprint := g.request.Fingerprint
+	if fingerprint != 0 && s.quarantine.Peek(now, suspectOf(g.request)) == nil {
+		s.suspects.Crashed(now, g.grantedAt, fingerprint)
+	}
+}
+
+// TakeHeldOff returns the fingerprints of the requests that are held off since the last call.
+func (s *Scheduler) TakeHeldOff() []uint64 { return s.suspects.TakeHeldOff() }
+
 // SetQuarantines replaces the quarantines that are recorded for all instances.
 func (s *Scheduler) SetQuarantines(now time.Duration, recorded []quarantine.Quarantine) {
 	s.quarantine.SetRecorded(now, recorded)
+	for _, q := range recorded {
+		if !q.WholeRequest {
+			continue
+		}
+		for _, fingerprint := range q.Parts {
+			// Once it has ended, no crash from before counts.
+			s.suspects.Forget(fingerprint)
+		}
+	}
 }
 
 // TakeQuarantineChanges returns the quarantines that were added, changed or released since
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -77,6 +77,9 @@
 	Account string
 	// Parts is the prompt; empty for a request without one.
 	Parts []prefixcache.Part
+	// Fingerprint identifies what the request asks for: its repeats have the same one, and
+	// another ID. It is zero if unknown.
+	Fingerprint uint64
 	// PromptTokens is the length of the whole prompt, which may be more than the sum of its
 	// parts; zero if unknown.
 	PromptTokens int
@@ -104,6 +107,8 @@
 	Counted bool
 	// Alone is true if the instance decides for its own requests only.
 	Alone bool
+	// trial is true if the request is the trial of a quarantine.
+	trial bool
 	// MayTry is true if the request may be the trial of a quarantined part. It is set
 	// where one scheduler decides for all instances, so that there is one trial at a time.
 	MayTry bool
@@ -123,6 +128,10 @@
 	Hedge = "hedge"
 	// Quarantined means that parts of the prompt crash the servers that answer them.
 	Quarantined = "quarantined"
+	// RequestQuarantined means that the request crashes the servers that run it, and
+	// RequestSuspected that the last servers which ran it have crashed.
+	RequestQuarantined = "requestQuarantined"
+	RequestSuspected   = "requestSuspected"
 )
 
 // Decision grants a request a server or refuses it.
