--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -48,9 +48,11 @@
 	// trialTimeout is the time after which a trial without an outcome counts no longer.
 	trialTimeout = time.Minute
 	// requestPauseFactor is by how much each failed trial of a whole request lengthens the
-	// pause, and maxRequestTrials how many trials it gets. Each costs a server.
+	// pause, and maxRequestTrials how many trials it gets. Each costs a server. A decider
+	// that takes over knows nothing of the crashes that led to no quarantine yet, and sends the
+	// request once more.
 	requestPauseFactor = 10
-	maxRequestTrials   = 3
+	maxRequestTrials   = 2
 	// minRetryAfter is the least retry delay for a refused caller.
 	minRetryAfter = time.Second
 	// maxQuarantines bounds the memory, as callers may invent parts.
--- a/internal/routing/quarantine/quarantine_test.go
+++ b/internal/routing/quarantine/quarantine_test.go
@@ -146,7 +146,7 @@
 }
 
 // TestRequestTrialsAreFew guards against a request that crashes its servers and is tried for ever: it
-// gets three trials, after pauses that grow, also where a trial has no outcome.
+// gets two trials, after pauses that grow, also where a trial has no outcome.
 func TestRequestTrialsAreFew(t *testing.T) {
 	const fingerprint = 9
 	tracker := &quarantine.Tracker{}
@@ -170,11 +170,11 @@
 		crashed.GrantedAt = now
 		tracker.Crashed(now+40*time.Millisecond, fmt.Sprintf("e%d", trials), crashed)
 	}
-	require.Equal(t, 3, trials)
+	require.Equal(t, 2, trials)
 	changes := tracker.TakeChanges()
 	last := changes[len(changes)-1]
 	require.True(t, last.WholeRequest)
-	require.Equal(t, 3, last.FailedTrials)
+	require.Equal(t, 2, last.FailedTrials)
 	next := &quarantine.Tracker{}
 	next.SetRecorded(0, []quarantine.Quarantine{last})
 	require.NotNil(t, next.Check(48*time.Hour, r, true, nothingSurvived), "the next decider counts its trials")
