Soak: requests that crash the servers which execute them (fails)

Cause: each crash of a backend server counts against that server alone, so a request that crashes every server that executes it is sent on and on, under new IDs, through all instances. No stand-in of the soak had such a request.

Change: camphor-soak -crash adds two callers, one of a safe and one of an unsafe request, at random instances, with new IDs, both keys of one client account, and the body in chunks or with its length. The server that executes one breaks all connections after 40 ms, refuses others for 1 to 3 s and is another incarnation at its address, which the list shows up to 1 s later. One in five requests is the same but for its body, and harmless. The check counts arrivals at servers later than 3 s after the third crash, under all IDs, from all instances and at any time; 3 are allowed. Arrivals from an instance that was killed, stopped, frozen or restarted, or not run for lack of a processor, in the 3 s before don't count; degraded links to servers excuse nothing. -no-faults leaves out all other faults.

--- a/cmd/camphor-soak/main.go
+++ b/cmd/camphor-soak/main.go
@@ -27,10 +27,12 @@
 	replicas := fs.Int("replicas", 3, "number of daemons that are control replicas")
 	callers := fs.Int("callers", 12, "number of concurrent callers")
 	chats := fs.Int("chats", 12, "number of concurrent callers that hold long chats")
+	noFaults := fs.Bool("no-faults", false, "inject no faults but those of -crash")
 	planned := fs.Bool("planned", false, "inject planned operations only")
 	failAll := fs.Bool("fail-all", false, "let all servers of a service fail half of their requests at times")
 	evacuate := fs.Bool("evacuate", false, "evacuate failure domains")
 	rename := fs.Bool("rename", false, "let backend servers become other incarnations at their addresses, and repeat refusals late")
+	crash := fs.Bool("crash", false, "send requests that crash the backend servers which execute them, again and again")
 	killFirst := fs.Bool("kill-first-start", true, "kill a seed while the control group forms")
 	grace := fs.Duration("grace", 4*time.Second, "grace period of planned stops")
 	keep := fs.String("keep", "", "directory for the logs of failed seeds; if empty, logs are not kept")
@@ -50,10 +52,12 @@
 					Replicas:      max(*replicas, 1),
 					Callers:       *callers,
 					ChatCallers:   *chats,
+					NoFaults:      *noFaults,
 					PlannedOnly:   *planned,
 					FailAll:       *failAll,
 					Evacuate:      *evacuate,
 					RenameServers: *rename,
+					CrashServers:  *crash,
 					Grace:         *grace,
 
 					KillFirstStart: *killFirst,
--- a/internal/check/guarantee/guarantee.go
+++ b/internal/check/guarantee/guarantee.go
@@ -49,6 +49,9 @@
 	// Long is true for a request that may take longer than a grace period. Only such a
 	// request may be cut off at the end of one.
 	Long bool
+	// Content identifies the requests that are the same but for their IDs. It is set for
+	// requests that crash the backend servers that execute them, and empty for others.
+	Content string
 }
 
 // WholeSent returns when the whole request was sent.
@@ -104,10 +107,12 @@
 	arrivals map[string]int
 	// executionEnds holds, by request, when its latest execution ended.
 	executionEnds map[string]time.Time
-	acked         uint64
-	ackedAt       map[uint64]time.Time
-	violations    []string
-	counts        map[string]int
+	// crashers holds, by content, the requests that crash servers.
+	crashers   map[string]*crasher
+	acked      uint64
+	ackedAt    map[uint64]time.Time
+	violations []string
+	counts     map[string]int
 }
 
 func (c *Checker) init() {
@@ -128,6 +133,7 @@
 	c.evacuated = make(map[string]time.Time)
 	c.traffic = make(map[string]*traffic)
 	c.arrivals = make(map[string]int)
+	c.crashers = make(map[string]*crasher)
 }
 
 // lock locks the checker, initialises it if needed, and returns the function that
--- a/internal/check/guarantee/pushback.go
+++ b/internal/check/guarantee/pushback.go
@@ -3,7 +3,10 @@
 // This file checks that backend servers which ask a daemon for a pause get none of its
 // requests until the pause ends.
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// pauseGrace is how long after a refusal requests may still be in transit, and
@@ -34,6 +37,8 @@
 type disturbance struct {
 	daemon      string
 	from, until time.Time
+	// linksOnly is true if only links to backend servers were disturbed.
+	linksOnly bool
 }
 
 // Disturb records that a daemon is stopped or frozen, or that links are disturbed if the
@@ -41,8 +46,9 @@
 func (c *Checker) Disturb(address string) func() {
 	defer c.lock()()
 	d := &disturbance{
-		daemon: address,
-		from:   time.Now(),
+		daemon:    address,
+		from:      time.Now(),
+		linksOnly: address == "",
 	}
 	c.pushback.disturbances = append(c.pushback.disturbances, d)
 	return func() {
@@ -96,10 +102,14 @@
 // disturbed reports whether the daemon, or all links, were disturbed at any time between
 // from and until.
 func (p *pushbacks) disturbed(daemon string, from, until time.Time) bool {
-	for _, d := range p.disturbances {
-		if (d.daemon == daemon || d.daemon == "") && d.from.Before(until) && (d.until.IsZero() || d.until.After(from)) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.disturbances, func(d *disturbance) bool { return d.concerns(daemon, from, until) })
+}
+
+// disturbedItself is disturbed without the disturbances of links alone.
+func (p *pushbacks) disturbedItself(daemon string, from, until time.Time) bool {
+	return slices.ContainsFunc(p.disturbances, func(d *disturbance) bool { return !d.linksOnly && d.concerns(daemon, from, until) })
+}
+
+func (d *disturbance) concerns(daemon string, from, until time.Time) bool {
+	return (d.daemon == daemon || d.daemon == "") && d.from.Before(until) && (d.until.IsZero() || d.until.After(from))
 }
--- a/internal/check/soak/callers.go
+++ b/internal/check/soak/callers.go
@@ -115,16 +115,22 @@
 		// The caller disconnects before the response.
 		time.AfterFunc(time.Duration(c.rng.IntN(20))*time.Millisecond, cancel)
 	}
+	c.s.checker.Count("sent on " + path)
+	c.send(ctx, a, path, valid, strings.NewReader("b"))
+}
+
+// send sends the request of an attempt and checks the response.
+func (c *caller) send(ctx context.Context, a guarantee.Attempt, path string, valid bool, body *strings.Reader) {
 	wrote := false
 	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteRequest: func(httptrace.WroteRequestInfo) { wrote = true },
 	})
-	req, err := newRequest(tracedCtx, a, path, requestTimeout, io.NopCloser(strings.NewReader("b")))
+	req, err := newRequest(tracedCtx, a, path, requestTimeout, io.NopCloser(body))
 	if err != nil {
 		c.s.checker.AddViolation("requests can be created", err.Error())
 		return
 	}
-	req.ContentLength = 1
+	req.ContentLength = body.Size()
 	c.s.checker.Sent(a)
 	resp, err := c.client.Do(req)
 	if err != nil {
@@ -134,14 +140,14 @@
 		return
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	got, err := io.ReadAll(resp.Body)
 	if err != nil {
 		if ctx.Err() == nil {
 			c.s.checker.Interrupted(a)
 		}
 		return
 	}
-	c.checkResponse(a, path, valid, resp, string(body))
+	c.checkResponse(a, path, valid, resp, string(got))
 }
 
 // newRequest returns the request of an attempt. A body that is no bytes.Reader,
@@ -164,6 +170,7 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 		c.s.checker.Count("served")
+		c.s.checker.Count("served on " + path)
 		want := responseBody(a.ID)
 		if path == "/chat/x" {
 			want = streamBody(a.ID, eventCount(a.ID))
--- a/internal/check/soak/cold.go
+++ b/internal/check/soak/cold.go
@@ -64,7 +64,12 @@
 		return nil // another injector is replacing or restarting it
 	}
 	defer b.replaced.Store(false)
-	if err := b.proxy.refuse(minRestart + f.randomDuration(time.Second)); err != nil {
+	if !b.down.CompareAndSwap(false, true) {
+		return nil // a request has crashed it
+	}
+	err := b.proxy.refuse(minRestart + f.randomDuration(time.Second))
+	b.down.Store(false)
+	if err != nil {
 		return err
 	}
 	b.cold.begin(time.Now())
--- a/internal/check/soak/rename.go
+++ b/internal/check/soak/rename.go
@@ -53,10 +53,25 @@
 
 // rename makes the server another incarnation, which the list shows after listLag.
 func (b *backend) rename(listLag time.Duration) {
+	n := b.beginIncarnation()
+	time.AfterFunc(listLag, func() { b.list(n) })
+}
+
+// beginIncarnation makes the server another incarnation and returns its number.
+func (b *backend) beginIncarnation() int64 {
+	b.incarnationMu.Lock()
+	defer b.incarnationMu.Unlock()
 	n := b.incarnation.Load() + 1
 	b.checker.Located(b.incarnationID(n), b.domain)
 	b.incarnation.Store(n)
-	time.AfterFunc(listLag, func() { b.listed.Store(n) })
+	return n
+}
+
+// list lets the list show an incarnation, unless it shows a later one.
+func (b *backend) list(n int64) {
+	b.incarnationMu.Lock()
+	defer b.incarnationMu.Unlock()
+	b.listed.Store(max(n, b.listed.Load()))
 }
 
 // id returns the ID of the current incarnation.
--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -47,6 +47,8 @@
 	// list shows.
 	incarnation atomic.Int64
 	listed      atomic.Int64
+	// incarnationMu guards the changes of both.
+	incarnationMu sync.Mutex
 	// repeatsRefusals is true if late copies of its refusals are sent.
 	repeatsRefusals bool
 	checker         *guarantee.Checker
@@ -65,6 +67,8 @@
 	pauseMs atomic.Int64
 	// cold is the time in which it is cold.
 	cold coldPeriod
+	// down is true while it refuses connections.
+	down atomic.Bool
 	// executing waits for the requests that it executes.
 	executing sync.WaitGroup
 }
@@ -109,11 +113,13 @@
 	}
 	id := req.Header.Get(wireformat.RequestIDHeader)
 	w.Header().Set(wireformat.RequestIDHeader, id)
+	b.checker.Reached(id, serverID, time.Now())
 	if req.Header.Get(wireformat.ExpectedServerHeader) != serverID {
 		b.refuse(w, req, http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.ReadAll(req.Body); err != nil {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
 		return
 	}
 	now := time.Now()
@@ -132,6 +138,10 @@
 	b.checker.Executed(id, serverID, now)
 	b.executing.Add(1)
 	defer b.executing.Done()
+	if strings.HasPrefix(string(body), crashMark) {
+		b.crash(id, serverID)
+		return
+	}
 	defer func() { b.checker.Ended(id, serverID, time.Now()) }()
 	b.repeatRefusal(req)
 	w.Header().Set(wireformat.SignatureHeader, serverID)
--- a/internal/check/soak/soak.go
+++ b/internal/check/soak/soak.go
@@ -6,8 +6,8 @@
 // is deleted, or its log ends in a torn record; proxies delay, drop or reset the
 // traffic to backend servers, or drop only the responses; backend servers fail
 // some requests, ask for a pause, are replaced, or become another incarnation at the same
-// address and repeat refusals late; the platform's list is unavailable; failure domains are
-// evacuated.
+// address and repeat refusals late, or crash under requests that come again; the platform's
+// list is unavailable; failure domains are evacuated.
 // Sequences of faults run concurrently and overlap. A seed determines which faults are
 // injected and in which order, not how the processes interleave.
 package soak
@@ -62,6 +62,8 @@
 	Callers  int
 	// ChatCallers is the number of callers that hold long chats.
 	ChatCallers int
+	// NoFaults injects no faults, but for the crashes of CrashServers.
+	NoFaults bool
 	// PlannedOnly injects planned operations only.
 	PlannedOnly bool
 	// FailAll lets all servers of a service fail half of their requests at times.
@@ -74,6 +76,9 @@
 	// RenameServers lets backend servers become other incarnations at their addresses, and
 	// repeat refusals late.
 	RenameServers bool
+	// CrashServers lets some callers send requests that crash the backend servers which
+	// execute them.
+	CrashServers bool
 	// KillFirstStart kills a seed while the group forms, and starts it again.
 	KillFirstStart bool
 	// Grace is the grace period of a planned stop; zero is defaultGrace.
@@ -244,22 +249,15 @@
 	for n := range s.cfg.ChatCallers {
 		callers.Go(func() { s.newChatCaller(n).run(loadCtx) })
 	}
+	if s.cfg.CrashServers {
+		for n := range crashCallerCount {
+			callers.Go(func() { s.newCrashCaller(n).run(loadCtx) })
+		}
+	}
 	faultCtx, stopFaults := context.WithTimeout(ctx, s.cfg.FaultDuration)
 	var workers sync.WaitGroup
 	workers.Go(func() { s.operator.run(faultCtx) })
-	for i := range injectorCount {
-		f := &injector{
-			s:   s,
-			rng: rand.New(rand.NewPCG(s.cfg.Seed, uint64(10+i))),
-		}
-		workers.Go(func() { f.run(faultCtx) })
-	}
-	for i, k := range s.separateKinds() {
-		f := &injector{
-			s:    s,
-			rng:  rand.New(rand.NewPCG(s.cfg.Seed, uint64(separateSequence+i))),
-			only: &k,
-		}
+	for _, f := range s.injectors() {
 		workers.Go(func() { f.run(faultCtx) })
 	}
 	workers.Wait()
@@ -273,6 +271,7 @@
 		Ratio:  retryRatio,
 		Slack:  retrySlack,
 	})
+	s.checker.CheckCrashers()
 	for _, d := range s.daemons {
 		if ended, err := d.process.Exited(); ended {
 			s.checker.AddViolation("processes do not exit unexpectedly", fmt.Sprintf("%s: %v", d.name, err))
@@ -280,6 +279,28 @@
 	}
 }
 
+// injectors returns the injectors of the faults, each with a random sequence of its own.
+func (s *Soak) injectors() []*injector {
+	if s.cfg.NoFaults {
+		return nil
+	}
+	var all []*injector
+	for i := range injectorCount {
+		all = append(all, &injector{
+			s:   s,
+			rng: rand.New(rand.NewPCG(s.cfg.Seed, uint64(10+i))),
+		})
+	}
+	for i, k := range s.separateKinds() {
+		all = append(all, &injector{
+			s:    s,
+			rng:  rand.New(rand.NewPCG(s.cfg.Seed, uint64(separateSequence+i))),
+			only: &k,
+		})
+	}
+	return all
+}
+
 // separateKinds returns the kinds of faults that have an injector each.
 func (s *Soak) separateKinds() []faultKind {
 	kinds := []faultKind{pushBackKind, announceKind}
--- a/internal/check/soak/soak_test.go
+++ b/internal/check/soak/soak_test.go
@@ -91,18 +91,44 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			cfg.Bin = binDir
-			cfg.Dir = t.TempDir()
 			cfg.FaultDuration = 8 * time.Second
-			cfg.Daemons = 4
-			cfg.Replicas = 3
-			report, err := soak.Run(context.Background(), cfg)
-			require.NoError(t, err)
-			var out strings.Builder
-			report.Print(&out)
-			t.Log(out.String())
-			require.Empty(t, report.Violations)
-			require.NotZero(t, report.Counts["served"]+report.Counts["chats served"])
+			run(t, cfg)
 		})
 	}
 }
+
+// TestRequestsThatCrashServersAreNotSentAgain: two requests, a safe and an unsafe one, come
+// again and again at random daemons and crash each backend server that executes them. It
+// failed while each crash counted against its server alone.
+func TestRequestsThatCrashServersAreNotSentAgain(t *testing.T) {
+	for name, noFaults := range map[string]bool{
+		"alone":               true,
+		"beside other faults": false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			run(t, soak.Config{
+				Seed:          1,
+				FaultDuration: 12 * time.Second,
+				Callers:       8,
+				NoFaults:      noFaults,
+				CrashServers:  true,
+			})
+		})
+	}
+}
+
+// run runs a soak with four daemons and requires that it violates no guarantee.
+func run(t *testing.T, cfg soak.Config) {
+	cfg.Bin = binDir
+	cfg.Dir = t.TempDir()
+	cfg.Daemons = 4
+	cfg.Replicas = 3
+	report, err := soak.Run(context.Background(), cfg)
+	require.NoError(t, err)
+	var out strings.Builder
+	report.Print(&out)
+	t.Log(out.String())
+	require.Empty(t, report.Violations)
+	require.NotZero(t, report.Counts["served"]+report.Counts["chats served"])
+}
