--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -189,6 +189,8 @@
 func (c *call) place() (*placer.Grant, error) {
 	req := c.placementRequest()
 	req.Tried, req.Retry = c.tried, c.sends > 0
+	// Each earlier attempt has had a placement, also one whose request was not sent.
+	req.Counted = len(c.tried) > 0
 	return c.h.Placer.Place(c.ctx, c.service, req)
 }
 
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -99,8 +99,8 @@
 	// Hedge is true for a copy of a request that is still in progress at the tried servers.
 	// It is granted or refused at once, and counts as a retry.
 	Hedge bool
-	// Counted is true if another decision on the request, which was not used, has counted
-	// it as one of the requests of the service.
+	// Counted is true if another decision on the request has counted it as one of the
+	// requests of the service: that decision was not used, or its server was not reached.
 	Counted bool
 	// Alone is true if the instance decides for its own requests only.
 	Alone bool
