--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -149,7 +149,15 @@
 type testEnv struct {
 	t *testing.T
 	// slots is the number of slots of each server.
-	slots      uint32
+	slots uint32
+	// retryWindow, retryRatio and retrySlack are the retry budget; start sets them unless the
+	// window is set.
+	retryWindow time.Duration
+	retryRatio  float64
+	retrySlack  float64
+	// instances are the listed instances. The instance under test is called i and decides
+	// alone unless it is listed.
+	instances  []*pb.Instance
 	membership *fakeMembership
 	handler    *ingress.Handler
 	url        string
@@ -230,16 +238,19 @@
 			Address: address,
 		})
 	}
-	e.membership.view.Store((&view.View{}).WithTables(1, true, servers, nil).WithRules(1, []byte(rules), f))
+	e.membership.view.Store((&view.View{}).WithTables(1, true, servers, e.instances).WithRules(1, []byte(rules), f))
+	if e.retryWindow == 0 {
+		e.retryWindow, e.retryRatio, e.retrySlack = 10*time.Second, 1, 20
+	}
 	clock := boottime.New()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	p, stop := placer.New(placer.Config{
 		Now:         clock.Now,
 		LoadBound:   2,
-		RetryWindow: 10 * time.Second,
-		RetryRatio:  1,
-		RetrySlack:  20,
+		RetryWindow: e.retryWindow,
+		RetryRatio:  e.retryRatio,
+		RetrySlack:  e.retrySlack,
 		Instance:    "i",
 		Logger:      log,
 	})
