--- a/internal/routing/retrybudget/retrybudget.go
+++ b/internal/routing/retrybudget/retrybudget.go
@@ -2,15 +2,21 @@
 //
 // When servers fail under load, retries multiply the load that made them fail.
 // In each sliding window, a service gets at most Ratio retries for each request,
-// plus Slack. The window is divided into buckets and slides by one bucket at a time.
+// plus Slack. Time is divided into buckets, so that the window slides by one bucket at a time. Of
+// the oldest bucket a part has left the window: its retries are still counted, its requests no
+// longer, so that no window of any position gets more.
 package retrybudget
 
 // This file defines Budget.
 
 import "time"
 
-// bucketCount is the number of buckets in a window.
-const bucketCount = 20
+const (
+	// bucketCount is the number of buckets in a window.
+	bucketCount = 20
+	// keptBuckets also includes the one of which a part has left the window.
+	keptBuckets = bucketCount + 1
+)
 
 // Budget counts the requests and retries of one service. It is not safe for concurrent
 // use.
@@ -22,21 +28,21 @@
 	// Slack is the number of retries allowed regardless of the number of requests.
 	Slack float64
 
-	requests [bucketCount]int
-	retries  [bucketCount]int
+	requests [keptBuckets]int
+	retries  [keptBuckets]int
 	// current is the number of the current bucket, counted from time zero; modulo
-	// bucketCount it is the index.
+	// keptBuckets it is the index.
 	current int64
 }
 
 // advance clears the buckets that have left the window.
 func (b *Budget) advance(now time.Duration) {
 	at := int64(now / (b.Window / bucketCount))
-	if at-b.current >= bucketCount {
-		b.requests, b.retries = [bucketCount]int{}, [bucketCount]int{}
+	if at-b.current >= keptBuckets {
+		b.requests, b.retries = [keptBuckets]int{}, [keptBuckets]int{}
 	} else {
 		for i := b.current + 1; i <= at; i++ {
-			b.requests[i%bucketCount], b.retries[i%bucketCount] = 0, 0
+			b.requests[i%keptBuckets], b.retries[i%keptBuckets] = 0, 0
 		}
 	}
 	b.current = max(at, b.current)
@@ -45,20 +51,22 @@
 // RecordRequest counts a request that is not a retry.
 func (b *Budget) RecordRequest(now time.Duration) {
 	b.advance(now)
-	b.requests[b.current%bucketCount]++
+	b.requests[b.current%keptBuckets]++
 }
 
 // TrySpend counts a retry if the budget allows it, and returns false otherwise.
 func (b *Budget) TrySpend(now time.Duration) bool {
 	b.advance(now)
 	requests, retries := 0, 0
-	for i := range bucketCount {
-		requests += b.requests[i]
+	for i := range b.retries {
 		retries += b.retries[i]
+		requests += b.requests[i]
 	}
+	// The oldest bucket follows the current one.
+	requests -= b.requests[(b.current+1)%keptBuckets]
 	if float64(retries+1) > b.Ratio*float64(requests)+b.Slack {
 		return false
 	}
-	b.retries[b.current%bucketCount]++
+	b.retries[b.current%keptBuckets]++
 	return true
 }
--- a/internal/routing/retrybudget/retrybudget_test.go
+++ b/internal/routing/retrybudget/retrybudget_test.go
@@ -59,11 +59,22 @@
 				continue
 			}
 			retries = append(retries, now)
-			// The window starts up to one bucket late, so only retries within the window
-			// less one bucket are sure to be counted. The requests counted are never
-			// more than those of the whole window.
-			spent := float64(within(retries, b.Window-b.Window/20))
+			// The requests counted are never more than those of the whole window.
+			spent := float64(within(retries, b.Window))
 			require.LessOrEqual(rt, spent, b.Ratio*float64(within(requests, b.Window))+b.Slack)
 		}
 	})
 }
+
+// TestSlackIsNotSpentTwiceInAWindow guards against retries that are forgotten before the window that
+// began with them is over.
+func TestSlackIsNotSpentTwiceInAWindow(t *testing.T) {
+	b := newBudget()
+	spent := 0
+	for _, now := range []time.Duration{499 * time.Millisecond, 10001 * time.Millisecond} {
+		for b.TrySpend(now) {
+			spent++
+		}
+	}
+	require.Equal(t, 5, spent)
+}
