--- a/internal/control/ledger/quarantines.go
+++ b/internal/control/ledger/quarantines.go
@@ -1,6 +1,6 @@
 package ledger
 
-// This file defines the table of quarantined parts of prompts.
+// This file defines the table of quarantined parts of prompts and requests.
 
 import (
 	"cmp"
@@ -13,7 +13,8 @@
 )
 
 // maxQuarantines bounds the table. Beyond it the row that changed the longest ago is
-// dropped, a released one first.
+// dropped, a released one first, then one of a request that no trial has proved guilty: there
+// may be many of these after servers have crashed for reasons of their own.
 const maxQuarantines = 512
 
 // quarantineKey identifies a quarantine.
@@ -86,5 +87,11 @@
 	if a.GetReleased() != b.GetReleased() {
 		return a.GetReleased()
 	}
+	if isSuspected(a) != isSuspected(b) {
+		return isSuspected(a)
+	}
 	return a.GetChangedIndex() < b.GetChangedIndex()
 }
+
+// isSuspected reports whether a quarantine of a whole request has had no failed trial.
+func isSuspected(q *pb.Quarantine) bool { return q.GetWholeRequest() && q.GetFailedTrials() == 0 }
--- a/internal/control/ledger/quarantines_test.go
+++ b/internal/control/ledger/quarantines_test.go
@@ -3,6 +3,7 @@
 // This file tests the table of quarantined parts of prompts.
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -67,3 +68,29 @@
 		require.False(t, q.GetReleased())
 	}
 }
+
+// TestSuspectedRequestsAreDroppedFirst guards against a request that is known to crash servers and is
+// dropped for the many that were beside it.
+func TestSuspectedRequestsAreDroppedFirst(t *testing.T) {
+	l := &Ledger{}
+	apply := func(id uint64, failedTrials uint32) {
+		l.Apply(id, &pb.Command{
+			Kind: &pb.Command_Quarantine{
+				Quarantine: &pb.Quarantine{
+					Service:      "s",
+					Id:           id,
+					Parts:        []uint64{id},
+					WholeRequest: true,
+					FailedTrials: failedTrials,
+				},
+			},
+		})
+	}
+	apply(1, 1)
+	for id := uint64(2); id <= 2*maxQuarantines; id++ {
+		apply(id, 0)
+	}
+	rows := l.Changes(0).Quarantines
+	require.Len(t, rows, maxQuarantines)
+	require.True(t, slices.ContainsFunc(rows, func(q *pb.Quarantine) bool { return q.GetId() == 1 }))
+}
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -95,7 +95,7 @@
 	b.observableCounter("camphorspoke.invariant.violations", "Violated invariants by name.", "name", func() map[string]int64 { return toInt64(callbacks.Violations()) })
 	b.observableGauge("camphorspoke.server.load", "Requests running and queued at each owned backend server.", "server", func() map[string]int64 { return toInt64(callbacks.Loads()) })
 	if callbacks.Quarantines != nil {
-		b.observableGauge("camphorspoke.quarantines", "Quarantines of parts of prompts by service.", "service", func() map[string]int64 { return toInt64(callbacks.Quarantines()) })
+		b.observableGauge("camphorspoke.quarantines", "Quarantines of parts of prompts and of requests by service.", "service", func() map[string]int64 { return toInt64(callbacks.Quarantines()) })
 	}
 	if callbacks.ColdServers != nil {
 		b.observableGauge("camphorspoke.cold.servers", "Backend servers that count as cold, by service.", "service", func() map[string]int64 { return toInt64(callbacks.ColdServers()) })
--- a/internal/daemon/placer/recorder.go
+++ b/internal/daemon/placer/recorder.go
@@ -43,10 +43,6 @@
 
 // recordChanges queues the changes of a scheduler to be recorded. The caller holds mu.
 func (d *Schedulers) recordChanges(service string, s *scheduler.Scheduler) {
-	for _, fingerprint := range s.TakeHeldOff() {
-		d.cfg.Logger.WithField("service", service).WithField("fingerprint", strconv.FormatUint(fingerprint, 16)).
-			Warn("placer: two servers in a row have crashed under a request; it is held off")
-	}
 	for _, q := range s.TakeQuarantineChanges() {
 		log := d.cfg.Logger.WithFields(logrus.Fields{
 			"service":      service,
@@ -58,6 +54,8 @@
 		switch {
 		case q.Released:
 			log.Info("placer: a quarantine has ended")
+		case q.Suspected():
+			log.Warn("placer: two servers in a row have crashed under a request; it is held off until a trial")
 		case q.WholeRequest:
 			log.Warn("placer: a request that crashes the servers which run it is quarantined")
 		default:
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -271,14 +271,19 @@
 	return nil
 }
 
-// quarantineCounts returns the number of quarantines by service.
+// quarantineCounts returns the number of quarantines by service, without those of requests that no
+// trial has proved guilty.
 func (in *instance) quarantineCounts() map[string]int {
 	out := make(map[string]int)
 	if in.agent == nil {
 		return out
 	}
 	for service, table := range in.agent.View().Quarantines {
-		out[service] = len(table)
+		for _, q := range table {
+			if !q.GetWholeRequest() || q.GetFailedTrials() > 0 {
+				out[service]++
+			}
+		}
 	}
 	return out
 }
--- a/internal/routing/crashsuspect/crashsuspect.go
+++ b/internal/routing/crashsuspect/crashsuspect.go
@@ -5,11 +5,18 @@
 // and so do all others while the last server is down.
 //
 // All requests that are in flight at a server when it crashes are suspected, as nothing
-// tells which one did it. A suspect is cleared as soon as a server survives it, that is,
-// responds to it. Until then it runs at one server at a time. It is held off after the second
-// crash in a row, so that the first servers can return before another one is at risk, and
-// guilty after the third. A crash counts only if the request was sent after the crash before:
-// servers that crash at the same time, for a reason of their own, are one piece of evidence.
+// tells which one did it. So are those whose callers have left shortly before. These rules single out the one that is at fault:
+//
+//   - A suspect is cleared as soon as a server survives it, that is, answers it.
+//   - It is guilty after the second crash in a row. A crash counts only if the request was
+//     sent after the crash before: servers that crash at the same time, for a reason of their
+//     own, are one piece of evidence.
+//   - Where a request that is known to crash servers was in flight, the crash is explained and
+//     counts for no other.
+//   - A server that responds to a request which was sent before it seemed to crash has not
+//     crashed: only the connections of one instance broke.
+//   - A request that was sent to several servers at the same time, and has crashed three of
+//     them, runs at one server at a time.
 //
 // Tracker is a deterministic state machine without a clock or I/O. What follows for a guilty
 // request is decided by package quarantine.
@@ -17,84 +24,160 @@
 
 // This file defines Tracker.
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// holdOffCrashes is the number of crashes in a row from which a request is held off, and
-	// guiltyCrashes the number from which it is guilty.
-	holdOffCrashes = 2
-	guiltyCrashes  = 3
-	// holdOff is for how long a suspect is held off: a server that has crashed is back after
-	// some seconds.
-	holdOff = 5 * time.Second
-	// maxInFlight is for how long a suspect that was sent keeps its repeats from being sent, if
-	// it has no outcome; inFlightRetryAfter is when they may come again.
-	maxInFlight        = 5 * time.Second
+	// guiltyCrashes is the number of crashes in a row from which a request is guilty, and
+	// exclusiveCrashes the number of all crashes from which it runs at one server at a time.
+	guiltyCrashes    = 2
+	exclusiveCrashes = 3
+	// maxInFlight is for how long a request keeps its repeats from being sent, if it has no
+	// outcome; inFlightRetryAfter is when they may come again.
+	maxInFlight        = 5 * time.Minute
 	inFlightRetryAfter = 200 * time.Millisecond
-	// maxSuspects bounds the memory, as callers may invent requests.
+	// leftTime is for how long a server may still run a request whose caller has left.
+	leftTime = 500 * time.Millisecond
+	// maxSuspects, maxCrashes and maxLeft bound the memory, as callers may invent requests.
 	maxSuspects = 4096
+	maxCrashes  = 1024
+	maxLeft     = 1024
 )
 
 // Verdict is what is known of a request.
 type Verdict struct {
-	// HoldOff is for how long the request must not be sent; zero if it may be sent.
-	HoldOff time.Duration
-	// Guilty is true if the request has crashed enough servers. Since is when the first of
+	// Guilty is true if the request has crashed servers in a row. Since is when the first of
 	// them crashed.
 	Guilty bool
 	Since  time.Duration
+	// RetryAfter is not zero if the request must not be sent now.
+	RetryAfter time.Duration
 	// LateSends is the number of sends since the third server crashed under the request. It is
 	// zero if the request was not sent to several servers at the same time.
 	LateSends int
 }
 
+// crash is the crash of one server.
+type crash struct {
+	at time.Duration
+	// void is true if the crash counts for no suspect.
+	void bool
+}
+
 // suspect is a request that servers have crashed under and that none has survived since.
 type suspect struct {
-	crashes           int
-	firstAt, latestAt time.Duration
-	// servers is the number of servers that have crashed, also at the same time.
-	servers   int
-	lateSends int
-	// heldUntil is the end of the hold-off.
-	heldUntil time.Duration
+	// all holds the crashes, and inRow those that came one after the other.
+	all, inRow []*crash
+	lateSends  int
 	// inFlight is true from sentAt until the request has an outcome.
 	inFlight bool
 	sentAt   time.Duration
 }
 
+// leftRequest is a request whose caller has left.
+type leftRequest struct {
+	at          time.Duration
+	server      string
+	sentAt      time.Duration
+	fingerprint uint64
+}
+
 // Tracker holds the suspects of one service by their fingerprints. Its zero value is ready for
 // use. It is not safe for concurrent use.
 type Tracker struct {
 	suspects map[uint64]*suspect
-	heldOff  []uint64
+	// crashes holds the latest crash of each server, by its name.
+	crashes map[string]*crash
+	// left holds the requests whose callers have left within leftTime, in order.
+	left []leftRequest
 }
 
 // Idle reports whether there is no suspect.
 func (t *Tracker) Idle() bool { return len(t.suspects) == 0 }
 
-// Crashed records that a server has crashed while a request was in flight there.
-func (t *Tracker) Crashed(now, sentAt time.Duration, fingerprint uint64) {
+// Suspects reports whether a request is a suspect.
+func (t *Tracker) Suspects(fingerprint uint64) bool { return t.suspects[fingerprint] != nil }
+
+// Crashed records that a server has crashed while a request, which was sent at sentAt, was in
+// flight there.
+func (t *Tracker) Crashed(now time.Duration, server string, sentAt time.Duration, fingerprint uint64) {
+	c := t.crash(now, server, sentAt)
+	t.blame(c, sentAt, fingerprint)
+	for _, l := range t.left {
+		if l.server == server && now-l.at < leftTime && l.sentAt < c.at {
+			t.blame(c, l.sentAt, l.fingerprint)
+		}
+	}
+}
+
+// Left records that the caller of a request has left, and that the server may run on.
+func (t *Tracker) Left(now time.Duration, server string, sentAt time.Duration, fingerprint uint64) {
+	t.Ended(sentAt, fingerprint)
+	t.left = slices.DeleteFunc(t.left, func(l leftRequest) bool { return now-l.at >= leftTime })
+	if len(t.left) < maxLeft {
+		t.left = append(t.left, leftRequest{
+			at:          now,
+			server:      server,
+			sentAt:      sentAt,
+			fingerprint: fingerprint,
+		})
+	}
+}
+
+// blame blames a request for a crash.
+func (t *Tracker) blame(c *crash, sentAt time.Duration, fingerprint uint64) {
 	s := t.suspects[fingerprint]
 	if s == nil {
-		t.add(fingerprint, &suspect{
-			crashes:  1,
-			servers:  1,
-			firstAt:  now,
-			latestAt: now,
-		})
-		return
+		s = &suspect{}
+		t.add(fingerprint, s)
 	}
-	s.servers++
 	s.end(sentAt)
-	if sentAt < s.latestAt {
-		return
+	if !slices.Contains(s.all, c) && len(s.all) < maxCrashes {
+		s.all = append(s.all, c)
+	}
+	s.inRow = valid(s.inRow)
+	if n := len(s.inRow); n == 0 || sentAt >= s.inRow[n-1].at {
+		s.inRow = append(s.inRow, c)
+	}
+}
+
+// Explained records that a request which is known to crash servers, and was sent at sentAt, was in
+// flight at a server that has crashed.
+func (t *Tracker) Explained(now time.Duration, server string, sentAt time.Duration) {
+	t.crash(now, server, sentAt).void = true
+}
+
+// Responded records that a server has responded to a request that was sent at sentAt.
+func (t *Tracker) Responded(server string, sentAt time.Duration) {
+	if c := t.crashes[server]; c != nil && sentAt < c.at {
+		c.void = true
+	}
+}
+
+// crash returns the crash of a server at which a request was in flight. All requests that were
+// sent before it belong to it.
+func (t *Tracker) crash(now time.Duration, server string, sentAt time.Duration) *crash {
+	if c := t.crashes[server]; c != nil && sentAt < c.at {
+		return c
+	}
+	if t.crashes == nil {
+		t.crashes = make(map[string]*crash)
 	}
-	s.crashes++
-	s.latestAt = now
-	if s.crashes == holdOffCrashes {
-		s.heldUntil = now + holdOff
-		t.heldOff = append(t.heldOff, fingerprint)
+	if len(t.crashes) >= maxCrashes {
+		delete(t.crashes, oldest(t.crashes, func(c *crash) time.Duration { return c.at }))
 	}
+	c := &crash{
+		at: now,
+	}
+	t.crashes[server] = c
+	return c
+}
+
+// valid returns the crashes that count.
+func valid(crashes []*crash) []*crash {
+	return slices.DeleteFunc(crashes, func(c *crash) bool { return c.void })
 }
 
 // add adds a suspect. If there are too many, the one whose latest crash is the longest ago is
@@ -104,40 +187,57 @@
 		t.suspects = make(map[uint64]*suspect)
 	}
 	if len(t.suspects) >= maxSuspects {
-		oldest, oldestAt := fingerprint, s.latestAt
-		for other, o := range t.suspects {
-			if o.latestAt <= oldestAt {
-				oldest, oldestAt = other, o.latestAt
-			}
-		}
-		delete(t.suspects, oldest)
+		delete(t.suspects, oldest(t.suspects, (*suspect).latestAt))
 	}
 	t.suspects[fingerprint] = s
 }
 
-// Survived records that a server has responded to a request that was sent at sentAt.
+// oldest returns the key of the value with the earliest time.
+func oldest[K comparable, V any](m map[K]V, at func(V) time.Duration) K {
+	var first K
+	found := false
+	for k, v := range m {
+		if !found || at(v) < at(m[first]) {
+			first, found = k, true
+		}
+	}
+	return first
+}
+
+func (s *suspect) latestAt() time.Duration {
+	if len(s.all) == 0 {
+		return 0
+	}
+	return s.all[len(s.all)-1].at
+}
+
+// Survived records that a server has answered a request that was sent at sentAt.
 func (t *Tracker) Survived(sentAt time.Duration, fingerprint uint64) {
-	if s := t.suspects[fingerprint]; s != nil && sentAt >= s.firstAt {
+	if s := t.suspects[fingerprint]; s != nil && len(s.all) > 0 && sentAt >= s.all[0].at {
 		delete(t.suspects, fingerprint)
 	}
 }
 
-// Check returns the verdict on a request. It changes nothing.
+// Check returns the verdict on a request.
 func (t *Tracker) Check(now time.Duration, fingerprint uint64) Verdict {
 	s := t.suspects[fingerprint]
 	if s == nil {
 		return Verdict{}
 	}
-	held := s.heldUntil
-	if s.inFlight && now < s.sentAt+maxInFlight {
-		held = max(held, now+inFlightRetryAfter)
+	s.all, s.inRow = valid(s.all), valid(s.inRow)
+	if len(s.all) == 0 {
+		delete(t.suspects, fingerprint)
+		return Verdict{}
 	}
-	return Verdict{
-		HoldOff:   max(held-now, 0),
-		Guilty:    s.crashes >= guiltyCrashes,
-		Since:     s.firstAt,
+	v := Verdict{
+		Guilty:    len(s.inRow) >= guiltyCrashes,
+		Since:     s.all[0].at,
 		LateSends: s.lateSends,
 	}
+	if s.inFlight && len(s.all) >= exclusiveCrashes && now < s.sentAt+maxInFlight {
+		v.RetryAfter = inFlightRetryAfter
+	}
+	return v
 }
 
 // Sent records that a request is sent.
@@ -147,7 +247,7 @@
 		return
 	}
 	s.inFlight, s.sentAt = true, now
-	if s.servers >= guiltyCrashes {
+	if len(s.all) >= exclusiveCrashes {
 		s.lateSends++
 	}
 }
@@ -169,10 +269,3 @@
 
 // Forget drops a suspect.
 func (t *Tracker) Forget(fingerprint uint64) { delete(t.suspects, fingerprint) }
-
-// TakeHeldOff returns the requests that have been held off since the last call.
-func (t *Tracker) TakeHeldOff() []uint64 {
-	out := t.heldOff
-	t.heldOff = nil
-	return out
-}
--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -26,8 +26,9 @@
 // ends, otherwise the pause doubles.
 //
 // A whole request can be quarantined too, by its fingerprint; package crashsuspect finds
-// those. Such a quarantine shuts out nothing but the repeats of one request, so its pauses
-// grow faster, and after the last trial only an operator ends it.
+// those. Such a quarantine shuts out nothing but the repeats of one request. Its first trial
+// comes soon, as the request may only have been beside the one at fault, the next after pauses
+// that grow fast, and after the last one only an operator ends it.
 //
 // Tracker is a deterministic state machine without a clock or I/O.
 package quarantine
@@ -47,16 +48,11 @@
 	maxTrialPause = time.Hour
 	// trialTimeout is the time after which a trial without an outcome counts no longer.
 	trialTimeout = time.Minute
-	// requestPauseFactor is by how much each failed trial of a whole request lengthens the
-	// pause, and maxRequestTrials how many trials it gets. Each costs a server. A decider
-	// that takes over knows nothing of the crashes that led to no quarantine yet, and sends the
-	// request once more.
-	requestPauseFactor = 10
-	maxRequestTrials   = 2
 	// minRetryAfter is the least retry delay for a refused caller.
 	minRetryAfter = time.Second
-	// maxQuarantines bounds the memory, as callers may invent parts.
-	maxQuarantines = 256
+	// maxQuarantines bounds the memory, as callers may invent parts and requests. It is the
+	// number that the log of the control group holds.
+	maxQuarantines = 512
 )
 
 // Quarantine is a set of parts that are refused in one prompt, or a request that is refused.
@@ -78,15 +74,22 @@
 	// ID is that of the quarantine.
 	ID           uint64
 	WholeRequest bool
-	RetryAfter   time.Duration
+	// Suspected is true for a whole request that has had no failed trial yet.
+	Suspected  bool
+	RetryAfter time.Duration
 }
 
 // Tracker holds the suspected and the quarantined parts of one service. Its zero value is
 // ready for use. It is not safe for concurrent use.
 type Tracker struct {
-	suspects    suspects
+	suspects suspects
+	// quarantines holds the quarantines of parts by their IDs, requests those of whole
+	// requests by their fingerprints.
 	quarantines map[uint64]*entry
-	changes     []Quarantine
+	requests    map[uint64]*entry
+	// onTrial is the whole request of which a trial is in progress, or nil.
+	onTrial *entry
+	changes []Quarantine
 }
 
 // entry is a quarantine with its state in this process.
@@ -105,10 +108,10 @@
 }
 
 // Idle reports whether no part is suspected or quarantined.
-func (t *Tracker) Idle() bool { return len(t.quarantines) == 0 && t.suspects.idle() }
+func (t *Tracker) Idle() bool { return t.Len() == 0 && t.suspects.idle() }
 
 // Len returns the number of quarantines.
-func (t *Tracker) Len() int { return len(t.quarantines) }
+func (t *Tracker) Len() int { return len(t.quarantines) + len(t.requests) }
 
 // Crashed records a request that was in flight at a server which crashed.
 func (t *Tracker) Crashed(now time.Duration, server string, r Request) {
@@ -117,12 +120,18 @@
 }
 
 // judgeCrashes blames the requests of the crashes whose reports have been gathered, unless
-// a quarantine explains the crash.
+// a quarantine of parts explains the crash. If one of a whole request does, parts of its prompt
+// may be at fault, but no other request is.
 func (t *Tracker) judgeCrashes(now time.Duration) {
 	for _, c := range t.suspects.gathered(now) {
-		if !t.explains(c) {
-			t.suspects.blame(c)
+		if t.explains(c) {
+			continue
+		}
+		isOther := func(r Request) bool { return !t.CoversRequest(r.Fingerprint) }
+		if slices.ContainsFunc(c.requests, func(r Request) bool { return !isOther(r) }) {
+			c.requests = slices.DeleteFunc(c.requests, isOther)
 		}
+		t.suspects.blame(c)
 	}
 }
 
@@ -152,30 +161,21 @@
 
 // countFailedTrial ends a trial and schedules the next one.
 func (t *Tracker) countFailedTrial(now time.Duration, q *entry) {
-	q.trying = false
+	t.endTrial(q)
 	q.FailedTrials++
 	q.trialAt = now + q.trialPause()
 	t.change(q)
 }
 
-// covers reports whether a request is refused because of the quarantine.
-func (q *Quarantine) covers(r Request) bool {
-	if q.WholeRequest {
-		return r.Fingerprint != 0 && slices.Contains(q.Parts, r.Fingerprint)
-	}
-	return containsAll(r.Parts, q.Parts)
-}
+// covers reports whether the parts of a request include those of the quarantine.
+func (q *Quarantine) covers(r Request) bool { return containsAll(r.Parts, q.Parts) }
 
 // trialPause returns the time until the next trial.
 func (q *Quarantine) trialPause() time.Duration {
-	if !q.WholeRequest {
-		return min(minTrialPause<<min(q.FailedTrials, 8), maxTrialPause)
-	}
-	pause := minTrialPause
-	for range min(q.FailedTrials, maxRequestTrials) {
-		pause *= requestPauseFactor
+	if q.WholeRequest {
+		return q.requestPause()
 	}
-	return min(pause, maxTrialPause)
+	return min(minTrialPause<<min(q.FailedTrials, 8), maxTrialPause)
 }
 
 // refusal returns the refusal of a request that the quarantine covers.
@@ -187,13 +187,11 @@
 	return &Refusal{
 		ID:           q.ID,
 		WholeRequest: q.WholeRequest,
+		Suspected:    q.Suspected(),
 		RetryAfter:   max(after, minRetryAfter),
 	}
 }
 
-// trialsSpent reports whether there is no further trial.
-func (q *Quarantine) trialsSpent() bool { return q.WholeRequest && q.FailedTrials >= maxRequestTrials }
-
 func (t *Tracker) change(q *entry) {
 	c := q.Quarantine
 	c.Parts = slices.Clone(q.Parts)
@@ -206,42 +204,12 @@
 	t.judgeCrashes(now)
 	t.suspects.clear(grantedAt, parts)
 	for _, q := range t.quarantines {
-		if !q.Released && !q.WholeRequest && grantedAt >= q.since {
+		if !q.Released && grantedAt >= q.since {
 			t.takeOut(now, q, parts)
 		}
 	}
 }
 
-// ClearRequest records that a server has responded to a request.
-func (t *Tracker) ClearRequest(now, grantedAt time.Duration, fingerprint uint64) {
-	q := t.quarantines[identify([]uint64{fingerprint})]
-	if q != nil && q.WholeRequest && !q.Released && grantedAt >= q.since {
-		t.release(now, q)
-	}
-}
-
-// AddRequest adds a quarantine of a whole request. since is when it crashed the first server;
-// failedTrials is the number of its trials that have been made.
-func (t *Tracker) AddRequest(now, since time.Duration, fingerprint uint64, failedTrials int) {
-	parts := []uint64{fingerprint}
-	id := identify(parts)
-	if q := t.quarantines[id]; q != nil && !q.Released {
-		return
-	}
-	q := &entry{
-		Quarantine: Quarantine{
-			ID:           id,
-			Parts:        parts,
-			WholeRequest: true,
-			FailedTrials: failedTrials,
-		},
-		since: since,
-	}
-	q.trialAt = now + q.trialPause()
-	t.add(q)
-	t.change(q)
-}
-
 // takeOut takes cleared parts out of a quarantine, which is released if none is left.
 func (t *Tracker) takeOut(now time.Duration, q *entry, cleared []uint64) {
 	rest := slices.DeleteFunc(slices.Clone(q.Parts), func(p uint64) bool { return slices.Contains(cleared, p) })
@@ -259,13 +227,16 @@
 	q.Released, q.releasedAt = true, now
 	t.change(q)
 	if !q.recorded {
-		delete(t.quarantines, q.ID)
+		t.drop(q)
 	}
 }
 
 // Peek returns the refusal of a request by the quarantines known so far, or nil. Unlike Check it
-// changes nothing, and counts no request as the trial of a quarantine.
+// changes nothing.
 func (t *Tracker) Peek(now time.Duration, r Request) *Refusal {
+	if q := t.requests[r.Fingerprint]; q != nil && !q.Released {
+		return q.refusal(now)
+	}
 	for _, id := range slices.Sorted(maps.Keys(t.quarantines)) {
 		q := t.quarantines[id]
 		if !q.Released && q.covers(r) {
@@ -276,8 +247,8 @@
 }
 
 // Check returns nil if a request may be sent. mayTry is true if it may be the trial of a
-// quarantine. survived reports whether a request with a part, granted after a time, is being
-// answered.
+// quarantine, which it is once Sent has been called. survived reports whether a request with a
+// part, granted after a time, is being answered.
 func (t *Tracker) Check(now time.Duration, r Request, mayTry bool, survived func(part uint64, since time.Duration) bool) *Refusal {
 	t.judgeCrashes(now)
 	for _, part := range r.Parts {
@@ -285,46 +256,37 @@
 			t.quarantine(now, set)
 		}
 	}
-	var trial *entry
+	if refusal := t.checkRequest(now, r.Fingerprint, mayTry); refusal != nil {
+		return refusal
+	}
+	if len(t.quarantines) == 0 {
+		return nil
+	}
+	tries := t.CoversRequest(r.Fingerprint)
 	for _, id := range slices.Sorted(maps.Keys(t.quarantines)) {
 		q := t.quarantines[id]
 		if q.Released || !q.covers(r) {
 			continue
 		}
-		t.expireTrial(now, q)
-		if !mayTry || !q.trialDue(now) || trial != nil {
+		if !mayTry || !q.trialDue(now) || tries {
 			return q.refusal(now)
 		}
-		trial = q
-	}
-	if trial != nil {
-		trial.trying, trial.triedAt = true, now
+		tries = true
 	}
 	return nil
 }
 
 // trialDue reports whether a request may be let through as a trial.
 func (q *entry) trialDue(now time.Duration) bool {
-	if q.trialsSpent() {
-		return false
-	}
 	return now >= q.trialAt && (!q.trying || now-q.triedAt >= trialTimeout)
 }
 
-// expireTrial counts the trial of a whole request that has had no outcome in time as failed, as it
-// may have crashed a server all the same.
-func (t *Tracker) expireTrial(now time.Duration, q *entry) {
-	if q.WholeRequest && q.trying && now-q.triedAt >= trialTimeout {
-		t.countFailedTrial(now, q)
-	}
-}
-
 // quarantine adds a quarantine of suspected parts. Those of more specific prompts are
 // released, as the new one covers them.
 func (t *Tracker) quarantine(now time.Duration, parts []uint64) {
 	for _, q := range t.quarantines {
 		switch {
-		case q.Released || q.WholeRequest:
+		case q.Released:
 		case containsAll(parts, q.Parts):
 			return
 		case containsAll(q.Parts, parts):
@@ -348,18 +310,42 @@
 // dropped.
 func (t *Tracker) add(q *entry) {
 	if t.quarantines == nil {
-		t.quarantines = make(map[uint64]*entry)
+		t.quarantines, t.requests = make(map[uint64]*entry), make(map[uint64]*entry)
 	}
-	if len(t.quarantines) >= maxQuarantines {
+	if t.Len() >= maxQuarantines {
 		var first *entry
-		for _, other := range t.quarantines {
-			if first == nil || other.trialAt < first.trialAt {
-				first = other
+		for _, table := range []map[uint64]*entry{t.quarantines, t.requests} {
+			for _, other := range table {
+				if first == nil || other.trialAt < first.trialAt {
+					first = other
+				}
 			}
 		}
-		delete(t.quarantines, first.ID)
+		t.drop(first)
+	}
+	if q.WholeRequest {
+		t.requests[q.Parts[0]] = q
+	} else {
+		t.quarantines[q.ID] = q
 	}
-	t.quarantines[q.ID] = q
+}
+
+// drop removes a quarantine.
+func (t *Tracker) drop(q *entry) {
+	t.endTrial(q)
+	if q.WholeRequest {
+		delete(t.requests, q.Parts[0])
+	} else {
+		delete(t.quarantines, q.ID)
+	}
+}
+
+// find returns the quarantine that a recorded one is about, or nil.
+func (t *Tracker) find(r Quarantine) *entry {
+	if r.WholeRequest {
+		return t.requests[r.Parts[0]]
+	}
+	return t.quarantines[r.ID]
 }
 
 // SetRecorded replaces the quarantines that are recorded for all instances. One that was
@@ -367,20 +353,25 @@
 func (t *Tracker) SetRecorded(now time.Duration, recorded []Quarantine) {
 	ids := make(map[uint64]bool, len(recorded))
 	for _, r := range recorded {
+		if len(r.Parts) == 0 {
+			continue
+		}
 		ids[r.ID] = true
 		t.record(now, r)
 	}
-	for id, q := range t.quarantines {
-		if q.recorded && !ids[id] {
-			delete(t.quarantines, id)
-			t.suspects.forget(q.Parts)
+	for _, table := range []map[uint64]*entry{t.quarantines, t.requests} {
+		for _, q := range table {
+			if q.recorded && !ids[q.ID] {
+				t.drop(q)
+				t.suspects.forget(q.Parts)
+			}
 		}
 	}
 }
 
 // record takes over a recorded quarantine.
 func (t *Tracker) record(now time.Duration, r Quarantine) {
-	q := t.quarantines[r.ID]
+	q := t.find(r)
 	if q == nil {
 		t.add(&entry{
 			Quarantine: r,
@@ -394,7 +385,7 @@
 	if r.FailedTrials > q.FailedTrials {
 		q.FailedTrials = r.FailedTrials
 		q.trialAt = now + q.trialPause()
-		q.trying = false
+		t.endTrial(q)
 	}
 	if !q.Released {
 		q.Parts = slices.DeleteFunc(q.Parts, func(p uint64) bool { return !slices.Contains(r.Parts, p) })
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -61,6 +61,7 @@
 	}
 	s.granted[req.ID] = g
 	s.suspects.Sent(now, req.Fingerprint)
+	s.quarantine.Sent(now, suspectOf(req))
 	s.predict(now, g)
 	s.holdMemory(g)
 	sv.recordGrant(g)
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -229,7 +229,6 @@
 	if !s.withinBudget(now, req) {
 		return refuse(req, RetryBudget, 0), true
 	}
-	req.trial = !s.quarantine.Idle() && s.quarantine.Peek(now, suspectOf(req)) != nil
 	req.surging = s.surges.Surging(now, req.Account)
 	sv, refusal := s.decide(now, req)
 	if sv != nil {
--- a/internal/routing/scheduler/suspects.go
+++ b/internal/routing/scheduler/suspects.go
@@ -39,6 +39,7 @@
 // refuseQuarantined refuses a request that has a quarantined part, is quarantined as a whole, or is
 // held off because servers have crashed under it.
 func (s *Scheduler) refuseQuarantined(now time.Duration, req Request) (Decision, bool) {
+	s.clearSurvivors(now, req.Fingerprint)
 	if d, refused := s.refuseSuspect(now, req); refused {
 		return d, true
 	}
@@ -55,7 +56,10 @@
 // refuseWith returns the decision for a refusal of a quarantine.
 func refuseWith(req Request, r *quarantine.Refusal) Decision {
 	reason := Quarantined
-	if r.WholeRequest {
+	switch {
+	case r.Suspected:
+		reason = RequestSuspected
+	case r.WholeRequest:
 		reason = RequestQuarantined
 	}
 	d := refuse(req, reason, r.RetryAfter)
@@ -63,22 +67,46 @@
 	return d
 }
 
-// refuseSuspect refuses a request that is held off, and quarantines one that is guilty.
+// refuseSuspect quarantines a request that is guilty, and refuses one that must not be sent beside
+// another one with the same fingerprint.
 func (s *Scheduler) refuseSuspect(now time.Duration, req Request) (Decision, bool) {
 	if req.Fingerprint == 0 || s.suspects.Idle() {
 		return Decision{}, false
 	}
-	v := s.suspects.Check(now, req.Fingerprint)
-	switch {
-	case v.Guilty:
-		s.suspects.Forget(req.Fingerprint)
-		s.quarantine.AddRequest(now, v.Since, req.Fingerprint, v.LateSends)
-	case v.HoldOff > 0:
-		return refuse(req, RequestSuspected, v.HoldOff), true
+	s.convict(now, req.Fingerprint)
+	if v := s.suspects.Check(now, req.Fingerprint); v.RetryAfter > 0 {
+		return refuse(req, RequestSuspected, v.RetryAfter), true
 	}
 	return Decision{}, false
 }
 
+// convict quarantines a request if it is guilty.
+func (s *Scheduler) convict(now time.Duration, fingerprint uint64) {
+	s.clearSurvivors(now, fingerprint)
+	v := s.suspects.Check(now, fingerprint)
+	if !v.Guilty {
+		return
+	}
+	s.suspects.Forget(fingerprint)
+	s.quarantine.AddRequest(now, v.Since, fingerprint, v.LateSends)
+}
+
+// clearSurvivors clears a request if it is being answered, and the one that is on trial likewise.
+func (s *Scheduler) clearSurvivors(now time.Duration, fingerprint uint64) {
+	trial := s.quarantine.OnTrial()
+	if trial == 0 && !s.suspects.Suspects(fingerprint) && !s.quarantine.CoversRequest(fingerprint) {
+		return
+	}
+	for _, g := range s.granted {
+		f := g.request.Fingerprint
+		if f == 0 || f != fingerprint && f != trial || !g.started || now-g.startedAt < survivalTime {
+			continue
+		}
+		s.suspects.Survived(g.grantedAt, f)
+		s.quarantine.ClearRequest(now, g.grantedAt, f)
+	}
+}
+
 // expelQuarantined refuses the queued requests that refuseQuarantined refuses.
 func (s *Scheduler) expelQuarantined(now time.Duration) []Decision {
 	if s.quarantine.Len() == 0 && s.suspects.Idle() {
@@ -86,12 +114,7 @@
 	}
 	var out []Decision
 	s.queue = slices.DeleteFunc(s.queue, func(w *queuedRequest) bool {
-		req := w.request
-		if req.trial {
-			return false
-		}
-		req.MayTry = false
-		d, refused := s.refuseQuarantined(now, req)
+		d, refused := s.refuseQuarantined(now, w.request)
 		if refused {
 			out = append(out, d)
 		}
@@ -116,34 +139,72 @@
 // recordVerdict blames or clears a request that has ended, and the parts of its prompt. started is
 // true if its response had begun before.
 func (s *Scheduler) recordVerdict(now time.Duration, g *grant, r Report, started bool) {
-	answered := r.Event == Done || r.Answered
-	if answered || r.Event == Failed {
-		s.suspects.Survived(g.grantedAt, g.request.Fingerprint)
-		s.quarantine.ClearRequest(now, g.grantedAt, g.request.Fingerprint)
+	fingerprint, answered := g.request.Fingerprint, r.Event == Done || r.Answered
+	switch r.Event {
+	case Done, Failed, Rejected:
+		s.suspects.Responded(g.server.name, g.grantedAt)
+	}
+	if answered {
+		s.suspects.Survived(g.grantedAt, fingerprint)
+		s.quarantine.ClearRequest(now, g.grantedAt, fingerprint)
 	}
 	switch {
 	case answered && !s.quarantine.Idle():
 		s.quarantine.Clear(now, g.grantedAt, sharedParts(g.request.Parts))
-	case r.Event == Down && !r.Answered:
+	case r.Event == Down && !answered:
 		suspect := suspectOf(g.request)
 		suspect.GrantedAt, suspect.Begun = g.grantedAt, started
 		s.quarantine.Crashed(now, g.server.name, suspect)
 		s.recordSuspect(now, g)
+	case r.Event == Rejected || r.Event == Unreachable:
+		s.suspects.Ended(g.grantedAt, fingerprint)
+		s.quarantine.WithdrawRequest(g.grantedAt, fingerprint)
 	default:
-		s.suspects.Ended(g.grantedAt, g.request.Fingerprint)
+		// An error proves nothing: servers also fail requests that they have not begun to run.
+		s.recordUnproved(now, g, r)
+	}
+}
+
+// recordUnproved records a request that has ended without proof that its server survives it.
+func (s *Scheduler) recordUnproved(now time.Duration, g *grant, r Report) {
+	fingerprint := g.request.Fingerprint
+	if r.Event == Cancelled && fingerprint != 0 && !s.quarantine.CoversRequest(fingerprint) {
+		s.suspects.Left(now, g.server.name, g.grantedAt, fingerprint)
+	} else {
+		s.suspects.Ended(g.grantedAt, fingerprint)
 	}
+	s.quarantine.FailRequest(now, g.grantedAt, fingerprint)
 }
 
-// recordSuspect counts a crash for a request, unless it is quarantined already.
+// recordSuspect counts a crash for a request that was in flight at a server, unless one that is
+// quarantined explains it.
 func (s *Scheduler) recordSuspect(now time.Duration, g *grant) {
 	fingerprint := g.request.Fingerprint
-	if fingerprint != 0 && s.quarantine.Peek(now, suspectOf(g.request)) == nil {
-		s.suspects.Crashed(now, g.grantedAt, fingerprint)
+	switch {
+	case fingerprint == 0:
+	case s.quarantine.CoversRequest(fingerprint):
+		s.quarantine.FailRequest(now, g.grantedAt, fingerprint)
+		s.suspects.Explained(now, g.server.name, g.grantedAt)
+	default:
+		s.suspects.Crashed(now, g.server.name, g.grantedAt, fingerprint)
+		s.explainByTrial(now, g.server)
+		if g.request.MayTry {
+			// The decider records it at once, as it may be lost before the request comes again.
+			s.convict(now, fingerprint)
+		}
 	}
 }
 
-// TakeHeldOff returns the fingerprints of the requests that are held off since the last call.
-func (s *Scheduler) TakeHeldOff() []uint64 { return s.suspects.TakeHeldOff() }
+// explainByTrial explains the crash of a server by a quarantined request that is in flight there and
+// has not been reported yet.
+func (s *Scheduler) explainByTrial(now time.Duration, sv *server) {
+	for _, other := range s.granted {
+		if other.server == sv && s.quarantine.CoversRequest(other.request.Fingerprint) {
+			s.suspects.Explained(now, sv.name, other.grantedAt)
+			return
+		}
+	}
+}
 
 // SetQuarantines replaces the quarantines that are recorded for all instances.
 func (s *Scheduler) SetQuarantines(now time.Duration, recorded []quarantine.Quarantine) {
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -107,8 +107,6 @@
 	Counted bool
 	// Alone is true if the instance decides for its own requests only.
 	Alone bool
-	// trial is true if the request is the trial of a quarantine.
-	trial bool
 	// MayTry is true if the request may be the trial of a quarantined part. It is set
 	// where one scheduler decides for all instances, so that there is one trial at a time.
 	MayTry bool
@@ -129,7 +127,7 @@
 	// Quarantined means that parts of the prompt crash the servers that answer them.
 	Quarantined = "quarantined"
 	// RequestQuarantined means that the request crashes the servers that run it, and
-	// RequestSuspected that the last servers which ran it have crashed.
+	// RequestSuspected that the last two servers which ran it have crashed.
 	RequestQuarantined = "requestQuarantined"
 	RequestSuspected   = "requestSuspected"
 )
