Quarantined requests: a trial that proves nothing is repeated after the same pause

The caller of a trial that leaves, or an instance that ends, made the trial count as failed, so that a sound request that had been beside the one at fault was refused for another 30 s, and for good after three. Now only a crash counts at once, and three trials without proof as one.

--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -101,6 +101,8 @@
 	// triedAt is when the trial in progress began, if trying is true.
 	triedAt time.Duration
 	trying  bool
+	// inconclusive is the number of trials since the last failed one that proved nothing.
+	inconclusive int
 	// recorded is true once the quarantine has been among the recorded ones. A released
 	// one is kept until it no longer is.
 	recorded   bool
@@ -163,6 +165,7 @@
 func (t *Tracker) countFailedTrial(now time.Duration, q *entry) {
 	t.endTrial(q)
 	q.FailedTrials++
+	q.inconclusive = 0
 	q.trialAt = now + q.trialPause()
 	t.change(q)
 }
--- a/internal/routing/quarantine/quarantine_test.go
+++ b/internal/routing/quarantine/quarantine_test.go
@@ -170,7 +170,7 @@
 		tracker.Sent(now, r)
 		trials = append(trials, now.Truncate(time.Second))
 		if len(trials) > 1 { // the first has no outcome
-			tracker.FailRequest(now+40*time.Millisecond, now, fingerprint)
+			tracker.CrashRequest(now+40*time.Millisecond, now, fingerprint)
 		}
 	}
 	require.Equal(t, []time.Duration{5 * time.Second, 335 * time.Second, 635 * time.Second}, trials)
@@ -185,6 +185,23 @@
 	require.Nil(t, next.Check(time.Minute, r, true, nothingSurvived), "an operator has ended it")
 }
 
+// TestInconclusiveTrialIsRepeated guards against a sound request that is shut out for long because the
+// caller of its trial left: it is tried again after the same pause, and three such trials count
+// as a failed one.
+func TestInconclusiveTrialIsRepeated(t *testing.T) {
+	tracker := &quarantine.Tracker{}
+	tracker.AddRequest(0, 0, 9, 0)
+	r := quarantine.Request{
+		Fingerprint: 9,
+	}
+	for _, at := range []time.Duration{5 * time.Second, 10 * time.Second, 15 * time.Second, 45 * time.Second} {
+		require.NotNil(t, tracker.Check(at-time.Second, r, true, nothingSurvived))
+		require.Nil(t, tracker.Check(at, r, true, nothingSurvived))
+		tracker.Sent(at, r)
+		tracker.EndRequest(at, at, 9)
+	}
+}
+
 // TestOneRequestIsTriedAtATime guards against trials of requests that were in flight together, of which
 // one crashes its server under all of them again.
 func TestOneRequestIsTriedAtATime(t *testing.T) {
--- a/internal/routing/quarantine/requests.go
+++ b/internal/routing/quarantine/requests.go
@@ -12,6 +12,9 @@
 	requestPauseFactor = 10
 	// maxRequestTrials is the number of trials that a whole request gets. Each costs a server.
 	maxRequestTrials = 3
+	// maxInconclusive is the number of trials in a row without proof that count as a failed one:
+	// callers leave and servers fail requests for other reasons too.
+	maxInconclusive = 3
 	// requestTrialTimeout is the time after which a trial without an outcome counts as failed.
 	requestTrialTimeout = 5 * time.Minute
 )
@@ -116,13 +119,29 @@
 	}
 }
 
-// FailRequest records that a request has ended without an answer. If it was a trial, it has failed.
-func (t *Tracker) FailRequest(now, grantedAt time.Duration, fingerprint uint64) {
+// CrashRequest records that a server has crashed under a request. If it was a trial, it has failed.
+func (t *Tracker) CrashRequest(now, grantedAt time.Duration, fingerprint uint64) {
 	if q := t.requests[fingerprint]; q != nil {
 		t.failTrial(now, grantedAt, q)
 	}
 }
 
+// EndRequest records that a request has ended without an answer, and that nothing tells whether its
+// server has crashed.
+func (t *Tracker) EndRequest(now, grantedAt time.Duration, fingerprint uint64) {
+	q := t.requests[fingerprint]
+	if q == nil || !q.trying || grantedAt < q.triedAt {
+		return
+	}
+	q.inconclusive++
+	if q.inconclusive >= maxInconclusive {
+		t.countFailedTrial(now, q)
+		return
+	}
+	t.endTrial(q)
+	q.trialAt = now + q.trialPause()
+}
+
 // WithdrawRequest records that no server has run a request. If it was a trial, another one is due.
 func (t *Tracker) WithdrawRequest(grantedAt time.Duration, fingerprint uint64) {
 	if q := t.requests[fingerprint]; q != nil && q.trying && grantedAt >= q.triedAt {
--- a/internal/routing/scheduler/suspects.go
+++ b/internal/routing/scheduler/suspects.go
@@ -173,7 +173,7 @@
 	} else {
 		s.suspects.Ended(g.grantedAt, fingerprint)
 	}
-	s.quarantine.FailRequest(now, g.grantedAt, fingerprint)
+	s.quarantine.EndRequest(now, g.grantedAt, fingerprint)
 }
 
 // recordSuspect counts a crash for a request that was in flight at a server, unless one that is
@@ -183,7 +183,7 @@
 	switch {
 	case fingerprint == 0:
 	case s.quarantine.CoversRequest(fingerprint):
-		s.quarantine.FailRequest(now, g.grantedAt, fingerprint)
+		s.quarantine.CrashRequest(now, g.grantedAt, fingerprint)
 		s.suspects.Explained(now, g.server.name, g.grantedAt)
 	default:
 		s.suspects.Crashed(now, g.server.name, g.grantedAt, fingerprint)
