--- a/internal/routing/quarantine/quarantine.go
+++ b/internal/routing/quarantine/quarantine.go
@@ -90,8 +90,10 @@
 // entry is a quarantine with its state in this process.
 type entry struct {
 	Quarantine
-	// since is the time from which an answered request clears parts.
+	// since is the time from which an answered request clears parts. A whole request explains no
+	// crash up to addedAt.
 	since   time.Duration
+	addedAt time.Duration
 	trialAt time.Duration
 	// triedAt is when the trial in progress began, if trying is true.
 	triedAt time.Duration
@@ -130,7 +132,8 @@
 	explained := false
 	for _, r := range c.requests {
 		for _, q := range t.quarantines {
-			if q.Released || !q.covers(r) {
+			if q.Released || !q.covers(r) || q.WholeRequest && c.at <= q.addedAt {
+				// A crash for which the whole request is quarantined is evidence on its parts too.
 				continue
 			}
 			explained = true
@@ -233,7 +236,8 @@
 			WholeRequest: true,
 			FailedTrials: failedTrials,
 		},
-		since: since,
+		since:   since,
+		addedAt: now,
 	}
 	q.trialAt = now + q.trialPause()
 	t.add(q)
@@ -383,6 +387,7 @@
 		t.add(&entry{
 			Quarantine: r,
 			since:      now,
+			addedAt:    now,
 			trialAt:    now + r.trialPause(),
 			recorded:   true,
 		})
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -125,6 +125,8 @@
 	server    *server
 	request   Request
 	grantedAt time.Duration
+	// adopted is true if another scheduler granted the request.
+	adopted bool
 	// listing identifies the incarnation of the server at the time of the grant.
 	listing departure.Listing
 	// missTokens are the prompt tokens that were not cached at the time of the grant.
@@ -457,6 +459,7 @@
 			Fingerprint: req.Fingerprint,
 		},
 		grantedAt: now,
+		adopted:   true,
 		listing:   sv.listing,
 	}
 	s.granted[req.ID] = g
--- a/internal/routing/scheduler/suspects.go
+++ b/internal/routing/scheduler/suspects.go
@@ -68,12 +68,8 @@
 	if req.Fingerprint == 0 || s.suspects.Idle() {
 		return Decision{}, false
 	}
-	v := s.suspects.Check(now, req.Fingerprint)
-	switch {
-	case v.Guilty:
-		s.suspects.Forget(req.Fingerprint)
-		s.quarantine.AddRequest(now, v.Since, req.Fingerprint, v.LateSends)
-	case v.HoldOff > 0:
+	s.quarantineGuilty(now, req.Fingerprint)
+	if v := s.suspects.Check(now, req.Fingerprint); v.HoldOff > 0 {
 		return refuse(req, RequestSuspected, v.HoldOff), true
 	}
 	return Decision{}, false
@@ -134,11 +130,26 @@
 	}
 }
 
-// recordSuspect counts a crash for a request, unless it is quarantined already.
+// recordSuspect counts a crash for a request, unless it is quarantined already. If this scheduler
+// granted it, a guilty one is quarantined at once, so that the verdict is recorded for all instances
+// even if the request does not come again while this instance decides. Of the requests that
+// others granted, this one sees only a part, and decides once it is asked.
 func (s *Scheduler) recordSuspect(now time.Duration, g *grant) {
 	fingerprint := g.request.Fingerprint
-	if fingerprint != 0 && s.quarantine.Peek(now, suspectOf(g.request)) == nil {
-		s.suspects.Crashed(now, g.grantedAt, fingerprint)
+	if fingerprint == 0 || s.quarantine.Peek(now, suspectOf(g.request)) != nil {
+		return
+	}
+	s.suspects.Crashed(now, g.grantedAt, fingerprint)
+	if !g.adopted {
+		s.quarantineGuilty(now, fingerprint)
+	}
+}
+
+// quarantineGuilty quarantines a request if it is guilty.
+func (s *Scheduler) quarantineGuilty(now time.Duration, fingerprint uint64) {
+	if v := s.suspects.Check(now, fingerprint); v.Guilty {
+		s.suspects.Forget(fingerprint)
+		s.quarantine.AddRequest(now, v.Since, fingerprint, v.LateSends)
 	}
 }
 
