--- a/internal/routing/scheduler/suspects.go
+++ b/internal/routing/scheduler/suspects.go
@@ -115,6 +115,9 @@
 	answered := r.Event == Done || r.Answered
 	if answered || r.Event == Failed {
 		s.suspects.Survived(g.grantedAt, g.request.Fingerprint)
+	}
+	if answered {
+		// An error status may come from a server that did not begin to run the request.
 		s.quarantine.ClearRequest(now, g.grantedAt, g.request.Fingerprint)
 	}
 	switch {
