--- a/internal/routing/retrybudget/retrybudget.go
+++ b/internal/routing/retrybudget/retrybudget.go
@@ -2,9 +2,10 @@
 //
 // When servers fail under load, retries multiply the load that made them fail.
 // In each sliding window, a service gets at most Ratio retries for each request,
-// plus Slack. Time is divided into buckets, so that the window slides by one bucket at a time. Of
-// the oldest bucket a part has left the window: its retries are still counted, its requests no
-// longer, so that no window of any position gets more.
+// plus Slack. The requests of a window are those in it, in the window before it or in the one half a
+// window before it, whichever are most, and never more than those in the last window. Time is
+// divided into buckets. Where a window begins within a bucket, the retries of that bucket are
+// counted and its requests are not, so that no window of any position gets more.
 package retrybudget
 
 // This file defines Budget.
@@ -14,8 +15,9 @@
 const (
 	// bucketCount is the number of buckets in a window.
 	bucketCount = 20
-	// keptBuckets also includes the one of which a part has left the window.
-	keptBuckets = bucketCount + 1
+	// keptBuckets are those of a window that has begun in the bucket before the last bucketCount
+	// ones, and of the window before it.
+	keptBuckets = 2*bucketCount + 1
 )
 
 // Budget counts the requests and retries of one service. It is not safe for concurrent
@@ -57,15 +59,23 @@
 // TrySpend counts a retry if the budget allows it, and returns false otherwise.
 func (b *Budget) TrySpend(now time.Duration) bool {
 	b.advance(now)
-	requests, retries := 0, 0
-	for i := range b.retries {
-		retries += b.retries[i]
-		requests += b.requests[i]
+	// requests[i] and retries[i] are the sums before the i-th kept bucket, the oldest first.
+	var requests, retries [keptBuckets + 1]int
+	for i := range keptBuckets {
+		at := (b.current + 1 + int64(i)) % keptBuckets
+		requests[i+1] = requests[i] + b.requests[at]
+		retries[i+1] = retries[i] + b.retries[at]
 	}
-	// The oldest bucket follows the current one.
-	requests -= b.requests[(b.current+1)%keptBuckets]
-	if float64(retries+1) > b.Ratio*float64(requests)+b.Slack {
-		return false
+	const half = bucketCount / 2
+	last := requests[keptBuckets] - requests[keptBuckets-bucketCount]
+	for begin := bucketCount; begin < keptBuckets; begin++ {
+		within := requests[keptBuckets] - requests[begin+1]
+		before := requests[begin] - requests[begin+1-bucketCount]
+		halfBefore := requests[min(begin+half, keptBuckets)] - requests[begin+1-half]
+		counted := min(max(within, before, halfBefore), last)
+		if float64(retries[keptBuckets]-retries[begin]+1) > b.Ratio*float64(counted)+b.Slack {
+			return false
+		}
 	}
 	b.retries[b.current%keptBuckets]++
 	return true
