--- a/internal/routing/scheduler/requestcrashdeciders_test.go
+++ b/internal/routing/scheduler/requestcrashdeciders_test.go
@@ -221,7 +221,7 @@
 func TestCrashesAtTwoDecidersAddUp(t *testing.T) {
 	d := newDeciders(t, 2)
 	turn := 0
-	d.repeat(2*time.Minute, func() int {
+	d.repeat(2*time.Hour, func() int {
 		turn++
 		return turn % 2
 	})
