--- a/internal/daemon/ingress/unread_body_test.go
+++ b/internal/daemon/ingress/unread_body_test.go
@@ -17,13 +17,12 @@
 	"golang.org/x/sys/unix"
 )
 
-const (
-	// unreadBody is the size of a request body that no buffers of the kernel hold, in bytes, if
-	// the server does not read.
-	unreadBody = 3 << 20
-	// pollInterval is the time between two looks at the state of a connection.
-	pollInterval = 10 * time.Millisecond
-)
+// pollInterval is the time between two looks at the state of a connection.
+const pollInterval = 10 * time.Millisecond
+
+// unreadBodies are sizes of request bodies in bytes, of which a part stays unsent if the server
+// does not read.
+var unreadBodies = []int{256 << 10, 3 << 20}
 
 // workUntilHangup works on without reading until the kernel has received the end of the
 // connection, as an engine does that looks for the end only between its steps.
@@ -85,9 +84,9 @@
 }
 
 // sendUnreadBody sends a request with a long body and reads its response.
-func (e *testEnv) sendUnreadBody(path string, header ...string) (*http.Response, error) {
+func (e *testEnv) sendUnreadBody(size int, path string, header ...string) (*http.Response, error) {
 	e.t.Helper()
-	r, err := http.NewRequestWithContext(e.t.Context(), http.MethodPost, e.url+path, strings.NewReader(strings.Repeat("x", unreadBody)))
+	r, err := http.NewRequestWithContext(e.t.Context(), http.MethodPost, e.url+path, strings.NewReader(strings.Repeat("x", size)))
 	require.NoError(e.t, err)
 	r.Host = "h"
 	r.Header.Set("Id", "unread")
@@ -109,28 +108,29 @@
 // queue behind it, so that the server worked on beside the one that goes on with the request.
 func TestCloseReachesServerThatHasNotReadTheBody(t *testing.T) {
 	for name, broken := range brokenResponses {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			log := newWorkLog()
-			var begun atomic.Bool
-			whole := respondOK
-			if broken.path == "/chat/" {
-				whole = stream(3, 0)
-			}
-			e := &testEnv{
-				t:     t,
-				slots: 4,
-			}
-			addresses := []string{
-				unreadingServer(t, &begun, log, broken.response, whole),
-				unreadingServer(t, &begun, log, broken.response, whole),
-			}
-			e.start(ruleTextWithKey(), addresses)
-			resp, err := e.sendUnreadBody(broken.path)
-			require.NoError(t, err)
-			require.Equal(t, http.StatusOK, resp.StatusCode)
-			require.Less(t, log.overlap(), maxOverlap)
-		})
+		for _, size := range unreadBodies {
+			t.Run(fmt.Sprintf("%s %d", name, size), func(t *testing.T) {
+				t.Parallel()
+				log := newWorkLog()
+				var begun atomic.Bool
+				whole := respondOK
+				if broken.path == "/chat/" {
+					whole = stream(3, 0)
+				}
+				e := &testEnv{
+					t:     t,
+					slots: 4,
+				}
+				e.start(ruleTextWithKey(), []string{
+					unreadingServer(t, &begun, log, broken.response, whole),
+					unreadingServer(t, &begun, log, broken.response, whole),
+				})
+				resp, err := e.sendUnreadBody(size, broken.path)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				require.Less(t, log.overlap(), maxOverlap)
+			})
+		}
 	}
 }
 
@@ -143,26 +143,28 @@
 		"event":       "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: 3000\r\n\r\nid: 1\ndata: e1\n\n",
 	} {
 		for _, path := range []string{"/chat/", "/read/", "/book/"} {
-			for _, leaves := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%s %s leaves %t", name, path, leaves), func(t *testing.T) {
-					t.Parallel()
-					log := newWorkLog()
-					var begun atomic.Bool
-					e := &testEnv{
-						t:     t,
-						slots: 4,
-					}
-					e.start(ruleTextWithKey(), []string{unreadingServer(t, &begun, log, sent, respondOK)})
-					wait := "1s"
-					if leaves {
-						e.client.Timeout = after
-					} else {
-						wait = after.String()
-					}
-					began := time.Now()
-					_, _ = e.sendUnreadBody(path, "Wait", wait)
-					require.Less(t, (<-log.ended).Sub(began), after+maxWorkAfterEnd)
-				})
+			for _, size := range unreadBodies {
+				for _, leaves := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s %s %d leaves %t", name, path, size, leaves), func(t *testing.T) {
+						t.Parallel()
+						log := newWorkLog()
+						var begun atomic.Bool
+						e := &testEnv{
+							t:     t,
+							slots: 4,
+						}
+						e.start(ruleTextWithKey(), []string{unreadingServer(t, &begun, log, sent, respondOK)})
+						wait := "1s"
+						if leaves {
+							e.client.Timeout = after
+						} else {
+							wait = after.String()
+						}
+						began := time.Now()
+						_, _ = e.sendUnreadBody(size, path, "Wait", wait)
+						require.Less(t, (<-log.ended).Sub(began), after+maxWorkAfterEnd)
+					})
+				}
 			}
 		}
 	}
