--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -130,7 +130,7 @@
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	nc, err := link.Dialer().DialContext(ctx, "tcp", address)
+	nc, err := link.ResetUnsent(link.Dialer())(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.Unreachable, address, err)
 	}
@@ -208,35 +208,6 @@
 	clear(p.idle)
 }
 
-// Close closes the connection, and resets it if a part of a request is unsent. The end of the
-// connection would queue behind that part, so that a server that doesn't read on could not see
-// it and would work on.
-func (c *conn) Close() error {
-	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && c.hasUnsent() {
-		_ = l.SetLinger(0) // it fails if the connection is closed already
-	}
-	return c.Conn.Close()
-}
-
-// hasUnsent reports whether the kernel holds bytes that it has not sent yet.
-func (c *conn) hasUnsent() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unsent := 0
-	err = raw.Control(func(fd uintptr) {
-		if n, ierr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD); ierr == nil {
-			unsent = n
-		}
-	})
-	return err == nil && unsent > 0
-}
-
 // isIdle reports whether a pooled connection is still open and has no bytes to
 // read. Bytes that arrive between requests belong to no response, so a
 // connection that has received some must not be reused.
--- a/internal/edge/plainservice/plainservice.go
+++ b/internal/edge/plainservice/plainservice.go
@@ -45,6 +45,7 @@
 	return &Client{
 		http: &http.Client{
 			Transport: &http.Transport{
+				DialContext:            link.ResetUnsent(&net.Dialer{}),
 				DisableKeepAlives:      true,
 				MaxResponseHeaderBytes: link.MaxHeaderBytes,
 			},
