--- a/internal/daemon/ingress/unread_body_test.go
+++ b/internal/daemon/ingress/unread_body_test.go
@@ -48,15 +48,32 @@
 	return up || err != nil
 }
 
-// unreadingServer responds to the first request of all with a part of a response and does not
-// read its body; it answers the others.
-func unreadingServer(t *testing.T, begun *atomic.Bool, log *workLog, part string, whole responder) string {
+// rawServer serves each connection to its address with a function of its own.
+func rawServer(t *testing.T, serve func(c *net.TCPConn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
-	serve := func(c *net.TCPConn) {
-		defer c.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// unreadingServer responds to the first request of all with a part of a response and does not
+// read its body; it answers the others.
+func unreadingServer(t *testing.T, begun *atomic.Bool, log *workLog, part string, whole responder) string {
+	t.Helper()
+	return rawServer(t, func(c *net.TCPConn) {
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
@@ -70,24 +87,15 @@
 			_, _ = io.Copy(io.Discard, r.Body)
 			whole(c, r)
 		})(c, r)
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // sendUnreadBody sends a request with a long body and reads its response.
 func (e *testEnv) sendUnreadBody(size int, path string, header ...string) (*http.Response, error) {
-	e.t.Helper()
 	r, err := http.NewRequestWithContext(e.t.Context(), http.MethodPost, e.url+path, strings.NewReader(strings.Repeat("x", size)))
-	require.NoError(e.t, err)
+	if err != nil {
+		return nil, err
+	}
 	r.Host = "h"
 	r.Header.Set("Id", "unread")
 	r.Header.Set("Key", "secret")
--- a/internal/edge/link/reset.go
+++ b/internal/edge/link/reset.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -21,7 +23,10 @@
 			return nil, err
 		}
 		if tcp, ok := nc.(*net.TCPConn); ok {
-			return resettingConn{tcp}, nil
+			return &resettingConn{
+				Conn: tcp,
+				tcp:  tcp,
+			}, nil
 		}
 		return nc, nil
 	}
@@ -29,18 +34,40 @@
 
 // resettingConn is a connection that is reset if it is closed while a part of what was written to
 // it is unsent.
-type resettingConn struct{ *net.TCPConn }
+type resettingConn struct {
+	net.Conn
+	// tcp is Conn. It is not embedded, as its ReadFrom would write past Write.
+	tcp *net.TCPConn
+	// writing counts the writes in progress. A write either sees that the connection is closed, or
+	// Close sees it.
+	writing atomic.Int32
+	closed  atomic.Bool
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *resettingConn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
+
+// Write implements net.Conn.
+func (c *resettingConn) Write(b []byte) (int, error) {
+	c.writing.Add(1)
+	defer c.writing.Add(-1)
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
 
 // Close implements net.Conn.
-func (c resettingConn) Close() error {
-	if c.hasUnsent() {
-		_ = c.SetLinger(0) // it fails if the connection is closed already
+func (c *resettingConn) Close() error {
+	c.closed.Store(true)
+	if c.writing.Load() > 0 || c.hasUnsent() {
+		_ = c.tcp.SetLinger(0) // it fails if the connection is closed already
 	}
-	return c.TCPConn.Close()
+	return c.Conn.Close()
 }
 
 // hasUnsent reports whether the kernel holds bytes that it has not sent yet.
-func (c resettingConn) hasUnsent() bool {
+func (c *resettingConn) hasUnsent() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
