--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -26,9 +26,13 @@
 
 // Client calls engines by address. The zero value is ready to use.
 type Client struct {
-	// HTTP sends the calls that keep connections; if nil, http.DefaultClient is used.
+	// HTTP sends the calls that keep connections; if nil, a client of link.HTTPClient does.
 	HTTP connect.HTTPClient
 
+	// defaultHTTP is the client that is used if HTTP is nil, made on the first use.
+	defaultOnce sync.Once
+	defaultHTTP *http.Client
+
 	// clients holds an EngineServiceClient for each address, and unpooled one whose calls each
 	// have a connection of their own.
 	clients  sync.Map
@@ -41,7 +45,8 @@
 func (c *Client) clientFor(address string) camphorspokev1connect.EngineServiceClient {
 	hc := c.HTTP
 	if hc == nil {
-		hc = http.DefaultClient
+		c.defaultOnce.Do(func() { c.defaultHTTP = link.HTTPClient() })
+		hc = c.defaultHTTP
 	}
 	return loadOrStore(&c.clients, address, hc)
 }
--- a/internal/edge/link/link.go
+++ b/internal/edge/link/link.go
@@ -39,6 +39,9 @@
 	maxRedialDelay = 400 * time.Millisecond
 	// connectTimeout is the minimum time gRPC allows a connection attempt.
 	connectTimeout = 700 * time.Millisecond
+	// dialTimeout and keepAliveInterval are those of http.DefaultTransport.
+	dialTimeout       = 30 * time.Second
+	keepAliveInterval = 30 * time.Second
 )
 
 // grpcBufferBytes is the size of the read and the write buffer of a gRPC connection.
@@ -77,13 +80,18 @@
 // faulty one may send a head without end.
 const MaxHeaderBytes = 64 << 10
 
-// HTTPClient returns an HTTP client that limits the heads of responses to MaxHeaderBytes.
+// HTTPClient returns an HTTP client that limits the heads of responses to MaxHeaderBytes. Its
+// connections are those of ResetUnsent.
 func HTTPClient() *http.Client {
 	transport := &http.Transport{}
 	if t, ok := http.DefaultTransport.(*http.Transport); ok {
 		transport = t.Clone()
 	}
 	transport.MaxResponseHeaderBytes = MaxHeaderBytes
+	transport.DialContext = ResetUnsent(&net.Dialer{
+		Timeout:   dialTimeout,
+		KeepAlive: keepAliveInterval,
+	})
 	return &http.Client{
 		Transport: transport,
 	}
