--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -130,7 +130,7 @@
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	nc, err := link.Dialer().DialContext(ctx, "tcp", address)
+	nc, err := link.ResetUnsent(link.Dialer())(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.Unreachable, address, err)
 	}
