--- a/internal/daemon/ingress/body.go
+++ b/internal/daemon/ingress/body.go
@@ -96,15 +96,20 @@
 	return body, err
 }
 
-// readUpTo reads until the body has the given size or ends; the error is io.EOF then.
+// readUpTo reads until the body has the given size or ends; the error is io.EOF then. It is
+// io.ErrUnexpectedEOF for a body in chunks that is cut, which io.ReadFull also returns for a
+// whole body below the size.
 func readUpTo(r io.Reader, body []byte, size int) ([]byte, error) {
 	grown := make([]byte, size)
-	have := copy(grown, body)
-	n, err := io.ReadFull(r, grown[have:])
-	if err == io.ErrUnexpectedEOF {
-		err = io.EOF
+	n := copy(grown, body)
+	for n < size {
+		more, err := r.Read(grown[n:])
+		n += more
+		if err != nil && n < size {
+			return grown[:n], err
+		}
 	}
-	return grown[:have+n], err
+	return grown, nil
 }
 
 // deadlineReader fails when the deadline of the request has passed.
