--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -95,6 +95,10 @@
 // other requests. The connection has not carried a request with this ID before, as a late
 // copy of the response to that would echo it too.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
+	if ctx.Err() != nil {
+		// The AfterFunc below closes the connection only once the request may be written.
+		return nil, fault.Wrap(fault.Unreachable, address, ctx.Err())
+	}
 	c, err := p.get(ctx, address, req.ID)
 	if err != nil {
 		return nil, err
