Scheduler: a server that another one has replaced at its address gets no requests for a while

With one server of four listed under its new name and sound, unsafe requests were used as probes of the three stale names, and refused for want of budget.

Cause: a 421 was reported like a server that can't be reached. While all servers are ejected all are tried, and an ejected one gets a probe each 100 ms when the others are above the mean load; a name that is gone never answers.

After three such answers in a row, none of its own between them, a server gets no request for 2 s or until the list shows another incarnation; if that holds for all, a request is refused at once. A report says so in a field of its own; a decider of an older build ejects the server as before. `camphor explain` names the reason (replaced).

--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -188,7 +188,8 @@
 	if a.info.OtherServer {
 		// The load is that of the other server.
 		report = scheduler.Report{
-			Event: scheduler.Unreachable,
+			Event:       scheduler.Unreachable,
+			OtherServer: true,
 		}
 	}
 	a.grant.Report(report)
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -132,6 +132,7 @@
 			HedgeWon:     r.HedgeWon,
 			ColdMs:       ceilMilliseconds(r.ColdFor),
 			Limit:        fromLimit(r.Limit),
+			OtherServer:  r.OtherServer,
 		},
 	})
 }
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -177,6 +177,7 @@
 		ColdFor:     time.Duration(r.GetColdMs()) * time.Millisecond,
 		HedgeWon:    r.GetHedgeWon(),
 		Limit:       toLimit(r.GetLimit()),
+		OtherServer: r.GetOtherServer(),
 	})
 }
 
--- a/internal/routing/scheduler/explain.go
+++ b/internal/routing/scheduler/explain.go
@@ -24,9 +24,11 @@
 	Paused = "paused"
 	// RejectedLately is a server that has just rejected a request.
 	RejectedLately = "rejectedLately"
-	AlreadyTried   = "alreadyTried"
-	Ejected        = "ejected"
-	NoSlot         = "noSlot"
+	// Replaced is a server at whose address another one answers.
+	Replaced     = "replaced"
+	AlreadyTried = "alreadyTried"
+	Ejected      = "ejected"
+	NoSlot       = "noSlot"
 	// OverLoadLimit servers have more than their part of the load. They are chosen if no
 	// server within the limit has room.
 	OverLoadLimit = "overLoadLimit"
@@ -163,6 +165,7 @@
 		{NotAccepting, !sv.accepting},
 		{Paused, sv.pauses.Left(now, req.Instance) > 0},
 		{RejectedLately, now < sv.fullUntil},
+		{Replaced, now < sv.replacedUntil},
 		{AlreadyTried, slices.Contains(req.Tried, sv.name)},
 		{Ejected, sv.ejected(now)},
 		{NoSlot, c.Load+1 > s.maxGrants(sv)},
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -284,6 +284,14 @@
 	})
 }
 
+// allReplaced reports whether other servers have taken the addresses of all servers that may run
+// req, so that it is served only once the list has the new ones.
+func (s *Scheduler) allReplaced(now time.Duration, req Request) bool {
+	return !slices.ContainsFunc(s.listedServers, func(sv *server) bool {
+		return sv.mayRun(req) && now >= sv.replacedUntil
+	})
+}
+
 // compareRanks orders requests by urgency, and those of surging accounts behind the others of
 // their urgency.
 func compareRanks(a, b Request) int {
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -254,6 +254,10 @@
 		d := refuse(req, NoServer, noServerRetryAfter)
 		return nil, &d
 	}
+	if s.allReplaced(now, req) {
+		d := refuse(req, Overloaded, noServerRetryAfter)
+		return nil, &d
+	}
 	if max(s.expectedWait(req), s.pauseLeft(now, req), s.paceWait(now, req)) > req.MaxWait {
 		d := refuse(req, Overloaded, s.retryAfter(now, req))
 		return nil, &d
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -35,6 +35,12 @@
 	// breaksToEject is the number of consecutive Broken requests that ejects a server that
 	// has no response in progress; a single Unreachable one does so at once.
 	breaksToEject = 2
+	// answersToReplace is the number of answers of another server in a row after which a
+	// server counts as replaced at its address: a single one may be an error of the server.
+	// replacedPause is for how long it then gets no request, about as long as the list lags
+	// that names the new server.
+	answersToReplace = 3
+	replacedPause    = 2 * time.Second
 	// failureWeight is the weight of the latest outcome in the moving average of the
 	// failure rate. Without new outcomes the rate halves every failureHalfLife, so
 	// that a server that got too expensive to be chosen is tried again.
@@ -102,6 +108,11 @@
 	unresponsive bool
 	// probeAt is the earliest time at which the server is probed; see mayProbe.
 	probeAt time.Duration
+	// otherAnswers counts the answers of another server at its address since the last response
+	// of its own; see answersToReplace.
+	otherAnswers int
+	// replacedUntil is the time until which a replaced server gets no request.
+	replacedUntil time.Duration
 	// pauses holds the instances that the server has asked to send it nothing.
 	pauses pushback.Tracker
 	// memory counts the tokens that granted requests hold.
@@ -128,6 +139,9 @@
 }
 
 func (sv *server) applyListing(l Server) {
+	if sv.replacedUntil > 0 && !sv.listing.SameIncarnation(l.departureListing()) {
+		sv.otherAnswers, sv.replacedUntil, sv.unresponsive = 0, 0, false
+	}
 	sv.listed = true
 	sv.accepting, sv.domain, sv.listedSlots = l.Accepting, l.FailureDomain, l.Slots
 	sv.listing = l.departureListing()
@@ -204,7 +218,7 @@
 }
 
 func (sv *server) eligible(now time.Duration, req Request) bool {
-	return sv.mayRun(req) && now >= sv.fullUntil && sv.pauses.Left(now, req.Instance) == 0 && sv.coldAllows(now, req) && sv.limitAllows(now, req)
+	return sv.mayRun(req) && now >= sv.fullUntil && now >= sv.replacedUntil && sv.pauses.Left(now, req.Instance) == 0 && sv.coldAllows(now, req) && sv.limitAllows(now, req)
 }
 
 // responding reports whether the server has responses in progress. A server that is down
@@ -261,6 +275,7 @@
 	if grantedAt >= sv.lastOutcomeAt {
 		sv.unresponsive = false
 	}
+	sv.otherAnswers = 0
 }
 
 // applyReport updates the failure and ejection state from the end of a request. A server
@@ -268,17 +283,17 @@
 func (sv *server) applyReport(now time.Duration, r Report, pushedBack bool) {
 	switch r.Event {
 	case Done:
-		sv.unresponsive = false
+		sv.unresponsive, sv.otherAnswers = false, 0
 		sv.consecutiveBreaks, sv.ejections = 0, 0
 		sv.recordOutcome(now, false)
 	case Rejected:
-		sv.unresponsive = false
+		sv.unresponsive, sv.otherAnswers = false, 0
 		sv.fullUntil = now + rejectionBackoff
 		if !pushedBack {
 			sv.recordOutcome(now, true)
 		}
 	case Failed:
-		sv.unresponsive = false
+		sv.unresponsive, sv.otherAnswers = false, 0
 		sv.consecutiveBreaks = 0
 		if !pushedBack {
 			sv.recordOutcome(now, true)
@@ -288,6 +303,9 @@
 	case Unreachable:
 		sv.recordOutcome(now, true)
 		sv.eject(now, max(minProbeInterval, probePause*r.Elapsed))
+		if r.OtherServer {
+			sv.recordOtherAnswer(now)
+		}
 	case Down:
 		sv.recordOutcome(now, true)
 		// All requests that ran there report the same crash.
@@ -297,6 +315,15 @@
 	}
 }
 
+// recordOtherAnswer counts an answer of another server at the address of this one.
+func (sv *server) recordOtherAnswer(now time.Duration) {
+	sv.otherAnswers++
+	if sv.otherAnswers >= answersToReplace {
+		sv.replacedUntil = now + replacedPause
+		sv.ejectedUntil = max(sv.ejectedUntil, sv.replacedUntil)
+	}
+}
+
 // recordBreak counts a request that got no complete response, and ejects the server after
 // breaksToEject of them in a row.
 func (sv *server) recordBreak(now time.Duration) {
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -209,6 +209,8 @@
 	ColdFor time.Duration
 	// Limit is what the response says of the limit of its server.
 	Limit serverlimit.Statement
+	// OtherServer is true for an Unreachable server at whose address another one answered.
+	OtherServer bool
 	// HedgeWon is true if the request is a hedge whose response answers it, while the server
 	// that it was sent to before had not begun any.
 	HedgeWon bool
