--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -220,6 +220,7 @@
 	if req.Hedge {
 		return s.scheduleHedge(now, req), true
 	}
+	s.clearTrial(now)
 	if d, refused := s.refuseQuarantined(now, req); refused {
 		return d, true
 	}
--- a/internal/routing/scheduler/suspects.go
+++ b/internal/routing/scheduler/suspects.go
@@ -91,19 +91,24 @@
 	s.quarantine.AddRequest(now, v.Since, fingerprint, v.LateSends)
 }
 
-// clearSurvivors clears a request if it is being answered, and the one that is on trial likewise.
+// clearSurvivors clears a request if it is suspected or quarantined and is being answered.
 func (s *Scheduler) clearSurvivors(now time.Duration, fingerprint uint64) {
-	trial := s.quarantine.OnTrial()
-	if trial == 0 && !s.suspects.Suspects(fingerprint) && !s.quarantine.CoversRequest(fingerprint) {
+	if !s.suspects.Suspects(fingerprint) && !s.quarantine.CoversRequest(fingerprint) {
 		return
 	}
 	for _, g := range s.granted {
-		f := g.request.Fingerprint
-		if f == 0 || f != fingerprint && f != trial || !g.started || now-g.startedAt < survivalTime {
-			continue
+		if g.request.Fingerprint == fingerprint && g.started && now-g.startedAt >= survivalTime {
+			s.suspects.Survived(g.grantedAt, fingerprint)
+			s.quarantine.ClearRequest(now, g.grantedAt, fingerprint)
 		}
-		s.suspects.Survived(g.grantedAt, f)
-		s.quarantine.ClearRequest(now, g.grantedAt, f)
+	}
+}
+
+// clearTrial clears the request that is on trial if it is being answered, so that a long answer
+// does not hold up the trials of others.
+func (s *Scheduler) clearTrial(now time.Duration) {
+	if fingerprint := s.quarantine.OnTrial(); fingerprint != 0 {
+		s.clearSurvivors(now, fingerprint)
 	}
 }
 
