Check of pauses: a refusal that its daemon may not have received does not count

The trace: the caller of the refused request had left, and the daemon had closed the connection in the same millisecond (callGone, context canceled, 0 ms), so that it never received the refusal. All others count as before.

--- a/internal/check/guarantee/guarantee.go
+++ b/internal/check/guarantee/guarantee.go
@@ -49,6 +49,9 @@
 	// Long is true for a request that may take longer than a grace period. Only such a
 	// request may be cut off at the end of one.
 	Long bool
+	// LeavesEarly is true if the caller disconnects within milliseconds, so that its daemon may
+	// not receive the response.
+	LeavesEarly bool
 	// Content identifies the requests that are the same but for their IDs. It is set for
 	// requests that crash the backend servers that execute them, and empty for others.
 	Content string
--- a/internal/check/guarantee/pushback.go
+++ b/internal/check/guarantee/pushback.go
@@ -67,10 +67,14 @@
 }
 
 // PushedBack records that a backend server refused a request and asked its daemon for a
-// pause.
+// pause. It does not count if the caller leaves early: the daemon then closes the connection to the
+// server, perhaps before the refusal arrives.
 func (c *Checker) PushedBack(id, server string, at time.Time, length time.Duration) {
 	defer c.lock()()
 	c.counts["pushed back"]++
+	if c.attempts[id].LeavesEarly {
+		return
+	}
 	c.pushback.pauses = append(c.pushback.pauses, &pause{
 		server: server,
 		daemon: c.attempts[id].Address,
