--- a/internal/daemon/ingress/body.go
+++ b/internal/daemon/ingress/body.go
@@ -149,6 +149,8 @@
 }
 
 func (c *call) releaseBody() {
+	// What reports the end of the request later does not keep its body.
+	c.body = nil
 	for _, reduce := range c.reservations {
 		reduce(0)
 	}
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -30,6 +30,8 @@
 	// timeoutMargin is how long before the deadline a caller may disconnect because its
 	// own time is up.
 	timeoutMargin = 100 * time.Millisecond
+	// crashCheckDelay is how long after a caller has left its server is asked whether it is up.
+	crashCheckDelay = 200 * time.Millisecond
 )
 
 // attempt is the state of one exchange of a request with a server. Only send may run beside
@@ -132,6 +134,7 @@
 		return a.reportRejection()
 	}
 	c.runs++
+	c.h.abandonments.Answered(c.fingerprint())
 	report := a.loadReport(scheduler.Started)
 	report.Elapsed = c.h.Now() - a.sent
 	report.HedgeWon = a.beatFirst
@@ -171,12 +174,30 @@
 	if event == scheduler.Cancelled && c.timedOut(a.sent) {
 		event = scheduler.Broken
 	}
+	if event == scheduler.Cancelled && c.h.abandonments.Left(c.fingerprint()) {
+		go c.reportAbandoned(a.grant)
+		return broken
+	}
 	a.grant.Report(scheduler.Report{
 		Event: event,
 	})
 	return broken
 }
 
+// reportAbandoned reports the end of a request whose caller has left, like others with the same request
+// before it, once its server has had the time to crash under it.
+func (c *call) reportAbandoned(g *placer.Grant) {
+	time.Sleep(crashCheckDelay)
+	event := scheduler.Cancelled
+	if !c.h.Pool.Accepts(g.Address) {
+		c.logCrash(g, 0)
+		event = scheduler.Down
+	}
+	g.Report(scheduler.Report{
+		Event: event,
+	})
+}
+
 // reportRejection ends an attempt whose server stated that it did not run the request.
 func (a *attempt) reportRejection() exchangeResult {
 	if !a.hasRival {
@@ -245,6 +266,12 @@
 	if c.ctx.Err() != nil || c.h.Pool.Accepts(g.Address) {
 		return scheduler.Broken
 	}
+	c.logCrash(g, relayed)
+	return scheduler.Down
+}
+
+// logCrash logs and counts a request that was in flight at a server which went down.
+func (c *call) logCrash(g *placer.Grant, relayed int) {
 	c.h.Meters.CrashedRequest(c.ctx, c.service)
 	c.h.Logger.WithFields(logrus.Fields{
 		"request":     c.req.ID,
@@ -256,7 +283,6 @@
 		"relayed":     relayed,
 		"parts":       prefixcache.FormatIDs(partIDs(c.req.Prompt)),
 	}).Warn("ingress: a server went down with the request in flight")
-	return scheduler.Down
 }
 
 // partIDs returns the IDs of the parts of a prompt.
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -31,6 +31,7 @@
 	"camphorspoke/internal/daemon/responsememory"
 	"camphorspoke/internal/edge"
 	"camphorspoke/internal/edge/backend"
+	"camphorspoke/internal/routing/abandonment"
 	"camphorspoke/internal/routing/durations"
 	"camphorspoke/internal/routing/hedge"
 	"camphorspoke/internal/routing/prefixcache"
@@ -99,6 +100,8 @@
 	// is none.
 	HedgePercent int
 
+	// abandonments finds the requests whose callers leave again and again.
+	abandonments abandonment.Tracker
 	// routeDurations holds how long recent requests of each route took.
 	routeDurations durations.Estimator
 	// reportedHeaders holds the unreadable headers of servers that have been logged.
