Soak: requests that crash servers while the deciders are killed (fails)

Cause: a decider holds in memory which servers have crashed under a request. If it is killed before it has seen two crashes in a row, its successor begins at zero. The control group's log has the request only after that.

Change: camphor-soak -kill-routers kills the daemons that hold no control replica, one after the other, also with -no-faults. The control group is stable meanwhile, so that a send is excused only if its own daemon was disturbed. The log of faults names the disturbed daemon, and the server and the request of each crash.

In the run that was traced two deciders took turns: they were killed 38, 233 and 421 ms after a crash, and one gave way to the other when that was back, so that each saw one crash at a time.

--- a/cmd/camphor-soak/main.go
+++ b/cmd/camphor-soak/main.go
@@ -27,12 +27,13 @@
 	replicas := fs.Int("replicas", 3, "number of daemons that are control replicas")
 	callers := fs.Int("callers", 12, "number of concurrent callers")
 	chats := fs.Int("chats", 12, "number of concurrent callers that hold long chats")
-	noFaults := fs.Bool("no-faults", false, "inject no faults but those of -crash")
+	noFaults := fs.Bool("no-faults", false, "inject no faults but those that other flags ask for")
 	planned := fs.Bool("planned", false, "inject planned operations only")
 	failAll := fs.Bool("fail-all", false, "let all servers of a service fail half of their requests at times")
 	evacuate := fs.Bool("evacuate", false, "evacuate failure domains")
 	rename := fs.Bool("rename", false, "let backend servers become other incarnations at their addresses, and repeat refusals late")
 	crash := fs.Bool("crash", false, "send requests that crash the backend servers which execute them, again and again")
+	killRouters := fs.Bool("kill-routers", false, "kill daemons that are no control replicas, one after the other")
 	killFirst := fs.Bool("kill-first-start", true, "kill a seed while the control group forms")
 	grace := fs.Duration("grace", 4*time.Second, "grace period of planned stops")
 	keep := fs.String("keep", "", "directory for the logs of failed seeds; if empty, logs are not kept")
@@ -58,6 +59,7 @@
 					Evacuate:      *evacuate,
 					RenameServers: *rename,
 					CrashServers:  *crash,
+					KillRouters:   *killRouters,
 					Grace:         *grace,
 
 					KillFirstStart: *killFirst,
--- a/internal/check/soak/crashing.go
+++ b/internal/check/soak/crashing.go
@@ -108,6 +108,7 @@
 	}
 	defer b.checker.BeginFault()()
 	b.checker.Crashed(id, now)
+	b.log("crash", serverID+" under "+id)
 	n := b.beginIncarnation()
 	err := b.proxy.refuse(minDowntime + rand.N(maxDowntime-minDowntime))
 	b.down.Store(false)
--- a/internal/check/soak/daemon.go
+++ b/internal/check/soak/daemon.go
@@ -102,7 +102,7 @@
 func (d *daemon) crash(pause time.Duration, whileDown func() error) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	defer d.s.checker.Disturb(d.address(frontPort))()
+	defer d.disturb("killed")()
 	d.process.Kill()
 	if whileDown != nil {
 		if err := whileDown(); err != nil {
@@ -113,6 +113,16 @@
 	return d.start(false)
 }
 
+// disturb records and logs that the daemon is disturbed until the returned function is called.
+func (d *daemon) disturb(how string) func() {
+	d.s.log(how, d.name)
+	end := d.s.checker.Disturb(d.address(frontPort))
+	return func() {
+		end()
+		d.s.log("running", d.name)
+	}
+}
+
 // awaitStartup waits until the process has had time to reach its main function:
 // before that no program can handle a signal.
 func (d *daemon) awaitStartup() { time.Sleep(time.Until(d.started.Add(startupTime))) }
@@ -154,7 +164,7 @@
 func (d *daemon) restart() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	defer d.s.checker.Disturb(d.address(frontPort))()
+	defer d.disturb("stopped")()
 	if err := d.stop(); err != nil {
 		return err
 	}
@@ -165,7 +175,7 @@
 func (d *daemon) freeze(duration time.Duration) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	defer d.s.checker.Disturb(d.address(frontPort))()
+	defer d.disturb("frozen")()
 	if err := d.process.Signal(syscall.SIGSTOP); err != nil {
 		return fault.Wrap(fault.Internal, d.name, err)
 	}
--- a/internal/check/soak/faults.go
+++ b/internal/check/soak/faults.go
@@ -75,6 +75,10 @@
 // requests, so that retries may exceed their budget.
 var failAllKind = faultKind{name: "failAll", inject: (*injector).failAll}
 
+// killRouterKind is the kind of fault in which a daemon is killed that is no control replica,
+// so that the deciders change while the control group is stable.
+var killRouterKind = faultKind{name: "killRouter", inject: (*injector).killRouter}
+
 // pick returns a random kind of fault, each with a probability proportional to its
 // weight.
 func (f *injector) pick() faultKind {
@@ -131,6 +135,11 @@
 
 func (f *injector) kill() error { return f.randomDaemon().crash(f.randomDuration(time.Second), nil) }
 
+func (f *injector) killRouter() error {
+	routers := f.s.daemons[f.s.cfg.Replicas:]
+	return routers[f.rng.IntN(len(routers))].crash(f.randomDuration(time.Second), nil)
+}
+
 func (f *injector) freeze() error { return f.randomDaemon().freeze(f.randomDuration(4 * time.Second)) }
 
 func (f *injector) stop() error { return f.randomDaemon().restart() }
--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -52,6 +52,7 @@
 	// repeatsRefusals is true if late copies of its refusals are sent.
 	repeatsRefusals bool
 	checker         *guarantee.Checker
+	log             func(event, detail string)
 	server          *httptest.Server
 	proxy           *proxy
 	// partlyFailing is true while about half of all requests fail after their execution: with
@@ -73,14 +74,15 @@
 	executing sync.WaitGroup
 }
 
-func newBackend(name, service, domain string, checker *guarantee.Checker) (*backend, error) {
+func (s *Soak) newBackend(name, service, domain string) (*backend, error) {
 	b := &backend{
 		name:    name,
 		service: service,
 		domain:  domain,
-		checker: checker,
+		checker: s.checker,
+		log:     s.log,
 	}
-	checker.Located(b.id(), domain)
+	b.checker.Located(b.id(), domain)
 	b.server = httptest.NewUnstartedServer(b)
 	b.server.Config.ConnContext = withRefusals
 	b.server.Start()
--- a/internal/check/soak/soak.go
+++ b/internal/check/soak/soak.go
@@ -62,7 +62,7 @@
 	Callers  int
 	// ChatCallers is the number of callers that hold long chats.
 	ChatCallers int
-	// NoFaults injects no faults, but for the crashes of CrashServers.
+	// NoFaults injects no faults, but for those that further settings ask for.
 	NoFaults bool
 	// PlannedOnly injects planned operations only.
 	PlannedOnly bool
@@ -81,6 +81,8 @@
 	CrashServers bool
 	// KillFirstStart kills a seed while the group forms, and starts it again.
 	KillFirstStart bool
+	// KillRouters kills daemons that are no control replicas, one after the other.
+	KillRouters bool
 	// Grace is the grace period of a planned stop; zero is defaultGrace.
 	Grace time.Duration
 	// Log receives a line for each fault; it may be nil.
@@ -214,7 +216,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.backendCount++
-	b, err := newBackend(fmt.Sprintf("i-%s-%d", service, s.backendCount), service, domain, s.checker)
+	b, err := s.newBackend(fmt.Sprintf("i-%s-%d", service, s.backendCount), service, domain)
 	if err == nil {
 		b.repeatsRefusals = s.cfg.RenameServers
 		s.backends = append(s.backends, b)
@@ -281,11 +283,11 @@
 
 // injectors returns the injectors of the faults, each with a random sequence of its own.
 func (s *Soak) injectors() []*injector {
-	if s.cfg.NoFaults {
-		return nil
-	}
 	var all []*injector
 	for i := range injectorCount {
+		if s.cfg.NoFaults {
+			break
+		}
 		all = append(all, &injector{
 			s:   s,
 			rng: rand.New(rand.NewPCG(s.cfg.Seed, uint64(10+i))),
@@ -303,7 +305,10 @@
 
 // separateKinds returns the kinds of faults that have an injector each.
 func (s *Soak) separateKinds() []faultKind {
-	kinds := []faultKind{pushBackKind, announceKind}
+	var kinds []faultKind
+	if !s.cfg.NoFaults {
+		kinds = append(kinds, pushBackKind, announceKind)
+	}
 	if s.cfg.FailAll {
 		kinds = append(kinds, failAllKind)
 	}
@@ -316,6 +321,9 @@
 	if s.cfg.RenameServers {
 		kinds = append(kinds, renameKind)
 	}
+	if s.cfg.KillRouters {
+		kinds = append(kinds, killRouterKind)
+	}
 	return kinds
 }
 
--- a/internal/check/soak/soak_test.go
+++ b/internal/check/soak/soak_test.go
@@ -122,11 +122,27 @@
 	})
 }
 
-// run runs a soak with four daemons and requires that it violates no guarantee.
+// TestRequestsThatCrashServersWhileDecidersChange: the daemons that hold no replica are killed
+// in turn while the control group is stable. It fails while the crashes that a decider has seen
+// are lost with it, as no decider then sees two in a row.
+func TestRequestsThatCrashServersWhileDecidersChange(t *testing.T) {
+	t.Parallel()
+	run(t, soak.Config{
+		Seed:          506,
+		FaultDuration: 12 * time.Second,
+		Daemons:       6,
+		Callers:       8,
+		NoFaults:      true,
+		KillRouters:   true,
+		CrashServers:  true,
+	})
+}
+
+// run runs a soak with four daemons or more and requires that it violates no guarantee.
 func run(t *testing.T, cfg soak.Config) {
 	cfg.Bin = binDir
 	cfg.Dir = keptOnFailure(t)
-	cfg.Daemons = 4
+	cfg.Daemons = max(cfg.Daemons, 4)
 	cfg.Replicas = 3
 	report, err := soak.Run(context.Background(), cfg)
 	require.NoError(t, err)
