--- /dev/null
+++ b/internal/daemon/placer/crashes.go
@@ -0,0 +1,51 @@
+package placer
+
+// This file defines how the instances that may decide next learn of the crashes of servers.
+
+import (
+	"time"
+
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+)
+
+// notedDeciders is how many of the first instances in the order of a service's deciders are told of a
+// crash: those that take over if the decider and then its standby are lost.
+const notedDeciders = 3
+
+// noteCrash tells the other instances that may decide for the service that the server of the grant
+// has crashed.
+func (g *Grant) noteCrash() {
+	if g.fingerprint == 0 {
+		return
+	}
+	p := g.p
+	p.mu.Lock()
+	order := p.order[g.service]
+	p.mu.Unlock()
+	for _, i := range order[:min(len(order), notedDeciders)] {
+		if i.GetName() == p.cfg.Instance || i.GetName() == g.Decider {
+			continue
+		}
+		p.streamTo(i).send(&pb.PlaceRequest{
+			Crash: &pb.PlaceCrash{
+				Service:       g.service,
+				BackendServer: g.Server,
+				Fingerprint:   g.fingerprint,
+				SentAgoMs:     uint32((p.cfg.Now() - g.sentAt).Milliseconds()),
+			},
+		})
+	}
+}
+
+// noteCrash records a crash that another instance has seen.
+func (d *Schedulers) noteCrash(c *pb.PlaceCrash) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[c.GetService()]
+	if s == nil {
+		return
+	}
+	now := d.cfg.Now()
+	sentAt := now - time.Duration(c.GetSentAgoMs())*time.Millisecond
+	s.NoteCrash(now, c.GetBackendServer(), sentAt, c.GetFingerprint())
+}
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -167,6 +167,9 @@
 
 	p       *Placer
 	service string
+	// fingerprint is that of the request, and sentAt when the choice was made.
+	fingerprint uint64
+	sentAt      time.Duration
 	// hasPrompt is true if the request has a prompt, whose reading the schedulers
 	// account for.
 	hasPrompt bool
@@ -273,9 +276,10 @@
 			Withdrawn:         len(withdrawn),
 			WithdrawnForLimit: withdrawnForLimit,
 
-			p:         p,
-			service:   service,
-			hasPrompt: len(req.Parts) > 0,
+			p:           p,
+			service:     service,
+			fingerprint: req.Fingerprint,
+			hasPrompt:   len(req.Parts) > 0,
 		}
 		req.ExcludedDomains = p.excludedDomains()
 		if err := p.decide(ctx, g, req); err != nil {
@@ -385,6 +389,7 @@
 		return false
 	}
 	g.Decision, g.Address, g.Decider = d, s.GetAddress(), decider
+	g.sentAt = p.cfg.Now()
 	g.FetchAddress = ""
 	if from := p.view.Servers[d.FetchFrom]; from != nil && !from.GetGone() {
 		g.FetchAddress = from.GetAddress()
@@ -465,6 +470,9 @@
 	if g.stream != nil {
 		g.stream.report(g.remoteID, r)
 	}
+	if r.Event == scheduler.Down && !r.Answered {
+		g.noteCrash()
+	}
 }
 
 // changesLimit reports whether a report names a limit of the server, or states that there is
--- a/internal/daemon/placer/quarantine_test.go
+++ b/internal/daemon/placer/quarantine_test.go
@@ -165,3 +165,25 @@
 	_, err = requesters[0].Place(t.Context(), service, requestWith(fingerprint))
 	require.NoError(t, err, "an operator has released it")
 }
+
+// TestNextDeciderKnowsOfCrashes guards against a decider that takes over and waits for two crashes of its
+// own: the decider is lost after each crash.
+func TestNextDeciderKnowsOfCrashes(t *testing.T) {
+	const fingerprint = 99
+	rec := &recorder{}
+	fleet, order, _ := newRecordingFleet(t, 5, rec.record)
+	requester := fleet[order[4]].placer
+	for i := range 2 {
+		g, err := requester.Place(t.Context(), service, requestWith(fingerprint))
+		require.NoError(t, err)
+		g.Report(scheduler.Report{
+			Event: scheduler.Down,
+		})
+		time.Sleep(100 * time.Millisecond)
+		fleet[order[i]].stop()
+	}
+	_, err := requester.Place(t.Context(), service, requestWith(fingerprint))
+	require.Equal(t, fault.RequestQuarantined, fault.KindOf(err))
+	_, err = requester.Place(t.Context(), service, requestWith(fingerprint+1))
+	require.NoError(t, err)
+}
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -66,6 +66,8 @@
 		s.submit(m.GetId(), m.GetAsk())
 	case m.GetReport() != nil:
 		s.report(m.GetId(), m.GetReport())
+	case m.GetCrash() != nil:
+		s.schedulers.noteCrash(m.GetCrash())
 	default:
 		for _, ad := range m.GetAdopts() {
 			if m.GetInformed() {
--- a/internal/routing/crashsuspect/crashsuspect.go
+++ b/internal/routing/crashsuspect/crashsuspect.go
@@ -15,6 +15,8 @@
 //     counts for no other.
 //   - A server that responds to a request which was sent before it seemed to crash has not
 //     crashed: only the connections of one instance broke.
+//   - Another decider may be told of a crash, so that it can take over. It is not told which
+//     requests are answered, so that such a crash counts for some seconds only.
 //   - A request that was sent to several servers at the same time, and has crashed three of
 //     them, runs at one server at a time.
 //
@@ -38,6 +40,8 @@
 	// outcome; inFlightRetryAfter is when they may come again.
 	maxInFlight        = 5 * time.Minute
 	inFlightRetryAfter = 200 * time.Millisecond
+	// noteTime is for how long a crash counts that this decider was told of.
+	noteTime = 30 * time.Second
 	// leftTime is for how long a server may still run a request whose caller has left.
 	leftTime = 500 * time.Millisecond
 	// maxSuspects, maxCrashes and maxLeft bound the memory, as callers may invent requests.
@@ -66,10 +70,16 @@
 	void bool
 }
 
+// blame is a crash that counts for a suspect. noted is true if this decider was only told of it.
+type blame struct {
+	*crash
+	noted bool
+}
+
 // suspect is a request that servers have crashed under and that none has survived since.
 type suspect struct {
 	// all holds the crashes, and inRow those that came one after the other.
-	all, inRow []*crash
+	all, inRow []blame
 	lateSends  int
 	// inFlight is true from sentAt until the request has an outcome.
 	inFlight bool
@@ -103,15 +113,26 @@
 // Crashed records that a server has crashed while a request, which was sent at sentAt, was in
 // flight there.
 func (t *Tracker) Crashed(now time.Duration, server string, sentAt time.Duration, fingerprint uint64) {
-	c := t.crash(now, server, sentAt)
-	t.blame(c, sentAt, fingerprint)
+	b := blame{
+		crash: t.crash(now, server, sentAt),
+	}
+	t.blame(now, b, sentAt, fingerprint)
 	for _, l := range t.left {
-		if l.server == server && now-l.at < leftTime && l.sentAt < c.at {
-			t.blame(c, l.sentAt, l.fingerprint)
+		if l.server == server && now-l.at < leftTime && l.sentAt < b.at {
+			t.blame(now, b, l.sentAt, l.fingerprint)
 		}
 	}
 }
 
+// Noted records a crash that was reported to another decider.
+func (t *Tracker) Noted(now time.Duration, server string, sentAt time.Duration, fingerprint uint64) {
+	b := blame{
+		crash: t.crash(now, server, sentAt),
+		noted: true,
+	}
+	t.blame(now, b, sentAt, fingerprint)
+}
+
 // Left records that the caller of a request has left, and that the server may run on.
 func (t *Tracker) Left(now time.Duration, server string, sentAt time.Duration, fingerprint uint64) {
 	t.Ended(sentAt, fingerprint)
@@ -127,19 +148,20 @@
 }
 
 // blame blames a request for a crash.
-func (t *Tracker) blame(c *crash, sentAt time.Duration, fingerprint uint64) {
+func (t *Tracker) blame(now time.Duration, b blame, sentAt time.Duration, fingerprint uint64) {
 	s := t.suspects[fingerprint]
 	if s == nil {
 		s = &suspect{}
 		t.add(fingerprint, s)
 	}
 	s.end(sentAt)
-	if !slices.Contains(s.all, c) && len(s.all) < maxCrashes {
-		s.all = append(s.all, c)
+	s.forgetInvalid(now)
+	isSame := func(other blame) bool { return other.crash == b.crash }
+	if !slices.ContainsFunc(s.all, isSame) && len(s.all) < maxCrashes {
+		s.all = append(s.all, b)
 	}
-	s.inRow = valid(s.inRow)
 	if n := len(s.inRow); n == 0 || sentAt >= s.inRow[n-1].at {
-		s.inRow = append(s.inRow, c)
+		s.inRow = append(s.inRow, b)
 	}
 }
 
@@ -175,9 +197,11 @@
 	return c
 }
 
-// valid returns the crashes that count.
-func valid(crashes []*crash) []*crash {
-	return slices.DeleteFunc(crashes, func(c *crash) bool { return c.void })
+// forgetInvalid drops the crashes that count no longer.
+func (s *suspect) forgetInvalid(now time.Duration) {
+	isInvalid := func(b blame) bool { return b.void || b.noted && now-b.at >= noteTime }
+	s.all = slices.DeleteFunc(s.all, isInvalid)
+	s.inRow = slices.DeleteFunc(s.inRow, isInvalid)
 }
 
 // add adds a suspect. If there are too many, the one whose latest crash is the longest ago is
@@ -224,7 +248,7 @@
 	if s == nil {
 		return Verdict{}
 	}
-	s.all, s.inRow = valid(s.all), valid(s.inRow)
+	s.forgetInvalid(now)
 	if len(s.all) == 0 {
 		delete(t.suspects, fingerprint)
 		return Verdict{}
--- a/internal/routing/crashsuspect/crashsuspect_test.go
+++ b/internal/routing/crashsuspect/crashsuspect_test.go
@@ -91,6 +91,20 @@
 	require.Equal(t, crashsuspect.Verdict{}, tr.Check(2*second, request))
 }
 
+// TestNotedCrashCounts guards against a decider that takes over and waits for two crashes of its own;
+// and against one that shuts out a request for crashes of long ago, which others have survived
+// since.
+func TestNotedCrashCounts(t *testing.T) {
+	var tr crashsuspect.Tracker
+	tr.Noted(1*second, "a", 0, request)
+	tr.Crashed(2*second, "b", 1*second, request)
+	require.True(t, tr.Check(2*second, request).Guilty)
+	tr = crashsuspect.Tracker{}
+	tr.Noted(1*second, "a", 0, request)
+	tr.Crashed(40*second, "b", 39*second, request)
+	require.False(t, tr.Check(40*second, request).Guilty)
+}
+
 // TestCallerThatLeftIsSuspected guards against a request whose callers leave before its server crashes.
 func TestCallerThatLeftIsSuspected(t *testing.T) {
 	var tr crashsuspect.Tracker
--- a/internal/routing/scheduler/suspects.go
+++ b/internal/routing/scheduler/suspects.go
@@ -200,6 +200,14 @@
 	}
 }
 
+// NoteCrash records a request that was in flight at a server when it crashed, as reported to another
+// decider. sentAt is when it was sent.
+func (s *Scheduler) NoteCrash(now time.Duration, server string, sentAt time.Duration, fingerprint uint64) {
+	if fingerprint != 0 && !s.quarantine.CoversRequest(fingerprint) {
+		s.suspects.Noted(now, server, sentAt, fingerprint)
+	}
+}
+
 // explainByTrial explains the crash of a server by a quarantined request that is in flight there and
 // has not been reported yet.
 func (s *Scheduler) explainByTrial(now time.Duration, sv *server) {
