Log writes of the control group's log that take a second or more

Their logs have proposals that time out and changes of the leader, but not whether the disk stalled; the kernel counted 95 s of full stalls in the hour. A line at the replica tells it now. No behaviour changes.

--- a/internal/control/replica/persist.go
+++ b/internal/control/replica/persist.go
@@ -4,6 +4,8 @@
 // writes to disk, sends messages, applies entries and takes snapshots.
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"camphorspoke/internal/base/compress"
@@ -12,6 +14,10 @@
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 )
 
+// slowWrite is the time from which a write to disk is logged: it is longer than an election takes,
+// so that the group may lose its leader meanwhile.
+const slowWrite = time.Second
+
 // processReady carries out the node's work until there is none left, and then
 // publishes the status. It returns an error if the disk failed.
 func (r *Replica) processReady() error {
@@ -20,9 +26,11 @@
 		if ready.Empty() {
 			break
 		}
+		start := r.Now()
 		if err := r.persist(&ready); err != nil {
 			return err
 		}
+		r.logSlowWrite(r.Now() - start)
 		r.node.Synced(r.Now())
 		for _, m := range ready.Messages {
 			if a := r.address(m.GetTo()); a != "" {
@@ -44,6 +52,14 @@
 	return nil
 }
 
+// logSlowWrite logs a write to disk that took long.
+func (r *Replica) logSlowWrite(took time.Duration) {
+	if took >= slowWrite {
+		r.cfg.Logger.WithField("elapsedMs", took.Milliseconds()).
+			Warn("control: a write to the log of the control group took long")
+	}
+}
+
 // address returns the address of a replica: the one in the membership, else the
 // one in its last message, else the configured one.
 func (r *Replica) address(name string) string {
