--- a/internal/check/entryfleet/entryfleet_test.go
+++ b/internal/check/entryfleet/entryfleet_test.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -83,7 +84,7 @@
 		results:  make(map[int]chan error),
 		log:      logrus.New(),
 	}
-	f.log.SetOutput(io.Discard)
+	f.log.SetOutput(keptOnFailure(t))
 	f.backend = httptest.NewServer(http.HandlerFunc(f.serveBackend))
 	t.Cleanup(f.backend.Close)
 	if len(entries) == 0 {
@@ -370,3 +371,19 @@
 		return strings.Contains(configuration, `"version":9`)
 	}, 10*time.Second, 50*time.Millisecond)
 }
+
+// keptOnFailure returns a file for the log of the instances, which is removed after the test unless it
+// has failed.
+func keptOnFailure(t *testing.T) io.Writer {
+	out, err := os.CreateTemp("", "camphor-entryfleet-*.log")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		out.Close()
+		if t.Failed() {
+			t.Logf("the log of the instances is in %s", out.Name())
+			return
+		}
+		_ = os.Remove(out.Name())
+	})
+	return out
+}
