--- a/internal/routing/quarantine/requests.go
+++ b/internal/routing/quarantine/requests.go
@@ -10,7 +10,9 @@
 	// requestPauseFactor each time.
 	firstRequestPause  = 5 * time.Second
 	requestPauseFactor = 10
-	// maxRequestTrials is the number of trials that a whole request gets. Each costs a server.
+	// maxRequestTrials is the number of trials that a whole request gets. The first may crash the
+	// third server, after which three more sends are tolerated: two are trials, and one is left
+	// for a trial that a lost decider has not recorded.
 	maxRequestTrials = 3
 	// maxInconclusive is the number of trials in a row without proof that count as a failed one:
 	// callers leave and servers fail requests for other reasons too.
