Control: the number of lost disks that the group can bear, in log, metric and dump

Neither logs nor metrics told whether a group that elects no leader had lost its majority for good: the line on a repair named no members. It is also in the dump of the instance (lossesBorne) and in the metric camphorspoke_control_losses_borne.

--- a/internal/control/raftlog/member.go
+++ b/internal/control/raftlog/member.go
@@ -120,15 +120,11 @@
 	}
 	cur := n.Members().GetMembers()
 	for i, m := range cur {
-		p := n.peers[m.GetName()]
-		if p == nil {
-			continue
-		}
-		if p.otherIdentity != 0 && p.otherIdentity != m.GetIdentity() {
+		if n.lostDisk(m) {
 			return replaced(cur, i, &pb.RaftMember{
 				Name:     m.GetName(),
 				Address:  m.GetAddress(),
-				Identity: p.otherIdentity,
+				Identity: n.peers[m.GetName()].otherIdentity,
 				Learner:  true,
 			})
 		}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -106,6 +106,9 @@
 	LastIndex     uint64
 	FirstIndex    uint64
 	Members       []*pb.RaftMember
+	// LossesBorne is how many more voters may lose their disks while the others can still elect
+	// a leader. It is known to the leader only, and zero elsewhere.
+	LossesBorne int
 	// LeaseUntil is when the leader lease of this replica expires, by Now; zero
 	// without a lease.
 	LeaseUntil time.Duration
@@ -151,6 +154,11 @@
 	// bootstrapping is set once this replica has begun to bootstrap a group.
 	bootstrapping bool
 
+	// loggedMembers is the membership, as text, and loggedLosses the number of losses borne, that
+	// the leader has logged last.
+	loggedMembers string
+	loggedLosses  int
+
 	// waitingFor is the seed that the formation of a group waits for, and why, as logged
 	// last. It belongs to the goroutine that formGroup starts.
 	waitingFor string
@@ -395,7 +403,7 @@
 	r.nextRepair = now + repairInterval
 	if next := r.node.NextRepair(now); next != nil {
 		if err := r.node.ProposeMembers(now, next); err == nil {
-			r.cfg.Logger.Info("control: proposed a membership change to repair the group")
+			r.cfg.Logger.WithField("members", formatMembers(next.GetMembers())).Info("control: proposed a membership change to repair the group")
 		}
 	}
 	r.maybeBootstrap()
@@ -404,7 +412,7 @@
 // publish updates the status.
 func (r *Replica) publish() {
 	now := r.Now()
-	r.status.Store(&Status{
+	st := &Status{
 		Role:          r.node.Role(),
 		Leader:        r.node.Leader(),
 		LeaderAddress: r.address(r.node.Leader()),
@@ -414,7 +422,10 @@
 		LastIndex:     r.node.LastIndex(),
 		FirstIndex:    r.node.FirstIndex(),
 		Members:       r.node.Members().GetMembers(),
+		LossesBorne:   r.node.LossesBorne(),
 		LeaseUntil:    r.node.LeaseUntil(now),
 		Empty:         r.node.Term() == 0 && r.node.LastIndex() == 0,
-	})
+	}
+	r.status.Store(st)
+	r.logMembers(st)
 }
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -55,6 +55,9 @@
 	LimitedServers func() map[string]int
 	// Evacuated returns 1 for each evacuated failure domain; it may be nil.
 	Evacuated func() map[string]int
+	// LossesBorne returns how many more voters of the control group may lose their disks, by the
+	// name of the leader; it is empty on other instances, and may be nil.
+	LossesBorne func() map[string]int
 	// Connections returns the number of open connections of clients by address; it may be
 	// nil.
 	Connections func() map[string]int
@@ -106,6 +109,9 @@
 	if callbacks.Evacuated != nil {
 		b.observableGauge("camphorspoke.evacuated.domains", "1 for each failure domain that this instance has as evacuated.", "failureDomain", func() map[string]int64 { return toInt64(callbacks.Evacuated()) })
 	}
+	if callbacks.LossesBorne != nil {
+		b.observableGauge("camphorspoke.control.losses.borne", "Voters of the control group that may lose their disks while the others still elect a leader, by leader.", "leader", func() map[string]int64 { return toInt64(callbacks.LossesBorne()) })
+	}
 	if callbacks.Connections != nil {
 		b.observableGauge("camphorspoke.client.connections", "Open connections of clients by listening address.", "address", func() map[string]int64 { return toInt64(callbacks.Connections()) })
 	}
--- a/internal/daemon/server/dump.go
+++ b/internal/daemon/server/dump.go
@@ -50,8 +50,10 @@
 	LastIndex  uint64       `json:"lastIndex"`
 	FirstIndex uint64       `json:"firstIndex"`
 	Members    []memberDump `json:"members"`
-	OpenOrders int          `json:"openOrders"`
-	OpenClaims int          `json:"openClaims"`
+	// LossesBorne is how many more voters may lose their disks; zero unless the replica leads.
+	LossesBorne int `json:"lossesBorne"`
+	OpenOrders  int `json:"openOrders"`
+	OpenClaims  int `json:"openClaims"`
 }
 
 // memberDump is a member of the control group.
@@ -160,6 +162,8 @@
 		FirstIndex: st.FirstIndex,
 		OpenOrders: len(r.Ledger.OpenOrders()),
 		OpenClaims: len(r.Ledger.Claims(false)),
+
+		LossesBorne: st.LossesBorne,
 	}
 	for _, m := range st.Members {
 		d.Members = append(d.Members, memberDump{
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -168,6 +168,7 @@
 		ColdServers:  in.coldServers,
 		Evacuated:    in.evacuatedDomains,
 		Connections:  e.connectionCounts,
+		LossesBorne:  in.lossesBorne,
 
 		LimitedServers: in.limitedServers,
 	})
@@ -304,6 +305,15 @@
 	return in.entry.placer.Schedulers().LimitedServers()
 }
 
+// lossesBorne returns how many more voters may lose their disks, by the name of this instance, if it
+// leads the control group.
+func (in *instance) lossesBorne() map[string]int {
+	if in.replica == nil || !in.replica.Leads() {
+		return nil
+	}
+	return map[string]int{in.cfg.Instance: in.replica.Status().LossesBorne}
+}
+
 // recordQuarantine records a change of a quarantine in the log of the control group.
 func (in *instance) recordQuarantine(ctx context.Context, q *pb.Quarantine) error {
 	r, err := in.control.Propose(ctx, &pb.Command{
