--- a/internal/control/raftlog/member.go
+++ b/internal/control/raftlog/member.go
@@ -109,49 +109,74 @@
 // which changes at most one voter, are in order of precedence:
 //
 //   - A member that lost its disk is listed as a learner under its new identity.
+//   - If the group has more voters than Config.Voters, the one that has been silent
+//     for longest becomes a learner.
 //   - A learner that has caught up becomes a voter if the group has fewer voters
-//     than Config.Voters, or if that is zero.
-//   - If there is such a learner but the group lacks no voter, a voter that has
-//     acknowledged nothing for voterReplaceTimeout becomes a learner. The
-//     learner that has caught up then takes its place in the next step.
+//     than Config.Voters, or if that is zero, or if a voter has acknowledged
+//     nothing for voterReplaceTimeout. The step before then takes that voter out.
+//
+// A silent voter is taken out only after its successor has been taken in, as its
+// disk may be intact: a group with one voter more bears the loss of as many disks, a
+// group with one voter less bears the loss of one less. A voter whose disk is lost
+// is taken out first, since it counts as lost either way.
 func (n *Node) NextRepair(now time.Duration) *pb.RaftMembers {
 	if n.role != leader || n.log.lastMembersIndex() > n.commit {
 		return nil
 	}
 	cur := n.Members().GetMembers()
-	for i, m := range cur {
-		if n.lostDisk(m) {
-			return replaced(cur, i, &pb.RaftMember{
-				Name:     m.GetName(),
-				Address:  m.GetAddress(),
-				Identity: n.peers[m.GetName()].otherIdentity,
-				Learner:  true,
-			})
-		}
+	if i := slices.IndexFunc(cur, n.lostDisk); i >= 0 {
+		return replaced(cur, i, asLearner(cur[i], n.peers[cur[i].GetName()].otherIdentity))
+	}
+	voters := len(n.voters())
+	if i := n.longestSilentVoter(); i >= 0 && n.cfg.Voters > 0 && voters > n.cfg.Voters {
+		return replaced(cur, i, asLearner(cur[i], cur[i].GetIdentity()))
 	}
 	learner := n.caughtUpLearner(now)
 	if learner < 0 {
 		return nil
 	}
-	if n.cfg.Voters == 0 || len(n.voters()) < n.cfg.Voters {
-		return replaced(cur, learner, &pb.RaftMember{
-			Name:     cur[learner].GetName(),
-			Address:  cur[learner].GetAddress(),
-			Identity: cur[learner].GetIdentity(),
-		})
+	if n.cfg.Voters > 0 && voters >= n.cfg.Voters && !n.lacksVoter(now) {
+		return nil
+	}
+	return replaced(cur, learner, &pb.RaftMember{
+		Name:     cur[learner].GetName(),
+		Address:  cur[learner].GetAddress(),
+		Identity: cur[learner].GetIdentity(),
+	})
+}
+
+// asLearner returns m as a learner under an identity.
+func asLearner(m *pb.RaftMember, identity uint64) *pb.RaftMember {
+	return &pb.RaftMember{
+		Name:     m.GetName(),
+		Address:  m.GetAddress(),
+		Identity: identity,
+		Learner:  true,
 	}
-	for i, m := range cur {
-		if m.GetLearner() || m.GetName() == n.cfg.Name || now-n.lastAck(m) < voterReplaceTimeout {
+}
+
+// lacksVoter reports whether a voter has acknowledged nothing for
+// voterReplaceTimeout.
+func (n *Node) lacksVoter(now time.Duration) bool {
+	i := n.longestSilentVoter()
+	return i >= 0 && now-n.lastAck(n.Members().GetMembers()[i]) >= voterReplaceTimeout
+}
+
+// longestSilentVoter returns the position, among the members, of the voter besides
+// this replica whose last acknowledgement is the oldest, or -1 if there is no other
+// voter.
+func (n *Node) longestSilentVoter() int {
+	oldest := -1
+	members := n.Members().GetMembers()
+	for i, m := range members {
+		if m.GetLearner() || m.GetName() == n.cfg.Name {
 			continue
 		}
-		return replaced(cur, i, &pb.RaftMember{
-			Name:     m.GetName(),
-			Address:  m.GetAddress(),
-			Identity: m.GetIdentity(),
-			Learner:  true,
-		})
+		if oldest < 0 || n.lastAck(m) < n.lastAck(members[oldest]) {
+			oldest = i
+		}
 	}
-	return nil
+	return oldest
 }
 
 // lastAck returns when the newest message that m has acknowledged was sent, or
--- a/internal/control/raftlog/standby_test.go
+++ b/internal/control/raftlog/standby_test.go
@@ -94,7 +94,9 @@
 }
 
 // TestLearnerReplacesSilentVoter checks that a voter that does not answer is
-// replaced by a learner in two steps, and not before voterReplaceTimeout.
+// replaced by a learner in two steps, not before voterReplaceTimeout, and that no
+// step leaves fewer voters than wanted: the disk of the silent voter may be intact,
+// and a group with one voter less bears the loss of one disk less.
 func TestLearnerReplacesSilentVoter(t *testing.T) {
 	n := newTestLeader(t, time.Minute)
 	now := time.Minute
@@ -104,14 +106,36 @@
 	}
 	broadcastAndAck(n, now, "b", "d")
 	next := n.NextRepair(now)
-	require.Equal(t, []string{"a", "b"}, names(next, false))
+	require.Equal(t, []string{"a", "b", "c", "d"}, names(next, false))
 	require.NoError(t, n.ProposeMembers(now, next))
+	require.Equal(t, 1, n.LossesBorne())
 	n.Ready()
 	n.Synced(now)
+	require.Nil(t, n.NextRepair(now), "the step before is not committed")
 	broadcastAndAck(n, now, "b", "d")
 	next = n.NextRepair(now)
 	require.Equal(t, []string{"a", "b", "d"}, names(next, false))
 	require.Equal(t, []string{"c"}, names(next, true))
+	require.NoError(t, n.ProposeMembers(now, next))
+	require.Equal(t, 1, n.LossesBorne())
+	broadcastAndAck(n, now, "b", "d")
+	require.Nil(t, n.NextRepair(now))
+	require.Equal(t, 1, n.LossesBorne())
+}
+
+// TestVoterThatReturnsDuringItsReplacement checks that a group does not stay with more
+// voters than wanted if the silent voter answers again before it is taken out.
+func TestVoterThatReturnsDuringItsReplacement(t *testing.T) {
+	now := time.Minute
+	n := newTestLeader(t, now)
+	now += voterReplaceTimeout
+	broadcastAndAck(n, now, "b", "d")
+	require.NoError(t, n.ProposeMembers(now, n.NextRepair(now)))
+	broadcastAndAck(n, now, "b", "c", "d")
+	require.Len(t, names(n.Members(), false), 4)
+	next := n.NextRepair(now)
+	require.Len(t, names(next, false), 3)
+	require.Contains(t, names(next, false), "a", "the leader must not take itself out")
 }
 
 // TestSilentVoterStaysWithoutLearner checks that a voter that does not answer
--- a/internal/control/replica/persist.go
+++ b/internal/control/replica/persist.go
@@ -40,6 +40,9 @@
 		}
 		for _, e := range ready.Committed {
 			r.applyEntry(e)
+			if e.GetKind() == pb.RaftEntryKind_RAFT_ENTRY_KIND_MEMBERS {
+				r.repair(r.Now())
+			}
 		}
 		if err := r.maybeSnapshot(); err != nil {
 			return err
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -40,9 +40,9 @@
 	// keepLargeEntries replaces keepEntries when snapshotBytes was reached.
 	keepLargeEntries = 20
 	tickInterval     = 20 * time.Millisecond
-	// repairInterval is how often a replica checks whether the membership needs a
-	// repair and, while it is empty, whether to bootstrap a group.
-	repairInterval = 500 * time.Millisecond
+	// bootstrapInterval is how often an empty replica checks whether to bootstrap a
+	// group.
+	bootstrapInterval = 500 * time.Millisecond
 	// queueLength is the capacity of the message queue and of the proposal queue.
 	queueLength = 4096
 )
@@ -147,7 +147,7 @@
 	senderAddresses      map[string]string
 	entriesSinceSnapshot uint64
 	bytesSinceSnapshot   int
-	nextRepair           time.Duration
+	nextBootstrap        time.Duration
 	// newGroupMembers receives the members of a new group that this replica
 	// bootstraps.
 	newGroupMembers chan *pb.RaftMembers
@@ -392,21 +392,27 @@
 	r.node.Step(r.Now(), m)
 }
 
-// tick advances the node's time, and once per repairInterval proposes a due
-// repair of the membership and checks whether to bootstrap a group.
+// tick advances the node's time, proposes a due repair of the membership, and once
+// per bootstrapInterval checks whether to bootstrap a group.
 func (r *Replica) tick() {
 	now := r.Now()
 	r.node.Tick(now)
-	if now < r.nextRepair {
-		return
+	r.repair(now)
+	if now >= r.nextBootstrap {
+		r.nextBootstrap = now + bootstrapInterval
+		r.maybeBootstrap()
 	}
-	r.nextRepair = now + repairInterval
+}
+
+// repair proposes the next step of a repair of the membership, if there is one. Between
+// the steps the group may bear the loss of fewer voters, so that a step follows as soon as
+// the one before it is committed.
+func (r *Replica) repair(now time.Duration) {
 	if next := r.node.NextRepair(now); next != nil {
 		if err := r.node.ProposeMembers(now, next); err == nil {
 			r.cfg.Logger.WithField("members", formatMembers(next.GetMembers())).Info("control: proposed a membership change to repair the group")
 		}
 	}
-	r.maybeBootstrap()
 }
 
 // publish updates the status.
--- a/internal/control/replica/seedgroup_test.go
+++ b/internal/control/replica/seedgroup_test.go
@@ -228,8 +228,9 @@
 	}, 20*time.Second, 20*time.Millisecond)
 }
 
-// waitForVoters waits until the voters that the leader lists under the present
-// identity of their disk are exactly those at the given addresses.
+// waitForVoters waits until the voters that the leader lists are exactly those at the
+// given addresses, each under the present identity of its disk. One whose replica does not
+// run counts as a voter as well, so that a repair that is not complete is waited for.
 func (g *seedGroup) waitForVoters(voters ...string) {
 	g.t.Helper()
 	require.Eventually(g.t, func() bool {
@@ -240,7 +241,7 @@
 		var got []string
 		for _, m := range l.Status().Members {
 			r := g.replica(m.GetAddress())
-			if !m.GetLearner() && r != nil && r.Identity() == m.GetIdentity() {
+			if !m.GetLearner() && (r == nil || r.Identity() == m.GetIdentity()) {
 				got = append(got, m.GetAddress())
 			}
 		}
