--- a/internal/control/replica/propose.go
+++ b/internal/control/replica/propose.go
@@ -17,7 +17,8 @@
 
 // Propose commits a command and returns its result. An error of kind NoQuorum
 // means that the command may still be committed; the caller should retry with
-// the same command.
+// the same command. The result of a command that is acknowledged to an operator is
+// held back while the group is being repaired; see awaitRepair.
 func (r *Replica) Propose(ctx context.Context, c *pb.Command) (*pb.Result, error) {
 	return r.ProposeInTerm(ctx, 0, c)
 }
@@ -45,6 +46,9 @@
 	}
 	select {
 	case o := <-p.result:
+		if o.err == nil && acknowledgedOutside(c) {
+			o.err = r.awaitRepair(ctx, p.term)
+		}
 		return o.result, o.err
 	case <-ctx.Done():
 		return nil, fault.Wrap(fault.NoQuorum, r.cfg.Name, ctx.Err())
--- a/internal/control/replica/repairlosses_test.go
+++ b/internal/control/replica/repairlosses_test.go
@@ -130,3 +130,22 @@
 		})
 	}
 }
+
+// TestChangesContinueWhileGroupCannotBeRepaired: a group lacks voters and there is no replica to
+// repair it with. It guards against an acknowledgement that is held back for good, or each time
+// anew, because a machine does not return.
+func TestChangesContinueWhileGroupCannotBeRepaired(t *testing.T) {
+	t.Parallel()
+	g := newSeedGroup(t, "a", "b", "c")
+	g.voters = 5
+	for _, address := range g.seeds {
+		g.start(address, true)
+	}
+	g.propose(1)
+	l := g.waitForLeader()
+	require.Equal(t, 1, l.Status().LossesBorne)
+	require.GreaterOrEqual(t, l.Now()-l.Status().BelowTargetSince, maxRepairWait)
+	start := l.Now()
+	g.propose(2)
+	require.Less(t, l.Now()-start, maxRepairWait, "a change was held back although the time for a repair had passed")
+}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -109,6 +109,9 @@
 	// LossesBorne is how many more voters may lose their disks while the others can still elect
 	// a leader. It is known to the leader only, and zero elsewhere.
 	LossesBorne int
+	// BelowTargetSince is since when LossesBorne is below the number that the group is to bear, by
+	// Now; zero while it is not.
+	BelowTargetSince time.Duration
 	// LeaseUntil is when the leader lease of this replica expires, by Now; zero
 	// without a lease.
 	LeaseUntil time.Duration
@@ -158,6 +161,8 @@
 	// the leader has logged last.
 	loggedMembers string
 	loggedLosses  int
+	// belowTargetSince is that of Status.
+	belowTargetSince time.Duration
 
 	// waitingFor is the seed that the formation of a group waits for, and why, as logged
 	// last. It belongs to the goroutine that formGroup starts.
@@ -432,6 +437,8 @@
 		LeaseUntil:    r.node.LeaseUntil(now),
 		Empty:         r.node.Term() == 0 && r.node.LastIndex() == 0,
 	}
+	r.updateBelowTarget(st.LossesBorne, now)
+	st.BelowTargetSince = r.belowTargetSince
 	r.status.Store(st)
 	r.logMembers(st)
 }
