Versions of servers and the attempt that a caller takes up: in tables, log and metrics

The version of a server's software was checked for presence in the list and dropped; the attempt that a caller names when it takes a stream up again was not read. Both are now in the row of the server (version, and goneMs, since when it is gone), in the lines on requests and attempts (version, resumes), in the line on changes of the list, and in the metric camphorspoke_server_versions.

--- a/internal/control/manager/partiallist_test.go
+++ b/internal/control/manager/partiallist_test.go
@@ -86,3 +86,50 @@
 		require.True(t, r.Ledger.Server("b").GetGone())
 	})
 }
+
+// TestVersionFollowsTheList: a server is listed with another version of its software under the
+// same name, and then no longer. The row of the server must follow, as streams go on by it, and
+// must tell since when the server is gone.
+func TestVersionFollowsTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		r, stop, err := replica.Start(replica.Config{
+			Now:  func() time.Duration { return time.Since(started) },
+			Name: "r0",
+			Peers: map[string]string{
+				"r0": "r0",
+			},
+			Storage: &memoryStorage{},
+			Stored:  (&memoryStorage{}).stored(),
+			Logger:  discardLogger(),
+		})
+		require.NoError(t, err)
+		defer stop()
+		list := &partialList{}
+		a, b := listed("a", false), listed("b", false)
+		a.Version = "v1"
+		list.set(false, a, b)
+		_, stopManager := manager.Start(manager.Config{
+			Replica:          r,
+			Platform:         list,
+			Logger:           discardLogger(),
+			WithoutOwnership: true,
+		})
+		defer stopManager()
+		time.Sleep(20 * time.Second)
+		require.Equal(t, "v1", r.Ledger.Server("a").GetVersion())
+		newer := listed("a", false)
+		newer.Version = "v2"
+		list.set(false, newer, b)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, "v2", r.Ledger.Server("a").GetVersion())
+		require.Zero(t, r.Ledger.Server("a").GetGoneMs())
+		before := time.Now()
+		list.set(false, b)
+		time.Sleep(40 * time.Second)
+		gone := r.Ledger.Server("a")
+		require.True(t, gone.GetGone())
+		require.Equal(t, "v2", gone.GetVersion())
+		require.WithinRange(t, time.UnixMilli(gone.GetGoneMs()), before, time.Now())
+	})
+}
--- a/internal/control/manager/platform.go
+++ b/internal/control/manager/platform.go
@@ -89,6 +89,7 @@
 			"leaving": r.GetLeaving(),
 			"gone":    r.GetGone(),
 			"coldMs":  r.GetColdMs(),
+			"version": r.GetVersion(),
 		}).Info("control: a backend server changed in the platform's list")
 	}
 	m.proposeAndLog(ctx, &pb.Command{
@@ -150,7 +151,7 @@
 		}
 		if now-since >= goneAfter {
 			row := withoutOwner(s)
-			row.Gone = true
+			row.Gone, row.GoneMs = true, time.Now().UnixMilli()
 			rows = append(rows, row)
 		}
 	}
@@ -174,11 +175,12 @@
 		CacheTokens:   s.GetCacheTokens(),
 		Leaving:       s.GetLeaving(),
 		JoinedMs:      joined,
+		Version:       s.GetVersion(),
 	}
 	coldChanges := m.copyCold(now, old, row, s)
 	if old != nil && !coldChanges && !old.GetGone() && old.GetAddress() == s.GetAddress() && old.GetLeaving() == s.GetLeaving() &&
 		old.GetSlots() == s.GetSlots() && old.GetCacheTokens() == s.GetCacheTokens() &&
-		old.GetService() == s.GetService() && old.GetFailureDomain() == s.GetFailureDomain() {
+		old.GetVersion() == s.GetVersion() && old.GetService() == s.GetService() && old.GetFailureDomain() == s.GetFailureDomain() {
 		return nil
 	}
 	return row
--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -222,6 +222,7 @@
 	fields := logrus.Fields{
 		"request":    c.req.ID,
 		"server":     a.grant.Server,
+		"version":    a.grant.Version,
 		"address":    a.grant.Address,
 		"service":    c.service,
 		"result":     resultNames[result],
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -434,8 +434,11 @@
 	if c.hedge != "" {
 		fields["hedge"] = c.hedge
 	}
+	if c.req.Resumes != "" {
+		fields["resumes"] = c.req.Resumes
+	}
 	if g := c.grant; g != nil {
-		fields["server"], fields["decider"] = g.Server, g.Decider
+		fields["server"], fields["version"], fields["decider"] = g.Server, g.Version, g.Decider
 		fields["waitedMs"] = g.Waited.Milliseconds()
 		fields["cached"], fields["bestCached"], fields["load"] = g.CachedTokens, g.BestCachedTokens, g.Load
 		if g.OverLimit {
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -53,6 +53,9 @@
 	// LimitedServers returns the number of backend servers that name a limit, by service; it
 	// may be nil.
 	LimitedServers func() map[string]int
+	// Versions returns the number of listed backend servers of each version of their software, by
+	// service and version with a slash between them; it may be nil.
+	Versions func() map[string]int
 	// Evacuated returns 1 for each evacuated failure domain; it may be nil.
 	Evacuated func() map[string]int
 	// LossesBorne returns how many more voters of the control group may lose their disks, by the
@@ -106,6 +109,9 @@
 	if callbacks.LimitedServers != nil {
 		b.observableGauge("camphorspoke.limited.servers", "Backend servers that name a limit, by service.", "service", func() map[string]int64 { return toInt64(callbacks.LimitedServers()) })
 	}
+	if callbacks.Versions != nil {
+		b.observableGauge("camphorspoke.server.versions", "Listed backend servers by service and version of their software.", "version", func() map[string]int64 { return toInt64(callbacks.Versions()) })
+	}
 	if callbacks.Evacuated != nil {
 		b.observableGauge("camphorspoke.evacuated.domains", "1 for each failure domain that this instance has as evacuated.", "failureDomain", func() map[string]int64 { return toInt64(callbacks.Evacuated()) })
 	}
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -149,6 +149,8 @@
 type Grant struct {
 	scheduler.Decision
 	Address string
+	// Version is the version of the server's software; empty if the platform states none.
+	Version string
 	// FetchAddress is the engine from which the chosen server should fetch the cached
 	// prefix that it lacks; empty if no engine has more of the prompt cached.
 	FetchAddress string
@@ -387,7 +389,7 @@
 	if s == nil || s.GetGone() {
 		return false
 	}
-	g.Decision, g.Address, g.Decider = d, s.GetAddress(), decider
+	g.Decision, g.Address, g.Version, g.Decider = d, s.GetAddress(), s.GetVersion(), decider
 	g.sentAt = p.cfg.Now()
 	g.FetchAddress = ""
 	if from := p.view.Servers[d.FetchFrom]; from != nil && !from.GetGone() {
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -169,6 +169,7 @@
 		Evacuated:    in.evacuatedDomains,
 		Connections:  e.connectionCounts,
 		LossesBorne:  in.lossesBorne,
+		Versions:     in.serverVersions,
 
 		LimitedServers: in.limitedServers,
 	})
@@ -305,6 +306,20 @@
 	return in.entry.placer.Schedulers().LimitedServers()
 }
 
+// serverVersions returns the number of listed backend servers by service and version.
+func (in *instance) serverVersions() map[string]int {
+	out := make(map[string]int)
+	if in.agent == nil {
+		return out
+	}
+	for _, s := range in.agent.View().Servers {
+		if !s.GetGone() {
+			out[s.GetService()+"/"+s.GetVersion()]++
+		}
+	}
+	return out
+}
+
 // lossesBorne returns how many more voters may lose their disks, by the name of this instance, if it
 // leads the control group.
 func (in *instance) lossesBorne() map[string]int {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -72,7 +72,10 @@
 	// LastEventID is the ID of the last event received, if the caller resumes a
 	// stream.
 	LastEventID string
-	Prompt      Prompt
+	// Resumes is the ID of the caller's attempt that brought the first event of a stream that
+	// this one takes up again; empty if the caller names none.
+	Resumes string
+	Prompt  Prompt
 }
 
 // Prompt describes the input of a model engine.
