--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -53,6 +53,7 @@
 		ID:          r.Header.Get("Id"),
 		APIKey:      r.Header.Get("Key"),
 		LastEventID: r.Header.Get("Last"),
+		Resumes:     r.Header.Get("Resumes"),
 	}
 	if v := r.Header.Get("Wait"); v != "" {
 		d, err := time.ParseDuration(v)
@@ -150,6 +151,8 @@
 	t *testing.T
 	// slots is the number of slots of each server.
 	slots uint32
+	// versions holds the versions of the servers' software; a server without one has none.
+	versions []string
 	// retryWindow, retryRatio and retrySlack are the retry budget; start sets them unless the
 	// window is set.
 	retryWindow time.Duration
@@ -237,6 +240,9 @@
 			Slots:   e.slots,
 			Address: address,
 		})
+		if i < len(e.versions) {
+			servers[i].Version = e.versions[i]
+		}
 	}
 	e.membership.view.Store((&view.View{}).WithTables(1, true, servers, e.instances).WithRules(1, []byte(rules), f))
 	if e.retryWindow == 0 {
