--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -66,8 +66,12 @@
 	// PromptTooLarge means that the prompt and its maximum output exceed the memory of every
 	// engine.
 	PromptTooLarge Kind = "promptTooLarge"
-	ClaimSettled   Kind = "claimSettled"
-	BadSetting     Kind = "badSetting"
+	// StreamVersionUnknown means that a stream is taken up again while servers of several versions
+	// serve, and that it is not known which of them began it.
+	StreamVersionUnknown Kind = "streamVersionUnknown"
+
+	ClaimSettled Kind = "claimSettled"
+	BadSetting   Kind = "badSetting"
 
 	// OverBound, NotOwner, NotCached, CircuitOpen and Unreachable mean that the
 	// request should be tried elsewhere. CircuitOpen means that the target's
@@ -137,7 +141,7 @@
 		return class{code: connect.CodeAborted, outcome: notRun}
 	case DeadlineTooNear, BodyTimedOut:
 		return class{code: connect.CodeDeadlineExceeded, outcome: notRun}
-	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, RequestQuarantined, PromptTooLarge, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
+	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, RequestQuarantined, PromptTooLarge, StreamVersionUnknown, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
 		return class{code: connect.CodeUnavailable, outcome: notRun}
 	case InDoubt, LinkBroken, TimedOut:
 		return class{code: connect.CodeUnknown, outcome: pb.Outcome_OUTCOME_IN_DOUBT}
--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -72,6 +72,10 @@
 // run sends the request to one backend server after another until it is answered or
 // fails.
 func (c *call) run() {
+	if err := c.bindVersion(); err != nil {
+		c.refuse(c.finalFault(err))
+		return
+	}
 	for {
 		if c.timeLeft() < minTimeLeft {
 			c.refuse(c.finalFault(fault.New(fault.DeadlineTooNear, c.service, "the deadline is too near to send the request")))
@@ -79,6 +83,7 @@
 		}
 		g, err := c.place()
 		if err != nil {
+			c.countUnplaced(err)
 			c.refuse(c.finalFault(err))
 			return
 		}
@@ -203,6 +208,7 @@
 	return scheduler.Request{
 		MaxWait:         wait,
 		Account:         c.account,
+		Version:         c.version,
 		Parts:           promptParts(c.req.Prompt),
 		Fingerprint:     c.fingerprint(),
 		PromptTokens:    c.req.Prompt.Tokens,
--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -222,6 +222,7 @@
 // writeEvents writes events to the caller and flushes them. It returns false if the
 // caller has disconnected.
 func (c *call) writeEvents(resp *backend.Response, b []byte) bool {
+	c.version = c.grant.Version
 	c.sendHeader(resp)
 	if _, err := c.w.Write(b); err != nil {
 		return false
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -80,6 +80,7 @@
 
 // newAttempt returns an attempt that is ready to be sent.
 func (c *call) newAttempt(ctx context.Context, g *placer.Grant) *attempt {
+	g.Stream = c.stream
 	return &attempt{
 		c:       c,
 		grant:   g,
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -153,6 +153,11 @@
 	info edge.ResponseInfo
 	// lastEvent is the ID of the last event that the caller has received.
 	lastEvent string
+	// stream identifies a stream that its caller may take up again; zero for other requests.
+	stream uint64
+	// version is the version of the server's software that began the stream; empty until its
+	// first event, or if it is unknown. The stream goes on at this version only.
+	version string
 	// headerSent is true once the response header was written to the caller.
 	headerSent bool
 	// status is the status code that was relayed, zero if none was.
@@ -251,7 +256,8 @@
 	if err := c.checkShutdown(); err != nil {
 		return err
 	}
-	c.service = c.route.PickService(xxhash.Sum64String(c.req.ID))
+	// A stream goes on at the service that began it.
+	c.service = c.route.PickService(xxhash.Sum64String(c.streamID()))
 	c.lastEvent = c.req.LastEventID
 	if err := c.readBody(v.Rules.Ingress.BodyBytes); err != nil {
 		return err
@@ -435,7 +441,7 @@
 		fields["hedge"] = c.hedge
 	}
 	if c.req.Resumes != "" {
-		fields["resumes"] = c.req.Resumes
+		fields["resumes"], fields["boundTo"] = c.req.Resumes, c.version
 	}
 	if g := c.grant; g != nil {
 		fields["server"], fields["version"], fields["decider"] = g.Server, g.Version, g.Decider
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -36,6 +36,7 @@
 	unreadable       metric.Int64Counter
 	hedges           metric.Int64Counter
 	closed           metric.Int64Counter
+	takenUp          metric.Int64Counter
 }
 
 // Callbacks holds callbacks for the metrics whose values are read at scrape time.
@@ -97,6 +98,7 @@
 	m.unreadable = b.counter("camphorspoke.unreadable.headers", "Headers of servers of which a value cannot be read, by header.")
 	m.hedges = b.counter("camphorspoke.hedges", "Copies of requests for a second server, by service and by whether the copy answered the request, was sent in vain or was not sent.")
 	m.closed = b.counter("camphorspoke.client.connections.closed", "Connections of clients that were closed at a limit, by reason.")
+	m.takenUp = b.counter("camphorspoke.streams.taken.up", "Streams that callers take up again, by service and by whether the version that began them is known or unknown; and streams whose version no server has any more.")
 	b.observableCounter("camphorspoke.control.bytes", "Bytes of control traffic by kind.", "kind", func() map[string]int64 { return toInt64(callbacks.ControlBytes()) })
 	b.observableCounter("camphorspoke.invariant.violations", "Violated invariants by name.", "name", func() map[string]int64 { return toInt64(callbacks.Violations()) })
 	b.observableGauge("camphorspoke.server.load", "Requests running and queued at each owned backend server.", "server", func() map[string]int64 { return toInt64(callbacks.Loads()) })
@@ -185,6 +187,22 @@
 
 func serviceAttribute(name string) attribute.KeyValue { return attribute.String("service", name) }
 
+// The results of streams that callers take up again. One whose version is known is counted again
+// if it is refused because no server of that version takes it.
+const (
+	VersionKnown   = "known"
+	VersionUnknown = "unknown"
+	VersionGone    = "gone"
+)
+
+// StreamTakenUp records a stream that its caller takes up again.
+func (m *Meters) StreamTakenUp(ctx context.Context, svc, result string) {
+	if m == nil {
+		return
+	}
+	m.takenUp.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc), attribute.String("result", result)))
+}
+
 // Request records a finished request, its outcome and its duration.
 func (m *Meters) Request(ctx context.Context, svc, outcome string, d time.Duration) {
 	if m == nil {
--- a/internal/daemon/placer/hedge.go
+++ b/internal/daemon/placer/hedge.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.completeHedge(g, d, decider); err != nil {
+	if err := p.completeHedge(g, d, decider, req.Version); err != nil {
 		return nil, err
 	}
 	if g.stream != nil {
@@ -74,9 +74,9 @@
 	return first
 }
 
-// completeHedge fills in a grant. If the decision is a refusal or its server can't be used,
+// completeHedge fills in a grant of a request that may be bound to a version. If the decision is a refusal or its server can't be used,
 // it returns the reason and releases the grant.
-func (p *Placer) completeHedge(g *Grant, d scheduler.Decision, decider string) error {
+func (p *Placer) completeHedge(g *Grant, d scheduler.Decision, decider, version string) error {
 	if d.Server == "" || !p.completeGrant(g, d, decider) {
 		g.Report(scheduler.Report{
 			Event: scheduler.Cancelled,
@@ -88,9 +88,10 @@
 	}
 	u := p.unavailable(g.Server)
 	u.limit = p.unreportedLimit(g)
+	u.otherVersion = version != "" && g.Version != version
 	if u.any() {
 		p.withdraw(g, u)
-		return hedgeFault(g.service, "the chosen backend server has asked for a pause, named a limit, leaves or is evacuated")
+		return hedgeFault(g.service, "the chosen backend server has asked for a pause, named a limit, leaves, is evacuated or has another version")
 	}
 	return nil
 }
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -115,7 +115,8 @@
 	}
 }
 
-func (s *clientStream) report(id uint64, r scheduler.Report) {
+// report reports an event of a request, and the stream that begins with it.
+func (s *clientStream) report(id uint64, r scheduler.Report, begun begunStream) {
 	s.send(&pb.PlaceRequest{
 		Id: id,
 		Report: &pb.PlaceReport{
@@ -133,6 +134,8 @@
 			ColdMs:       ceilMilliseconds(r.ColdFor),
 			Limit:        fromLimit(r.Limit),
 			OtherServer:  r.OtherServer,
+			Stream:       begun.stream,
+			Version:      begun.version,
 		},
 	})
 }
@@ -191,6 +194,7 @@
 		Instance:      req.Instance,
 
 		ExcludedDomains: req.ExcludedDomains,
+		Version:         req.Version,
 	}
 }
 
@@ -210,7 +214,7 @@
 		s.mu.Unlock()
 		s.report(id, scheduler.Report{
 			Event: scheduler.Cancelled,
-		})
+		}, begunStream{})
 	}
 	if !s.send(&pb.PlaceRequest{
 		Id:  id,
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -48,8 +48,8 @@
 	minSkipPeriod = 200 * time.Millisecond
 	maxSkipPeriod = 1600 * time.Millisecond
 	// maxPlacements is how often a request is placed, as long as each server chosen has
-	// asked this instance for a pause, announced that it leaves, named a limit or is
-	// evacuated, and the decider has not received that.
+	// asked this instance for a pause, announced that it leaves, named a limit, is
+	// evacuated or has another version, and the decider has not received that.
 	maxPlacements = 4
 	// withdrawnRetryAfter is the retry delay for a request whose decisions were all
 	// withdrawn, if no server has named a time.
@@ -98,6 +98,8 @@
 	Peers    StreamOpener
 	// Explainer asks other instances what they would decide; it may be nil.
 	Explainer Explainer
+	// Versions asks other instances which version began a stream; it may be nil.
+	Versions VersionReader
 	// AnswerTimeout is how long to wait for the decider's first response; zero is 60 ms.
 	AnswerTimeout time.Duration
 	// Unresponsive reports whether an instance has not answered recently.
@@ -135,6 +137,8 @@
 	departures departure.Tracker
 	// lateness is how late this process is run.
 	lateness lateness.Tracker
+	// nextStreamFlush is when the records of streams are sent next. Only the ticker uses it.
+	nextStreamFlush time.Duration
 }
 
 // skip is how a decider that did not answer is skipped.
@@ -151,6 +155,9 @@
 	Address string
 	// Version is the version of the server's software; empty if the platform states none.
 	Version string
+	// Stream identifies the stream of the request, if its caller may take it up again; zero for
+	// other requests. It is recorded with Version when the server begins its response.
+	Stream uint64
 	// FetchAddress is the engine from which the chosen server should fetch the cached
 	// prefix that it lacks; empty if no engine has more of the prompt cached.
 	FetchAddress string
@@ -222,6 +229,7 @@
 			last = now
 			p.schedulers.tick()
 			p.flushStandbys()
+			p.flushStreams()
 		}
 	}
 }
@@ -287,6 +295,7 @@
 			return nil, err
 		}
 		u := p.unavailable(g.Server)
+		u.otherVersion = req.Version != "" && g.Version != req.Version
 		if withdrawnForLimit == 0 && n < maxPlacements-1 {
 			// Once at most, so that a disagreement on a limit refuses no request.
 			u.limit = p.unreportedLimit(g)
@@ -305,6 +314,9 @@
 		case slices.Contains(withdrawn, g.Server):
 			// A decider of an older build does not read the report.
 			req.Tried = append(slices.Clone(req.Tried), g.Server)
+		case u.otherVersion:
+			// A decider of an older build does not read the version.
+			req.Tried = append(slices.Clone(req.Tried), p.otherVersions(service, req.Version)...)
 		case u.evacuated && slices.Contains(req.ExcludedDomains, u.domain):
 			// A decider of an older build does not read the excluded domains.
 			req.Tried = append(slices.Clone(req.Tried), p.serversIn(service, u.domain)...)
@@ -376,7 +388,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.ContainsFunc(p.view.AcceptingServers(service), func(s *pb.BackendServer) bool {
-		return !slices.Contains(req.Tried, s.GetName())
+		return !slices.Contains(req.Tried, s.GetName()) && (req.Version == "" || s.GetVersion() == req.Version)
 	})
 }
 
@@ -423,7 +435,11 @@
 func (g *Grant) Report(r scheduler.Report) {
 	g.p.recordPause(g.Server, r.RetryAfter)
 	g.p.recordDeparture(g.Server, r.Leaving)
-	if r.Event == scheduler.Started && !r.HasLoad && !g.hasPrompt && r.RetryAfter == 0 && !r.Leaving && r.ColdFor == 0 && !g.changesLimit(r) {
+	begun := g.begunStream(r.Event)
+	if begun.stream != 0 {
+		g.p.schedulers.recordStream(g.service, begun.stream, begun.version, g.stream == nil && !g.Alone)
+	}
+	if r.Event == scheduler.Started && begun.stream == 0 && !r.HasLoad && !g.hasPrompt && r.RetryAfter == 0 && !r.Leaving && r.ColdFor == 0 && !g.changesLimit(r) {
 		// The start of such a request changes nothing that the schedulers know.
 		return
 	}
@@ -431,13 +447,30 @@
 		g.p.schedulers.report(g.service, g.localID, r)
 	}
 	if g.stream != nil {
-		g.stream.report(g.remoteID, r)
+		g.stream.report(g.remoteID, r, begun)
 	}
 	if r.Event == scheduler.Down && !r.Answered {
 		g.noteCrash()
 	}
 }
 
+// begunStream is a stream that a server of a version has begun; the zero value is none.
+type begunStream struct {
+	stream  uint64
+	version string
+}
+
+// begunStream returns the stream that begins with an event, if its version is known.
+func (g *Grant) begunStream(e scheduler.Event) begunStream {
+	if e != scheduler.Started || g.Stream == 0 || g.Version == "" {
+		return begunStream{}
+	}
+	return begunStream{
+		stream:  g.Stream,
+		version: g.Version,
+	}
+}
+
 // changesLimit reports whether a report names a limit of the server, or states that there is
 // none while the decider or this instance knows of one.
 func (g *Grant) changesLimit(r scheduler.Report) bool {
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -46,6 +46,8 @@
 	ignoresExclusions atomic.Bool
 	// ignoresLimits makes it decide like a build that does not read the limits of servers.
 	ignoresLimits atomic.Bool
+	// ignoresVersions makes it decide like a build that does not read the version of a request.
+	ignoresVersions atomic.Bool
 	// streams counts the placement streams that other instances have opened.
 	streams atomic.Int32
 	stop    func()
@@ -75,6 +77,9 @@
 	if ask := m.GetAsk(); ask != nil && r.instance.ignoresExclusions.Load() {
 		ask.ExcludedDomains = nil
 	}
+	if ask := m.GetAsk(); ask != nil && r.instance.ignoresVersions.Load() {
+		ask.Version = ""
+	}
 	if report := m.GetReport(); report != nil && r.instance.ignoresLimits.Load() {
 		report.Limit = nil
 	}
@@ -148,6 +153,7 @@
 			RetrySlack:  5,
 			Instance:    name,
 			Peers:       peers,
+			Versions:    peers,
 			CacheReader: c,
 			Record:      record,
 			Logger:      log,
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -70,6 +70,10 @@
 	// complete holds the services for which this instance, as their decider, knows
 	// what the engines have cached.
 	complete map[string]bool
+	// streams holds the recorded streams of each service, and streamRetention for how long they
+	// are remembered.
+	streams         map[string]*streamRecords
+	streamRetention time.Duration
 	// changes holds the changes of quarantines that are not recorded yet.
 	changes chan *pb.Quarantine
 	// entitled reports whether this instance is one of the deciders of a service by its own
@@ -88,6 +92,7 @@
 		decidedAt: make(map[string]time.Duration),
 		fedAt:     make(map[string]time.Duration),
 		complete:  make(map[string]bool),
+		streams:   make(map[string]*streamRecords),
 		changes:   make(chan *pb.Quarantine, maxUnrecorded),
 	}
 }
@@ -238,6 +243,7 @@
 			Leaving:       s.GetLeaving(),
 			Address:       s.GetAddress(),
 			JoinedMs:      s.GetJoinedMs(),
+			Version:       s.GetVersion(),
 		}
 		setColdListing(&l, s)
 		lists[s.GetService()] = append(lists[s.GetService()], l)
@@ -248,6 +254,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.engines, d.view, d.order, d.ranks = engines, v, order, ranks
+	d.streamRetention = longestStream(v.Rules)
 	for name, rule := range v.Rules.Services {
 		svc := d.settings(name, rule)
 		s := d.services[name]
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -68,6 +68,8 @@
 		s.report(m.GetId(), m.GetReport())
 	case m.GetCrash() != nil:
 		s.schedulers.noteCrash(m.GetCrash())
+	case len(m.GetBegunStreams()) > 0:
+		s.schedulers.receiveStreams(m.GetBegunStreams())
 	default:
 		for _, ad := range m.GetAdopts() {
 			if m.GetInformed() {
@@ -126,6 +128,7 @@
 		FailureDomain:   req.GetFailureDomain(),
 		Instance:        req.GetInstance(),
 		ExcludedDomains: req.GetExcludedDomains(),
+		Version:         req.GetVersion(),
 	}
 }
 
@@ -168,6 +171,9 @@
 	if !ok {
 		return
 	}
+	if r.GetStream() != 0 {
+		s.schedulers.recordStream(ref.service, r.GetStream(), r.GetVersion(), true)
+	}
 	s.schedulers.report(ref.service, ref.id, scheduler.Report{
 		Event:   scheduler.Event(r.GetEvent()),
 		HasLoad: r.GetHasLoad(),
--- /dev/null
+++ b/internal/daemon/placer/streams_test.go
@@ -0,0 +1,162 @@
+package placer_test
+
+// This file tests which instances remember the versions of streams, and that a stream is placed at
+// its version only.
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/routing/view"
+)
+
+// StreamVersion serves the records of an instance, as peerserver does.
+func (i *instance) StreamVersion(_ context.Context, r *pb.StreamVersionRequest) (*pb.StreamVersionResponse, error) {
+	version, known := i.placer.Schedulers().StreamVersion(r.GetService(), r.GetStream())
+	return &pb.StreamVersionResponse{
+		Known:   known,
+		Version: version,
+	}, nil
+}
+
+// newVersionFleet starts n instances that list the engines e0 and e2 of version v1, and e1 of
+// version v2. It also returns the order of the deciders, and the view.
+func newVersionFleet(t *testing.T, n int) (map[string]*instance, []string, *view.View) {
+	t.Helper()
+	fleet, order, v := startFleet(t, n, 0, nil, nil)
+	var servers []*pb.BackendServer
+	for name, version := range map[string]string{"e0": "v1", "e1": "v2", "e2": "v1"} {
+		servers = append(servers, &pb.BackendServer{
+			Name:    name,
+			Service: service,
+			Address: name + ":1",
+			Version: version,
+		})
+	}
+	v = v.WithTables(2, false, servers, nil)
+	for _, in := range fleet {
+		in.placer.Update(v)
+	}
+	return fleet, order, v
+}
+
+// begin places a stream at an instance, whose server begins its response, and returns its version.
+func begin(t *testing.T, in *instance, stream uint64) string {
+	t.Helper()
+	g, err := in.placer.Place(t.Context(), service, newRequest(1, stream))
+	require.NoError(t, err)
+	g.Stream = stream
+	g.Report(scheduler.Report{
+		Event: scheduler.Started,
+	})
+	return g.Version
+}
+
+// TestVersionOfStreamOutlivesInstances: the instance that relayed a stream and the deciders of the
+// service are killed at the same time. It guards against a record that is lost with them, so that
+// their callers' streams are refused while two versions serve.
+func TestVersionOfStreamOutlivesInstances(t *testing.T) {
+	fleet, order, _ := newVersionFleet(t, 7)
+	relay := fleet[order[6]]
+	versions := make(map[uint64]string)
+	for stream := uint64(1); stream <= 20; stream++ {
+		versions[stream] = begin(t, relay, stream)
+	}
+	require.Eventually(t, func() bool {
+		for _, holder := range order[1:4] {
+			if _, known := fleet[holder].placer.Schedulers().StreamVersion(service, 20); !known {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, 10*time.Millisecond)
+	for _, name := range []string{order[6], order[0], order[1], order[2]} {
+		fleet[name].stop()
+	}
+	for stream, want := range versions {
+		got, known := fleet[order[5]].placer.StreamVersion(t.Context(), service, stream, true)
+		require.True(t, known)
+		require.Equal(t, want, got)
+	}
+	_, known := fleet[order[5]].placer.StreamVersion(t.Context(), service, 99, true)
+	require.False(t, known, "nobody has relayed this stream, and two versions serve")
+}
+
+// TestUnknownStreamWhileVersionsChange: a stream of which there is no record goes on if all servers
+// that were listed lately have one version, and not otherwise: a version that has just gone may
+// have begun it, and an instance whose view is not confirmed does not know the versions.
+func TestUnknownStreamWhileVersionsChange(t *testing.T) {
+	fleet, order, v := newVersionFleet(t, 1)
+	p := fleet[order[0]].placer
+	listE1 := func(gone time.Duration) {
+		v = v.WithTables(v.Index+1, false, []*pb.BackendServer{{
+			Name:    "e1",
+			Service: service,
+			Address: "e1:1",
+			Version: "v2",
+			Gone:    true,
+			GoneMs:  time.Now().Add(-gone).UnixMilli(),
+		}}, nil)
+		p.Update(v)
+	}
+	_, known := p.StreamVersion(t.Context(), service, 99, true)
+	require.False(t, known)
+	listE1(time.Second)
+	_, known = p.StreamVersion(t.Context(), service, 99, true)
+	require.False(t, known, "the other version has only just gone")
+	listE1(time.Hour)
+	version, known := p.StreamVersion(t.Context(), service, 99, true)
+	require.True(t, known)
+	require.Equal(t, "v1", version)
+	_, known = p.StreamVersion(t.Context(), service, 99, false)
+	require.False(t, known, "the view is not confirmed")
+}
+
+// TestBoundRequestIsPlacedAtItsVersion: requests that are bound to a version are placed at its
+// servers only, at the decider and at another instance; and where no server has the version, they
+// are refused at once.
+func TestBoundRequestIsPlacedAtItsVersion(t *testing.T) {
+	fleet, order, _ := newVersionFleet(t, 3)
+	for name, in := range map[string]*instance{"decider": fleet[order[0]], "other": fleet[order[2]]} {
+		for n := range uint64(10) {
+			for _, version := range []string{"v1", "v2"} {
+				req := newRequest(1, n)
+				req.Version = version
+				g, err := in.placer.Place(t.Context(), service, req)
+				require.NoError(t, err, name)
+				require.Equal(t, version, g.Version, name)
+				g.Report(scheduler.Report{
+					Event: scheduler.Done,
+				})
+			}
+		}
+		req := newRequest(1, 1)
+		req.Version, req.MaxWait = "v3", 10*time.Second
+		start := time.Now()
+		_, err := in.placer.Place(t.Context(), service, req)
+		require.Error(t, err)
+		require.Less(t, time.Since(start), 5*time.Second, "a version that no server has is waited for")
+	}
+}
+
+// TestDeciderThatDoesNotReadVersions: the decider is of an older build and places a request at any
+// version. The instance must not send it there.
+func TestDeciderThatDoesNotReadVersions(t *testing.T) {
+	fleet, order, _ := newVersionFleet(t, 3)
+	fleet[order[0]].ignoresVersions.Store(true)
+	for n := range uint64(20) {
+		req := newRequest(1, n)
+		req.Version = "v2"
+		g, err := fleet[order[2]].placer.Place(t.Context(), service, req)
+		require.NoError(t, err)
+		require.Equal(t, "v2", g.Version)
+		g.Report(scheduler.Report{
+			Event: scheduler.Done,
+		})
+	}
+}
--- a/internal/daemon/placer/unavailable.go
+++ b/internal/daemon/placer/unavailable.go
@@ -72,10 +72,13 @@
 	domain    string
 	// limit is the limit of the server if the decider had not received it.
 	limit serverlimit.Statement
+	// otherVersion is true if the server has another version than the one that the request is
+	// bound to.
+	otherVersion bool
 }
 
 func (u unavailability) any() bool {
-	return u.pauseLeft > 0 || u.leaving || u.drained || u.evacuated || u.limit.Named
+	return u.otherVersion || u.pauseLeft > 0 || u.leaving || u.drained || u.evacuated || u.limit.Named
 }
 
 // unavailable returns why this instance must not send a request to a server; the zero
@@ -140,6 +143,7 @@
 		"drained":     u.drained,
 		"evacuated":   u.evacuated,
 		"serverLimit": u.limit.PerSecond,
+		"version":     g.Version,
 	}).Info(u.reason())
 	g.Report(scheduler.Report{
 		Event:      scheduler.Cancelled,
@@ -154,5 +158,8 @@
 	if u.limit.Named {
 		return "placer: the decider had not received the limit that the chosen server has named; the request is placed again"
 	}
+	if u.otherVersion {
+		return "placer: the chosen server has another version than the one that began the stream; the request is placed again"
+	}
 	return "placer: the chosen server has asked for a pause, leaves, is drained or is evacuated; the request is placed again"
 }
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -251,6 +251,7 @@
 		Instance:     in.cfg.Instance,
 		Peers:        peers,
 		Explainer:    peers,
+		Versions:     peers,
 		Unresponsive: in.agent.Unresponsive,
 		Leader:       in.agent.Leader,
 		CacheReader:  in.adapters.CacheReader,
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -195,3 +195,20 @@
 	}
 	return r.GetJson(), nil
 }
+
+// StreamVersion returns which version of a server's software began a stream, or false if the other
+// instance has no record.
+func (c *Client) StreamVersion(ctx context.Context, address, service string, stream uint64) (version string, known bool, err error) {
+	p, err := c.clientFor(address, true)
+	if err != nil {
+		return "", false, err
+	}
+	r, err := p.StreamVersion(ctx, &pb.StreamVersionRequest{
+		Service: service,
+		Stream:  stream,
+	})
+	if err != nil {
+		return "", false, fault.Wrap(fault.Unreachable, address, err)
+	}
+	return r.GetVersion(), r.GetKnown(), nil
+}
--- a/internal/edge/peerserver/peerserver.go
+++ b/internal/edge/peerserver/peerserver.go
@@ -98,6 +98,18 @@
 	}, nil
 }
 
+// StreamVersion returns which version of a server's software began a stream.
+func (s *Server) StreamVersion(_ context.Context, r *pb.StreamVersionRequest) (*pb.StreamVersionResponse, error) {
+	if s.Schedulers == nil {
+		return &pb.StreamVersionResponse{}, nil
+	}
+	version, known := s.Schedulers.StreamVersion(r.GetService(), r.GetStream())
+	return &pb.StreamVersionResponse{
+		Known:   known,
+		Version: version,
+	}, nil
+}
+
 // Place serves a stream of placement requests.
 func (s *Server) Place(stream grpc.BidiStreamingServer[pb.PlaceRequest, pb.PlaceResponse]) error {
 	if s.Schedulers == nil {
--- a/internal/gen/camphorspoke/v1/camphorspokev1connect/peer.connect.go
+++ b/internal/gen/camphorspoke/v1/camphorspokev1connect/peer.connect.go
@@ -49,6 +49,9 @@
 	// PeerServiceExplainPlacementProcedure is the fully-qualified name of the PeerService's
 	// ExplainPlacement RPC.
 	PeerServiceExplainPlacementProcedure = "/camphorspoke.v1.PeerService/ExplainPlacement"
+	// PeerServiceStreamVersionProcedure is the fully-qualified name of the PeerService's StreamVersion
+	// RPC.
+	PeerServiceStreamVersionProcedure = "/camphorspoke.v1.PeerService/StreamVersion"
 	// PeerServiceAcquaintProcedure is the fully-qualified name of the PeerService's Acquaint RPC.
 	PeerServiceAcquaintProcedure = "/camphorspoke.v1.PeerService/Acquaint"
 	// ControlServiceHeartbeatProcedure is the fully-qualified name of the ControlService's Heartbeat
@@ -85,6 +88,8 @@
 	Place(context.Context) *connect.BidiStreamForClient[v1.PlaceRequest, v1.PlaceResponse]
 	// ExplainPlacement returns what would be decided on a request now.
 	ExplainPlacement(context.Context, *connect.Request[v1.ExplainPlacementRequest]) (*connect.Response[v1.ExplainPlacementResponse], error)
+	// StreamVersion returns which version of a server's software began a stream.
+	StreamVersion(context.Context, *connect.Request[v1.StreamVersionRequest]) (*connect.Response[v1.StreamVersionResponse], error)
 	// Acquaint exchanges the addresses of the control group.
 	Acquaint(context.Context, *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error)
 }
@@ -136,6 +141,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("ExplainPlacement")),
 			connect.WithClientOptions(opts...),
 		),
+		streamVersion: connect.NewClient[v1.StreamVersionRequest, v1.StreamVersionResponse](
+			httpClient,
+			baseURL+PeerServiceStreamVersionProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("StreamVersion")),
+			connect.WithClientOptions(opts...),
+		),
 		acquaint: connect.NewClient[v1.AcquaintRequest, v1.AcquaintResponse](
 			httpClient,
 			baseURL+PeerServiceAcquaintProcedure,
@@ -153,6 +164,7 @@
 	handover         *connect.Client[v1.HandoverRequest, v1.HandoverResponse]
 	place            *connect.Client[v1.PlaceRequest, v1.PlaceResponse]
 	explainPlacement *connect.Client[v1.ExplainPlacementRequest, v1.ExplainPlacementResponse]
+	streamVersion    *connect.Client[v1.StreamVersionRequest, v1.StreamVersionResponse]
 	acquaint         *connect.Client[v1.AcquaintRequest, v1.AcquaintResponse]
 }
 
@@ -186,6 +198,11 @@
 	return c.explainPlacement.CallUnary(ctx, req)
 }
 
+// StreamVersion calls camphorspoke.v1.PeerService.StreamVersion.
+func (c *peerServiceClient) StreamVersion(ctx context.Context, req *connect.Request[v1.StreamVersionRequest]) (*connect.Response[v1.StreamVersionResponse], error) {
+	return c.streamVersion.CallUnary(ctx, req)
+}
+
 // Acquaint calls camphorspoke.v1.PeerService.Acquaint.
 func (c *peerServiceClient) Acquaint(ctx context.Context, req *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error) {
 	return c.acquaint.CallUnary(ctx, req)
@@ -203,6 +220,8 @@
 	Place(context.Context, *connect.BidiStream[v1.PlaceRequest, v1.PlaceResponse]) error
 	// ExplainPlacement returns what would be decided on a request now.
 	ExplainPlacement(context.Context, *connect.Request[v1.ExplainPlacementRequest]) (*connect.Response[v1.ExplainPlacementResponse], error)
+	// StreamVersion returns which version of a server's software began a stream.
+	StreamVersion(context.Context, *connect.Request[v1.StreamVersionRequest]) (*connect.Response[v1.StreamVersionResponse], error)
 	// Acquaint exchanges the addresses of the control group.
 	Acquaint(context.Context, *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error)
 }
@@ -250,6 +269,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("ExplainPlacement")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceStreamVersionHandler := connect.NewUnaryHandler(
+		PeerServiceStreamVersionProcedure,
+		svc.StreamVersion,
+		connect.WithSchema(peerServiceMethods.ByName("StreamVersion")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceAcquaintHandler := connect.NewUnaryHandler(
 		PeerServiceAcquaintProcedure,
 		svc.Acquaint,
@@ -270,6 +295,8 @@
 			peerServicePlaceHandler.ServeHTTP(w, r)
 		case PeerServiceExplainPlacementProcedure:
 			peerServiceExplainPlacementHandler.ServeHTTP(w, r)
+		case PeerServiceStreamVersionProcedure:
+			peerServiceStreamVersionHandler.ServeHTTP(w, r)
 		case PeerServiceAcquaintProcedure:
 			peerServiceAcquaintHandler.ServeHTTP(w, r)
 		default:
@@ -305,6 +332,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.PeerService.ExplainPlacement is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) StreamVersion(context.Context, *connect.Request[v1.StreamVersionRequest]) (*connect.Response[v1.StreamVersionResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.PeerService.StreamVersion is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Acquaint(context.Context, *connect.Request[v1.AcquaintRequest]) (*connect.Response[v1.AcquaintResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("camphorspoke.v1.PeerService.Acquaint is not implemented"))
 }
--- a/internal/routing/scheduler/evacuations.go
+++ b/internal/routing/scheduler/evacuations.go
@@ -10,14 +10,17 @@
 // mayRun reports whether the server takes new requests and is not ruled out for req. A
 // server that is ejected, full or paused may run req later.
 func (sv *server) mayRun(req Request) bool {
-	return sv.accepting && !slices.Contains(req.Tried, sv.name) && !slices.Contains(req.ExcludedDomains, sv.domain)
+	return sv.accepting && sv.hasVersion(req) && !slices.Contains(req.Tried, sv.name) && !slices.Contains(req.ExcludedDomains, sv.domain)
 }
 
+// hasVersion reports whether the server has the version that req is bound to.
+func (sv *server) hasVersion(req Request) bool { return req.Version == "" || sv.version == req.Version }
+
 // restricted reports whether some accepting server is ruled out for req, so that a
 // decision on req implies nothing for other requests. Excluded domains whose servers are
 // evacuated for all requests do not count.
 func (s *Scheduler) restricted(req Request) bool {
-	return len(req.Tried) > 0 || slices.ContainsFunc(req.ExcludedDomains, func(domain string) bool { return !s.evacuated[domain] })
+	return len(req.Tried) > 0 || req.Version != "" || slices.ContainsFunc(req.ExcludedDomains, func(domain string) bool { return !s.evacuated[domain] })
 }
 
 // updateEvacuated records the evacuated failure domains of the listed servers.
--- a/internal/routing/scheduler/explain.go
+++ b/internal/routing/scheduler/explain.go
@@ -27,6 +27,8 @@
 	// Replaced is a server at whose address another one answers.
 	Replaced     = "replaced"
 	AlreadyTried = "alreadyTried"
+	// OtherVersion means that the request is bound to another version of the software.
+	OtherVersion = "otherVersion"
 	Ejected      = "ejected"
 	NoSlot       = "noSlot"
 	// OverLoadLimit servers have more than their part of the load. They are chosen if no
@@ -167,6 +169,7 @@
 		{Paused, sv.pauses.Left(now, req.Instance) > 0},
 		{RejectedLately, now < sv.fullUntil},
 		{Replaced, now < sv.replacedUntil},
+		{OtherVersion, !sv.hasVersion(req)},
 		{AlreadyTried, slices.Contains(req.Tried, sv.name)},
 		{Ejected, sv.ejected(now)},
 		{NoSlot, c.Load+1 > s.maxGrants(sv)},
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -71,7 +71,9 @@
 	slots  int
 	// listedSlots is the slot count from the server list; zero when it has none.
 	listedSlots int
-	accepting   bool
+	// version is the version of the server's software.
+	version   string
+	accepting bool
 	// listed is true while the server is listed, and listing identifies its incarnation.
 	listed  bool
 	listing departure.Listing
@@ -143,7 +145,7 @@
 		sv.otherAnswers, sv.replacedUntil, sv.unresponsive = 0, 0, false
 	}
 	sv.listed = true
-	sv.accepting, sv.domain, sv.listedSlots = l.Accepting, l.FailureDomain, l.Slots
+	sv.accepting, sv.domain, sv.listedSlots, sv.version = l.Accepting, l.FailureDomain, l.Slots, l.Version
 	sv.listing = l.departureListing()
 }
 
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -68,6 +68,8 @@
 	// is another announcement.
 	ColdFor   time.Duration
 	ColdIndex uint64
+	// Version is the version of the server's software; empty if it is unknown.
+	Version string
 }
 
 // Request describes a request that needs a slot on a server.
@@ -97,6 +99,9 @@
 	// ExcludedDomains names the failure domains that the instance has as evacuated. No
 	// server in them is chosen.
 	ExcludedDomains []string
+	// Version is the version of the software that a server must have to be chosen; empty for
+	// any. A stream that has begun goes on at that version only.
+	Version string
 	// Retry is true for a retry, which counts against the retry budget.
 	Retry bool
 	// Hedge is true for a copy of a request that is still in progress at the tried servers.
