--- a/internal/control/raftlog/machine_test.go
+++ b/internal/control/raftlog/machine_test.go
@@ -79,12 +79,19 @@
 	crashProbability float64
 	// lastIdentity is the disk identity that was assigned last.
 	lastIdentity uint64
+	// voters is Config.Voters of the members.
+	voters int
 }
 
 // newGroup starts a group in which only r0 has the bootstrap entry. The clocks of
 // the members drift apart by at most MaxDriftPercent.
-func newGroup(t *rapid.T, size int) *group {
+func newGroup(t *rapid.T, size int) *group { return newGroupWithStandby(t, size, 0) }
+
+// newGroupWithStandby is like newGroup, but if voters is above zero only that many members vote
+// at first, and as many are to vote.
+func newGroupWithStandby(t *rapid.T, size, voters int) *group {
 	g := &group{
+		voters:    voters,
 		t:         t,
 		rnd:       rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
 		members:   make(map[string]*member),
@@ -110,6 +117,7 @@
 		initial.Members = append(initial.Members, &pb.RaftMember{
 			Name:     name,
 			Identity: g.lastIdentity,
+			Learner:  voters > 0 && i >= voters,
 		})
 	}
 	e, err := BootstrapEntry(initial)
@@ -136,6 +144,7 @@
 		Identity:  m.disk.identity,
 		Election:  testElection,
 		Heartbeat: testHeartbeat,
+		Voters:    g.voters,
 		Rand:      rand.New(rand.NewPCG(g.rnd.Uint64(), 2)),
 		Checker:   g.checker,
 	}, m.disk.stored, g.clock(m))
@@ -313,6 +322,15 @@
 	return true
 }
 
+// loseDisk restarts a member with an empty disk.
+func (g *group) loseDisk(m *member) {
+	g.lastIdentity++
+	m.disk = &disk{
+		identity: g.lastIdentity,
+	}
+	g.start(m)
+}
+
 // applyEvent applies the fault or other event of the given kind, for most kinds
 // to a random member; kinds above 12 do nothing. A disk is lost only while all
 // members are healthy, so one at a time: the loss of a quorum of disks loses data
@@ -328,11 +346,7 @@
 		}
 	case 2:
 		if g.fullyHealthy() {
-			g.lastIdentity++
-			m.disk = &disk{
-				identity: g.lastIdentity,
-			}
-			g.start(m)
+			g.loseDisk(m)
 		}
 	case 3:
 		other := g.names[g.rnd.IntN(len(g.names))]
