--- /dev/null
+++ b/internal/daemon/placer/grant.go
@@ -0,0 +1,103 @@
+package placer
+
+// This file defines Grant, and how the outcome of its request is reported.
+
+import (
+	"time"
+
+	"camphorspoke/internal/routing/scheduler"
+)
+
+// Grant is the permission to send one request to a backend server.
+type Grant struct {
+	scheduler.Decision
+	Address string
+	// Version is the version of the server's software; empty if the platform states none.
+	Version string
+	// Stream identifies the stream of the request, if its caller may take it up again; zero for
+	// other requests. It is recorded with Version when the server begins its response.
+	Stream uint64
+	// FetchAddress is the engine from which the chosen server should fetch the cached
+	// prefix that it lacks; empty if no engine has more of the prompt cached.
+	FetchAddress string
+	// Decider is the instance that made the choice. Alone is true if it is this instance
+	// and it decided for its own requests only.
+	Decider string
+	Alone   bool
+	// Waited is how long the request waited for the decision.
+	Waited time.Duration
+	// Withdrawn is the number of decisions before this one whose server had asked this
+	// instance for a pause, announced that it leaves or was evacuated, or for which the
+	// decider had not received a limit. WithdrawnForLimit is the number of the latter.
+	Withdrawn         int
+	WithdrawnForLimit int
+
+	p       *Placer
+	service string
+	// fingerprint is that of the request, and sentAt when the choice was made.
+	fingerprint uint64
+	sentAt      time.Duration
+	// hasPrompt is true if the request has a prompt, whose reading the schedulers
+	// account for.
+	hasPrompt bool
+	// localID identifies the request at the instance's own schedulers, remoteID at
+	// the decider at the other end of stream. A zero localID or a nil stream means
+	// that the request is not registered there.
+	localID  uint64
+	remoteID uint64
+	stream   *clientStream
+}
+
+// Report passes the progress or the outcome of the request to the schedulers that
+// account for it.
+func (g *Grant) Report(r scheduler.Report) {
+	g.p.recordPause(g.Server, r.RetryAfter)
+	g.p.recordDeparture(g.Server, r.Leaving)
+	begun := g.begunStream(r.Event)
+	if begun.stream != 0 {
+		g.p.schedulers.recordStream(g.service, begun.stream, begun.version, g.stream == nil && !g.Alone)
+	}
+	if r.Event == scheduler.Started && begun.stream == 0 && !r.HasLoad && !g.hasPrompt && r.RetryAfter == 0 && !r.Leaving && r.ColdFor == 0 && !g.changesLimit(r) {
+		// The start of such a request changes nothing that the schedulers know.
+		return
+	}
+	if g.localID != 0 {
+		g.p.schedulers.report(g.service, g.localID, r)
+	}
+	if g.stream != nil {
+		g.stream.report(g.remoteID, r, begun)
+	}
+	if r.Event == scheduler.Down && !r.Answered {
+		g.noteCrash()
+	}
+}
+
+// begunStream is a stream that a server of a version has begun; the zero value is none.
+type begunStream struct {
+	stream  uint64
+	version string
+}
+
+// begunStream returns the stream that begins with an event, if its version is known.
+func (g *Grant) begunStream(e scheduler.Event) begunStream {
+	if e != scheduler.Started || g.Stream == 0 || g.Version == "" {
+		return begunStream{}
+	}
+	return begunStream{
+		stream:  g.Stream,
+		version: g.Version,
+	}
+}
+
+// changesLimit reports whether a report names a limit of the server, or states that there is
+// none while the decider or this instance knows of one.
+func (g *Grant) changesLimit(r scheduler.Report) bool {
+	switch {
+	case !r.Limit.Known:
+		return false
+	case r.Limit.Named || g.Limit.Named:
+		return true
+	default:
+		return g.p.schedulers.limit(g.service, g.Server).Named
+	}
+}
