--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -57,6 +57,9 @@
 	// Versions returns the number of listed backend servers of each version of their software, by
 	// service and version with a slash between them; it may be nil.
 	Versions func() map[string]int
+	// RuleBytes returns the size of the rules in force, in bytes, by the name of this instance; it
+	// may be nil.
+	RuleBytes func() map[string]int
 	// Evacuated returns 1 for each evacuated failure domain; it may be nil.
 	Evacuated func() map[string]int
 	// LossesBorne returns how many more voters of the control group may lose their disks, by the
@@ -117,6 +120,9 @@
 	if callbacks.Evacuated != nil {
 		b.observableGauge("camphorspoke.evacuated.domains", "1 for each failure domain that this instance has as evacuated.", "failureDomain", func() map[string]int64 { return toInt64(callbacks.Evacuated()) })
 	}
+	if callbacks.RuleBytes != nil {
+		b.observableGauge("camphorspoke.rules.bytes", "Size of the rules in force.", "instance", func() map[string]int64 { return toInt64(callbacks.RuleBytes()) })
+	}
 	if callbacks.LossesBorne != nil {
 		b.observableGauge("camphorspoke.control.losses.borne", "Voters of the control group that may lose their disks while the others still elect a leader, by leader.", "leader", func() map[string]int64 { return toInt64(callbacks.LossesBorne()) })
 	}
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -170,6 +170,7 @@
 		Connections:  e.connectionCounts,
 		LossesBorne:  in.lossesBorne,
 		Versions:     in.serverVersions,
+		RuleBytes:    in.ruleBytes,
 
 		LimitedServers: in.limitedServers,
 	})
@@ -321,6 +322,14 @@
 	return out
 }
 
+// ruleBytes returns the size of the rules in force by the name of this instance.
+func (in *instance) ruleBytes() map[string]int {
+	if in.agent == nil {
+		return nil
+	}
+	return map[string]int{in.cfg.Instance: len(in.agent.View().RuleText)}
+}
+
 // lossesBorne returns how many more voters may lose their disks, by the name of this instance, if it
 // leads the control group.
 func (in *instance) lossesBorne() map[string]int {
