--- a/internal/edge/controlclient/controlclient.go
+++ b/internal/edge/controlclient/controlclient.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	grpcstatus "google.golang.org/grpc/status"
 
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/control"
@@ -250,19 +252,29 @@
 func (c *Client) Query(ctx context.Context, q *pb.QueryRequest) (*pb.QueryResponse, error) {
 	var out *pb.QueryResponse
 	err := c.call(ctx, attemptTimeout, retryIfUndecided, func(ctx context.Context, cl pb.ControlServiceClient) (err error) {
-		out, err = cl.Query(ctx, q)
+		out, err = compressed(ctx, q, cl.Query)
 		return err
 	})
 	return out, err
 }
 
+// compressed makes a call whose request or response may be large. A replica of an older build that
+// does not know the compression is called without it.
+func compressed[Q, R any](ctx context.Context, request Q, call func(context.Context, Q, ...grpc.CallOption) (R, error)) (R, error) {
+	response, err := call(ctx, request, link.Compressed())
+	if grpcstatus.Code(err) == codes.Unimplemented {
+		return call(ctx, request)
+	}
+	return response, err
+}
+
 // ApplyRules sends a rule edit to the leader. An edit whose response was lost
 // is retried; this is safe because the leader recognises a repeated edit and
 // returns the result of the first.
 func (c *Client) ApplyRules(ctx context.Context, r *pb.ApplyRulesRequest) (*pb.ApplyRulesResponse, error) {
 	var out *pb.ApplyRulesResponse
 	err := c.call(ctx, applyAttemptTimeout, retryIfUndecided, func(ctx context.Context, cl pb.ControlServiceClient) (err error) {
-		out, err = cl.ApplyRules(ctx, r)
+		out, err = compressed(ctx, r, cl.ApplyRules)
 		return err
 	})
 	return out, err
--- a/internal/edge/link/link.go
+++ b/internal/edge/link/link.go
@@ -22,6 +22,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding/gzip"
 )
 
 const (
@@ -142,6 +143,10 @@
 	}, opts...)
 }
 
+// Compressed returns a call option that compresses the request, and so the response. It is for
+// messages with a whole rule file or its source, which take seconds on a slow link otherwise.
+func Compressed() grpc.CallOption { return grpc.UseCompressor(gzip.Name) }
+
 // GRPCServer returns a gRPC server with the options that all servers share, followed by
 // opts.
 func GRPCServer(opts ...grpc.ServerOption) *grpc.Server {
