--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -66,6 +66,9 @@
 	// any server, routers confirm the current rule version with the leader
 	// alone, and a rule edit is accepted once it is committed.
 	WithoutOwnership bool
+	// OperatorAddress is the address at which this instance serves the platform's operator; empty if
+	// it serves none.
+	OperatorAddress string
 	// OrdersPerSecond limits the rate of load orders, which read from the
 	// weight store; zero means DefaultOrdersPerSecond.
 	OrdersPerSecond float64
@@ -240,7 +243,7 @@
 	}
 	resp.Silent = m.unresponsive
 	resp.WorkingSets = m.workingSets
-	resp.Leader = m.cfg.Replica.Status().Leader
+	resp.Leader, resp.LeaderOperatorAddress = m.cfg.Replica.Status().Leader, m.cfg.OperatorAddress
 	for _, member := range m.cfg.Replica.Status().Members {
 		resp.ControlAddresses = append(resp.ControlAddresses, member.GetAddress())
 	}
--- a/internal/daemon/membership/heartbeat.go
+++ b/internal/daemon/membership/heartbeat.go
@@ -161,7 +161,7 @@
 	a.ownership.SetFrozen(resp.GetFrozen())
 	a.setUnresponsive(resp.GetSilent())
 	a.setWorkingSets(resp.GetWorkingSets())
-	a.leader = resp.GetLeader()
+	a.leader, a.leaderOperator = resp.GetLeader(), resp.GetLeaderOperatorAddress()
 	a.everCurrent = a.everCurrent || !resp.GetTablesBehind()
 	if ok {
 		a.everConfirmed = true
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -139,6 +139,8 @@
 	unresponsive map[string]bool
 	// leader is the instance that leads the control group, as last received.
 	leader string
+	// leaderOperator is the address at which the leader serves operators; empty if unknown.
+	leaderOperator string
 	// workingSets holds the size of the working set of each failure domain, as last
 	// received from a leader that knew them.
 	workingSets map[string]int
@@ -290,6 +292,14 @@
 	return a.leader
 }
 
+// LeaderOperatorAddress returns the address at which the leader of the control group serves operators,
+// according to the last heartbeat answer; empty if it is unknown.
+func (a *Agent) LeaderOperatorAddress() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leaderOperator
+}
+
 // Assigned reports whether the named server is assigned to this router and not
 // released, whether or not the lease is valid.
 func (a *Agent) Assigned(name string) bool {
--- a/internal/daemon/server/entryendpoints.go
+++ b/internal/daemon/server/entryendpoints.go
@@ -72,6 +72,24 @@
 	return nil
 }
 
+// largeRules is the size of a rule file in bytes from which on operators are directed to the leader.
+// It holds the file, while a small instance would load its link with all of it twice.
+const largeRules = 128 << 10
+
+// Elsewhere returns the operator address of the leader, if a rule file is large and this instance is
+// another one and in contact with the leader.
+func (e *entry) Elsewhere(bytes int) string {
+	agent := e.instance.agent
+	if max(bytes, len(agent.View().RuleText)) < largeRules || agent.SinceLeaderContact() > maxContactAge {
+		return ""
+	}
+	address := agent.LeaderOperatorAddress()
+	if address == e.instance.cfg.Entry.Operator || !isHostPort(address) {
+		return ""
+	}
+	return address
+}
+
 // Source returns the latest configuration revision and its text.
 func (e *entry) Source(ctx context.Context) (revision uint64, source []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, sourceTimeout)
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -222,6 +222,7 @@
 		Logger:           in.log,
 		Checker:          in.checker,
 		OrdersPerSecond:  in.cfg.OrdersPerSecond,
+		OperatorAddress:  in.cfg.Entry.Operator,
 	})
 	in.manager = m
 	in.onCleanUp(stopManager)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -192,6 +192,10 @@
 	// Replace puts rules into force unless the current revision is equal or
 	// higher. source is the text that the rules were converted from.
 	Replace(ctx context.Context, revision uint64, rules, source []byte) error
+	// Elsewhere returns the operator address of the instance that should read or replace the rule
+	// file in the place of this one, as it is large; empty if this one should. bytes is the size of
+	// the source, or zero if it is unknown.
+	Elsewhere(bytes int) (address string)
 	// Source returns the current revision and its source text.
 	Source(ctx context.Context) (revision uint64, source []byte, err error)
 }
