--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -27,6 +27,7 @@
 	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control/lease"
 	"camphorspoke/internal/control/replica"
+	"camphorspoke/internal/control/rulechange"
 	"camphorspoke/internal/edge"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing/workingset"
@@ -125,10 +126,8 @@
 	// unresponsive holds the names of the listed instances without a recent
 	// heartbeat, as of the last plan.
 	unresponsive []string
-	// compressedChanges caches the compressed rule changes that lead to
-	// compressedVersion, by the version from which they start.
-	compressedChanges map[uint64][]byte
-	compressedVersion uint64
+	// ruleChanges encodes what routers lack of the rules.
+	ruleChanges rulechange.Encoder
 }
 
 // Start starts a manager. The returned function stops it and waits for its
@@ -236,11 +235,7 @@
 		resp.Quarantines, resp.Evacuations = nil, nil
 		resp.TablesBehind = true
 	}
-	version, content := l.Rules()
-	resp.RuleVersion = version
-	if version > req.GetRuleVersion() {
-		resp.RuleChange = m.ruleChange(req.GetRuleVersion(), version, content)
-	}
+	m.addRules(req, resp)
 	resp.Silent = m.unresponsive
 	resp.WorkingSets = m.workingSets
 	resp.Leader, resp.LeaderOperatorAddress = m.cfg.Replica.Status().Leader, m.cfg.OperatorAddress
--- a/internal/control/manager/rules.go
+++ b/internal/control/manager/rules.go
@@ -6,18 +6,15 @@
 	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	"camphorspoke/internal/base/compress"
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/control/lease"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/rules/parse"
 )
 
-// maxCompressedChanges is the number of compressed rule changes at which their
-// cache is emptied.
-const maxCompressedChanges = 64
+// maxHeartbeatRuleBytes is the size of an encoded rule change, in bytes, up to which heartbeat replies
+// carry it.
+const maxHeartbeatRuleBytes = 8 << 10
 
 // inForceTimeout is how long ApplyRules waits for a majority of the routers to
 // confirm a committed edit.
@@ -99,28 +96,18 @@
 	}
 }
 
-// ruleChange returns the compressed change that takes a router from one version
-// of the rules to another, whose text is content. Nearly all routers lack the
-// same edits, so each change is compressed once and cached. The caller holds mu.
-func (m *Manager) ruleChange(from, to uint64, content []byte) []byte {
-	if m.compressedVersion != to || len(m.compressedChanges) >= maxCompressedChanges {
-		m.compressedChanges, m.compressedVersion = make(map[uint64][]byte), to
-	}
-	if compressed, ok := m.compressedChanges[from]; ok {
-		return compressed
-	}
-	change := &pb.RuleChange{}
-	edits, ok := m.cfg.Replica.Ledger.EditsSince(from)
-	if ok && edits[len(edits)-1].GetVersion() == to {
-		change.Edits = edits
-	} else {
-		change.Whole = content
-	}
-	encoded, err := proto.Marshal(change)
+// addRules adds to a heartbeat reply what the router lacks of the rules. A large change is left out for
+// a router that can read it from any replica: the replies to all routers would take the leader's link
+// longer than the routers wait for them. The caller holds mu.
+func (m *Manager) addRules(req *pb.HeartbeatRequest, resp *pb.HeartbeatResponse) {
+	version, change, err := m.ruleChanges.Change(m.cfg.Replica.Ledger, req.GetRuleVersion())
 	if err != nil {
-		m.cfg.Logger.WithError(err).Errorf("control: can't encode the rule change from version %d to %d", from, to)
-		return nil
+		m.cfg.Logger.WithError(err).Errorf("control: can't encode the rule change from version %d to %d", req.GetRuleVersion(), version)
+	}
+	resp.RuleVersion = version
+	if req.GetReadsRules() && len(change) > maxHeartbeatRuleBytes {
+		resp.RulesBehind = true
+		return
 	}
-	m.compressedChanges[from] = compress.Codec{}.Compress(encoded)
-	return m.compressedChanges[from]
+	resp.RuleChange = change
 }
--- a/internal/control/manager/simulation_test.go
+++ b/internal/control/manager/simulation_test.go
@@ -306,7 +306,7 @@
 		Now:    func() time.Duration { return time.Since(c.sim.start) },
 	}
 	time.Sleep(c.sim.delay())
-	return source.Rows(ctx, r.GetSeenIndex())
+	return source.Read(ctx, r)
 }
 
 func (c client) ChangeReplica(context.Context, *pb.ChangeReplicaRequest) error { return nil }
--- a/internal/control/manager/startup_test.go
+++ b/internal/control/manager/startup_test.go
@@ -112,7 +112,7 @@
 	}
 	name := names[rand.IntN(len(names))]
 	time.Sleep(c.sim.delay())
-	resp, err := c.sources[name].Rows(ctx, r.GetSeenIndex())
+	resp, err := c.sources[name].Read(ctx, r)
 	if err != nil {
 		return nil, err
 	}
@@ -124,7 +124,9 @@
 
 // linkedFleet is a control group and the links and table sources of its replicas.
 type linkedFleet struct {
-	sim      *simulation
+	sim *simulation
+	// routers is the number of routers.
+	routers  int
 	replicas map[string]*bandwidthLink
 	sources  map[string]*tables.Source
 	agents   []*membership.Agent
@@ -134,6 +136,7 @@
 func newLinkedFleet(sim *simulation) *linkedFleet {
 	f := &linkedFleet{
 		sim:      sim,
+		routers:  manyRouters,
 		replicas: make(map[string]*bandwidthLink),
 		sources:  make(map[string]*tables.Source),
 	}
@@ -150,10 +153,10 @@
 	return f
 }
 
-// start starts manyRouters routers at once, in the place of those that run.
+// start starts all routers at once, in the place of those that run.
 func (f *linkedFleet) start(incarnation uint64) {
 	f.stop()
-	for i := range manyRouters {
+	for i := range f.routers {
 		agent, stop := startLinkedRouter(f.sim, i, incarnation, &linkedClient{
 			sim:      f.sim,
 			replicas: f.replicas,
@@ -179,7 +182,7 @@
 	n := 0
 	for _, a := range f.agents {
 		v := a.View()
-		if a.Fresh() && len(v.Servers) == manyServers && len(v.Instances) == manyRouters {
+		if a.Fresh() && len(v.Servers) == manyServers && len(v.Instances) == f.routers {
 			n++
 		}
 	}
@@ -190,7 +193,7 @@
 // how long that took.
 func (f *linkedFleet) awaitComplete(limit time.Duration) time.Duration {
 	began := time.Now()
-	for f.complete() < manyRouters && time.Since(began) < limit {
+	for f.complete() < f.routers && time.Since(began) < limit {
 		time.Sleep(20 * time.Millisecond)
 	}
 	return time.Since(began)
--- a/internal/control/tables/tables.go
+++ b/internal/control/tables/tables.go
@@ -1,4 +1,4 @@
-// Package tables serves the rows of a replica's ledger to routers.
+// Package tables serves the rows of a replica's ledger, and large changes of its rules, to routers.
 //
 // Load pattern: all routers of a large fleet start at once and need the whole
 // tables. Every replica can serve them, since the rows that it has applied are
@@ -21,6 +21,7 @@
 	"camphorspoke/internal/base/compress"
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/control/ledger"
+	"camphorspoke/internal/control/rulechange"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 )
 
@@ -46,6 +47,8 @@
 	// rate is not limited.
 	LinkMbps float64
 
+	ruleChanges rulechange.Encoder
+
 	mu      sync.Mutex
 	limiter *rate.Limiter
 	// whole holds the encoded whole tables as of wholeAt.
@@ -53,18 +56,25 @@
 	wholeAt time.Duration
 }
 
-// Rows returns the rows that changed after log index since; zero returns the whole
-// tables, which may be maxWholeAge old. It waits until the rate limit allows the
-// response, and fails with NoQuorum if ctx ends before.
-func (s *Source) Rows(ctx context.Context, since uint64) (*pb.TablesResponse, error) {
-	resp, limiter, err := s.encoded(since)
+// Read returns the rows and the rules that a router lacks. Rows since log index zero are the whole
+// tables, which may be maxWholeAge old. It waits until the rate limit allows the response, and fails
+// with NoQuorum if ctx ends before.
+func (s *Source) Read(ctx context.Context, req *pb.TablesRequest) (*pb.TablesResponse, error) {
+	rows, limiter, err := s.encoded(req.GetSeenIndex())
 	if err != nil {
 		return nil, err
 	}
+	resp := &pb.TablesResponse{
+		Index: rows.GetIndex(),
+		Rows:  rows.GetRows(),
+	}
+	if resp.RuleVersion, resp.RuleChange, err = s.ruleChanges.Change(s.Ledger, req.GetRuleVersion()); err != nil {
+		return nil, err
+	}
 	if limiter == nil {
 		return resp, nil
 	}
-	if err := limiter.WaitN(ctx, min(len(resp.GetRows()), burstBytes)); err != nil {
+	if err := limiter.WaitN(ctx, min(len(resp.GetRows())+len(resp.GetRuleChange()), burstBytes)); err != nil {
 		return nil, fault.Wrap(fault.NoQuorum, "tables", err)
 	}
 	return resp, nil
--- a/internal/control/tables/tables_test.go
+++ b/internal/control/tables/tables_test.go
@@ -56,21 +56,21 @@
 			Now:    func() time.Duration { return time.Since(start) },
 		}
 		addServers(l, 1, 100)
-		whole, err := s.Rows(t.Context(), 0)
+		whole, err := s.Read(t.Context(), &pb.TablesRequest{})
 		require.NoError(t, err)
 		require.True(t, decode(t, whole).GetWhole())
 		require.Len(t, decode(t, whole).GetServers(), 100)
 		addServers(l, 2, 3)
-		again, err := s.Rows(t.Context(), 0)
+		again, err := s.Read(t.Context(), &pb.TablesRequest{})
 		require.NoError(t, err)
-		require.Same(t, whole, again)
-		changes, err := s.Rows(t.Context(), 1)
+		require.Same(t, &whole.GetRows()[0], &again.GetRows()[0])
+		changes, err := s.Read(t.Context(), &pb.TablesRequest{SeenIndex: 1})
 		require.NoError(t, err)
 		require.EqualValues(t, 2, changes.GetIndex())
 		require.False(t, decode(t, changes).GetWhole())
 		require.Len(t, decode(t, changes).GetServers(), 3)
 		time.Sleep(200 * time.Millisecond)
-		later, err := s.Rows(t.Context(), 0)
+		later, err := s.Read(t.Context(), &pb.TablesRequest{})
 		require.NoError(t, err)
 		require.EqualValues(t, 2, later.GetIndex())
 		require.Len(t, decode(t, later).GetServers(), 103)
@@ -91,7 +91,7 @@
 		addServers(l, 1, 3000)
 		sent := 0
 		for range 40 {
-			r, err := s.Rows(t.Context(), 0)
+			r, err := s.Read(t.Context(), &pb.TablesRequest{})
 			require.NoError(t, err)
 			sent += len(r.GetRows())
 		}
@@ -99,7 +99,7 @@
 		require.Less(t, bitsPerSecond, 10e6)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		defer cancel()
-		_, err := s.Rows(ctx, 0)
+		_, err := s.Read(ctx, &pb.TablesRequest{})
 		require.Equal(t, fault.NoQuorum, fault.KindOf(err))
 	})
 }
--- a/internal/daemon/membership/heartbeat.go
+++ b/internal/daemon/membership/heartbeat.go
@@ -57,6 +57,7 @@
 		Loads:         loads,
 		Leaving:       a.leaving,
 		CpuMilli:      a.cfg.CPUMilli,
+		ReadsRules:    true,
 	}
 	if a.cfg.Requests != nil {
 		r.RequestMilliRate = uint32(1000 * a.rate.measure(a.cfg.Now(), a.cfg.Requests()))
@@ -90,7 +91,7 @@
 		a.cfg.OnControlAddresses(resp.GetControlAddresses())
 	}
 	a.cfg.OnLoads(resp.GetLoads())
-	if resp.GetTablesBehind() {
+	if resp.GetTablesBehind() || resp.GetRulesBehind() {
 		a.requestTables()
 	}
 	if next.RuleVersion > req.GetRuleVersion() {
@@ -151,7 +152,10 @@
 	})
 	a.cfg.Checker.Check(resp.GetRuleVersion() >= req.GetRuleVersion(), "ruleVersionRises",
 		"the leader answered with rule version %d, this router held %d when it sent the heartbeat", resp.GetRuleVersion(), req.GetRuleVersion())
-	next, ok := a.applyRules(next, resp.GetRuleVersion(), a.ruleText(next, resp))
+	ok := false
+	if !resp.GetRulesBehind() {
+		next, ok = a.applyRuleChange(next, resp.GetRuleVersion(), resp.GetRuleChange())
+	}
 	a.view.Store(next)
 	for name, epoch := range a.releasing {
 		if next.Servers[name].GetEpoch() != epoch {
--- a/internal/daemon/membership/rules.go
+++ b/internal/daemon/membership/rules.go
@@ -19,18 +19,17 @@
 // maxRuleChangeBytes limits the size of a decompressed rule change.
 const maxRuleChangeBytes = 2 * parse.MaxBytes
 
-// ruleText returns the newer rule file that a heartbeat answer contains, either
-// complete or as edits of the text of v; nil if it contains none. It also returns
-// nil if the change can't be decoded or the edits don't match the text; the next
-// heartbeat then requests the complete file.
-func (a *Agent) ruleText(v *view.View, resp *pb.HeartbeatResponse) []byte {
+// ruleText returns the newer rule file that an encoded change leads to, either complete or as
+// edits of the text of v; nil if it has no newer version. It also returns nil if the change can't be
+// decoded or the edits don't match the text; the next heartbeat then requests the complete file.
+func (a *Agent) ruleText(v *view.View, version uint64, encoded []byte) []byte {
 	a.needFullRules = false
-	if resp.GetRuleVersion() <= v.RuleVersion {
+	if version <= v.RuleVersion {
 		return nil
 	}
-	change, err := decodeRuleChange(resp.GetRuleChange())
+	change, err := decodeRuleChange(encoded)
 	if err != nil {
-		a.cfg.Logger.WithError(err).Errorf("member: cannot decode the rule change to version %d", resp.GetRuleVersion())
+		a.cfg.Logger.WithError(err).Errorf("member: cannot decode the rule change to version %d", version)
 		a.needFullRules = true
 		return nil
 	}
@@ -77,6 +76,12 @@
 	return nil
 }
 
+// applyRuleChange returns a view with a newer rule file, which an encoded change leads to; an older
+// one is ignored. It reports whether the returned view has at least the given version.
+func (a *Agent) applyRuleChange(v *view.View, version uint64, encoded []byte) (*view.View, bool) {
+	return a.applyRules(v, version, a.ruleText(v, version, encoded))
+}
+
 // applyRules returns a view with a newer rule file; an older one is ignored. It
 // reports whether the returned view has at least the given version.
 func (a *Agent) applyRules(v *view.View, version uint64, text []byte) (*view.View, bool) {
--- a/internal/daemon/membership/tables.go
+++ b/internal/daemon/membership/tables.go
@@ -1,6 +1,6 @@
 package membership
 
-// This file defines how a router reads table rows from a replica, when more have
+// This file defines how a router reads table rows and rules from a replica, when more have
 // changed than a heartbeat answer carries.
 
 import (
@@ -63,9 +63,7 @@
 func (a *Agent) fetchTables(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, tablesTimeout)
 	defer cancel()
-	resp, err := a.cfg.Control.Tables(ctx, &pb.TablesRequest{
-		SeenIndex: a.View().Index,
-	})
+	resp, err := a.cfg.Control.Tables(ctx, a.tablesRequest())
 	if err != nil {
 		return err
 	}
@@ -74,20 +72,39 @@
 		return err
 	}
 	before := a.View()
-	next := a.changeView(func() (old, next *view.View) { return a.applyRows(resp.GetIndex(), rows) })
+	next := a.changeView(func() (old, next *view.View) { return a.applyTables(resp, rows) })
 	if next != before {
 		a.HeartbeatNow()
 	}
 	return nil
 }
 
-// applyRows applies rows that are complete up to index to the view, and returns the
-// view before and after.
-func (a *Agent) applyRows(index uint64, rows *pb.TableRows) (old, next *view.View) {
+// tablesRequest returns the request for what this router lacks. Rule version zero requests the
+// complete rule file.
+func (a *Agent) tablesRequest() *pb.TablesRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v := a.View()
+	r := &pb.TablesRequest{
+		SeenIndex:   v.Index,
+		RuleVersion: v.RuleVersion,
+	}
+	if a.needFullRules {
+		r.RuleVersion = 0
+	}
+	return r
+}
+
+// applyTables applies the rows and the rules of a response to the view, and returns the view before and
+// after. Rules take effect at once; they are confirmed by the next heartbeat answer.
+func (a *Agent) applyTables(resp *pb.TablesResponse, rows *pb.TableRows) (old, next *view.View) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	old = a.view.Load()
-	next = withRows(old, index, rows)
+	next = withRows(old, resp.GetIndex(), rows)
+	if len(resp.GetRuleChange()) > 0 {
+		next, _ = a.applyRuleChange(next, resp.GetRuleVersion(), resp.GetRuleChange())
+	}
 	a.view.Store(next)
 	return old, next
 }
--- a/internal/edge/controlclient/controlclient.go
+++ b/internal/edge/controlclient/controlclient.go
@@ -280,7 +280,7 @@
 	return out, err
 }
 
-// Tables reads table rows from the known replicas in random order, the presumed
+// Tables reads table rows and rules from the known replicas in random order, the presumed
 // leader last, until one of them responds.
 func (c *Client) Tables(ctx context.Context, r *pb.TablesRequest) (*pb.TablesResponse, error) {
 	var err error = fault.New(fault.NoQuorum, "control", "no control replica is configured")
@@ -322,8 +322,8 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.NoQuorum, addr, err)
 	}
-	if resp.GetIndex() <= r.GetSeenIndex() {
-		return nil, fault.New(fault.NoQuorum, addr, "the replica has applied no newer rows")
+	if resp.GetIndex() <= r.GetSeenIndex() && resp.GetRuleVersion() <= r.GetRuleVersion() {
+		return nil, fault.New(fault.NoQuorum, addr, "the replica has applied no newer rows or rules")
 	}
 	return resp, nil
 }
--- a/internal/edge/controlserver/controlserver.go
+++ b/internal/edge/controlserver/controlserver.go
@@ -100,9 +100,9 @@
 	return resp, status.FromFault(err)
 }
 
-// Tables returns table rows that this replica has applied.
+// Tables returns table rows and rules that this replica has applied.
 func (s *Server) Tables(ctx context.Context, r *pb.TablesRequest) (*pb.TablesResponse, error) {
-	resp, err := s.TableSource.Rows(ctx, r.GetSeenIndex())
+	resp, err := s.TableSource.Read(ctx, r)
 	return resp, status.FromFault(err)
 }
 
