--- a/internal/client/command/fleet.go
+++ b/internal/client/command/fleet.go
@@ -43,6 +43,7 @@
 		CallerAddress string `json:"callerAddress"`
 		FailureDomain string `json:"failureDomain"`
 		Leaving       bool   `json:"leaving"`
+		Isolated      bool   `json:"isolated"`
 		Gone          bool   `json:"gone"`
 	} `json:"instances"`
 }
@@ -61,6 +62,14 @@
 	return "open"
 }
 
+// instanceState returns the state of an instance; an isolated one reaches no backend server.
+func instanceState(leaving, isolated, gone bool) string {
+	if isolated && !leaving && !gone {
+		return "isolated"
+	}
+	return stateName(leaving, false, false, gone)
+}
+
 func (a *app) fetchDump(ctx context.Context) ([]byte, error) {
 	r, err := a.client().Dump(ctx, connect.NewRequest(&pb.DumpRequest{}))
 	if err != nil {
@@ -108,7 +117,7 @@
 			rows := [][]string{{"instance", s.Member.Instance, "", "rules " + strconv.FormatUint(s.Member.RuleVersion, 10),
 				"fresh " + strconv.FormatBool(s.Member.RulesFresh), "lease " + strconv.FormatInt(s.Member.LeaseLeftMs, 10) + "ms"}}
 			for _, i := range s.Instances {
-				rows = append(rows, []string{"router", i.Name, i.FailureDomain, i.CallerAddress, "", stateName(i.Leaving, false, false, i.Gone)})
+				rows = append(rows, []string{"router", i.Name, i.FailureDomain, i.CallerAddress, "", instanceState(i.Leaving, i.Isolated, i.Gone)})
 			}
 			for _, v := range s.BackendServers {
 				rows = append(rows, []string{"server", v.Name, v.FailureDomain, v.Service, "owner " + v.Owner, stateName(v.Leaving, v.Drained, v.Evacuated, v.Gone)})
--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -43,8 +43,10 @@
 	LastHeartbeat time.Duration
 	// RuleVersion is the version of the rules that the holder last reported.
 	RuleVersion uint64
-	// Leaving is set while the router is shutting down.
-	Leaving bool
+	// Leaving is set while the router is shutting down, Isolated while it reaches no backend
+	// server.
+	Leaving  bool
+	Isolated bool
 	// FailureDomain and RequestRate are the failure domain of the holder and the rate
 	// of its callers' requests, in requests per second.
 	FailureDomain string
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -126,6 +126,9 @@
 	// unresponsive holds the names of the listed instances without a recent
 	// heartbeat, as of the last plan.
 	unresponsive []string
+	// isolated holds the names of the instances that reach no backend server, by their last
+	// heartbeats.
+	isolated []string
 	// ruleChanges encodes what routers lack of the rules.
 	ruleChanges rulechange.Encoder
 }
@@ -208,7 +211,7 @@
 	}
 	row := m.leases.Renew(now, h)
 	row.RuleVersion = req.GetRuleVersion()
-	row.Leaving = req.GetLeaving()
+	row.Leaving, row.Isolated = req.GetLeaving(), req.GetIsolated()
 	row.Loads = m.byService(req.GetLoads())
 	row.FailureDomain, row.RequestRate = req.GetFailureDomain(), float64(req.GetRequestMilliRate())/1000
 	m.seenIndex[h] = req.GetSeenIndex()
@@ -236,7 +239,7 @@
 		resp.TablesBehind = true
 	}
 	m.addRules(req, resp)
-	resp.Silent = m.unresponsive
+	resp.Silent, resp.Isolated = m.unresponsive, m.isolated
 	resp.WorkingSets = m.workingSets
 	resp.Leader, resp.LeaderOperatorAddress = m.cfg.Replica.Status().Leader, m.cfg.OperatorAddress
 	for _, member := range m.cfg.Replica.Status().Members {
@@ -264,6 +267,19 @@
 	return out
 }
 
+// isolatedNames returns the names of the instances whose last heartbeat, if it is recent, says that
+// they reach no backend server, in order. The caller holds mu.
+func (m *Manager) isolatedNames(now time.Duration) []string {
+	var out []string
+	m.leases.EachRecent(now, maxHeartbeatAge, func(h lease.Holder, row *lease.Row) {
+		if row.Isolated {
+			out = append(out, h.Instance)
+		}
+	})
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // unresponsiveInstances returns the listed instances from which this replica
 // received no heartbeat recently, or none since it became leader. The caller holds
 // mu.
--- a/internal/control/manager/plan.go
+++ b/internal/control/manager/plan.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -127,6 +128,7 @@
 	}
 	m.leases.Prune(now)
 	m.unresponsive = m.unresponsiveNames(now)
+	m.refreshIsolated(now)
 	var servers []*pb.BackendServer
 	for _, s := range m.cfg.Replica.Ledger.Changes(0).Servers {
 		switch {
@@ -164,9 +166,21 @@
 	}
 	m.leases.Prune(now)
 	m.unresponsive = m.unresponsiveNames(now)
+	m.refreshIsolated(now)
 	m.workingSets = m.currentWorkingSets(now)
 }
 
+// refreshIsolated updates the isolated instances that heartbeat replies name. The caller holds mu.
+func (m *Manager) refreshIsolated(now time.Duration) {
+	isolated := m.isolatedNames(now)
+	if slices.Equal(isolated, m.isolated) {
+		return
+	}
+	m.isolated = isolated
+	m.cfg.Logger.WithField("instances", strings.Join(isolated, ",")).WithField("count", len(isolated)).
+		Info("control: the instances that reach no backend server have changed")
+}
+
 // currentWorkingSets returns the size of the working set of each failure domain, from
 // the rates that its instances reported. It returns none until the instances have had
 // the time to report to this leader. The caller holds mu.
--- a/internal/daemon/membership/heartbeat.go
+++ b/internal/daemon/membership/heartbeat.go
@@ -58,6 +58,7 @@
 		Leaving:       a.leaving,
 		CpuMilli:      a.cfg.CPUMilli,
 		ReadsRules:    true,
+		Isolated:      a.selfIsolated,
 	}
 	if a.cfg.Requests != nil {
 		r.RequestMilliRate = uint32(1000 * a.rate.measure(a.cfg.Now(), a.cfg.Requests()))
@@ -164,6 +165,7 @@
 	}
 	a.ownership.SetFrozen(resp.GetFrozen())
 	a.setUnresponsive(resp.GetSilent())
+	a.isolated = nameSet(resp.GetIsolated())
 	a.setWorkingSets(resp.GetWorkingSets())
 	a.leader, a.leaderOperator = resp.GetLeader(), resp.GetLeaderOperatorAddress()
 	a.everCurrent = a.everCurrent || !resp.GetTablesBehind()
@@ -180,8 +182,13 @@
 // setUnresponsive records the instances that have not answered recently. The caller
 // holds mu.
 func (a *Agent) setUnresponsive(names []string) {
-	a.unresponsive = make(map[string]bool, len(names))
+	a.unresponsive = nameSet(names)
+}
+
+func nameSet(names []string) map[string]bool {
+	out := make(map[string]bool, len(names))
 	for _, name := range names {
-		a.unresponsive[name] = true
+		out[name] = true
 	}
+	return out
 }
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -125,6 +125,8 @@
 	everConfirmed bool
 	everCurrent   bool
 	leaving       bool
+	// selfIsolated is true while this instance reaches no backend server.
+	selfIsolated bool
 	// releasing holds, for each released server, the ownership epoch that was
 	// released. The entry is removed once the server has another epoch.
 	releasing map[string]uint64
@@ -137,6 +139,9 @@
 	// unresponsive holds the instances that have not answered recently, according
 	// to the leader's last answer or this router's last query, whichever is later.
 	unresponsive map[string]bool
+	// isolated holds the instances that reach no backend server, according to the leader's last
+	// answer.
+	isolated map[string]bool
 	// leader is the instance that leads the control group, as last received.
 	leader string
 	// leaderOperator is the address at which the leader serves operators; empty if unknown.
@@ -284,6 +289,21 @@
 	return a.unresponsive[instance]
 }
 
+// Isolated reports whether an instance reaches no backend server, as far as is known.
+func (a *Agent) Isolated(instance string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.isolated[instance]
+}
+
+// SetIsolated sets whether this instance reaches no backend server, in all further heartbeats.
+func (a *Agent) SetIsolated(isolated bool) {
+	a.mu.Lock()
+	a.selfIsolated = isolated
+	a.mu.Unlock()
+	a.HeartbeatNow()
+}
+
 // Leader returns the instance that leads the control group, according to the last
 // heartbeat answer; empty if there was none.
 func (a *Agent) Leader() string {
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -60,6 +60,9 @@
 	// RuleBytes returns the size of the rules in force, in bytes, by the name of this instance; it
 	// may be nil.
 	RuleBytes func() map[string]int
+	// Isolated returns 1 by the name of this instance while it reaches no backend server; it may be
+	// nil.
+	Isolated func() map[string]int
 	// Evacuated returns 1 for each evacuated failure domain; it may be nil.
 	Evacuated func() map[string]int
 	// LossesBorne returns how many more voters of the control group may lose their disks, by the
@@ -123,6 +126,9 @@
 	if callbacks.RuleBytes != nil {
 		b.observableGauge("camphorspoke.rules.bytes", "Size of the rules in force.", "instance", func() map[string]int64 { return toInt64(callbacks.RuleBytes()) })
 	}
+	if callbacks.Isolated != nil {
+		b.observableGauge("camphorspoke.isolated", "1 while this instance reaches no backend server.", "instance", func() map[string]int64 { return toInt64(callbacks.Isolated()) })
+	}
 	if callbacks.LossesBorne != nil {
 		b.observableGauge("camphorspoke.control.losses.borne", "Voters of the control group that may lose their disks while the others still elect a leader, by leader.", "leader", func() map[string]int64 { return toInt64(callbacks.LossesBorne()) })
 	}
--- a/internal/daemon/server/dump.go
+++ b/internal/daemon/server/dump.go
@@ -83,7 +83,9 @@
 	CallerAddress string `json:"callerAddress"`
 	FailureDomain string `json:"failureDomain"`
 	Leaving       bool   `json:"leaving,omitempty"`
-	Gone          bool   `json:"gone,omitempty"`
+	// Isolated is true if the instance reaches no backend server.
+	Isolated bool `json:"isolated,omitempty"`
+	Gone     bool `json:"gone,omitempty"`
 }
 
 func (in *instance) dump() any {
@@ -119,6 +121,7 @@
 			CallerAddress: i.GetCallerAddress(),
 			FailureDomain: i.GetFailureDomain(),
 			Leaving:       i.GetLeaving(),
+			Isolated:      in.agent.Isolated(i.GetName()),
 			Gone:          i.GetGone(),
 		})
 	}
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -26,6 +26,7 @@
 	"camphorspoke/internal/daemon/membership"
 	"camphorspoke/internal/daemon/metrics"
 	"camphorspoke/internal/daemon/placer"
+	"camphorspoke/internal/daemon/reachability"
 	"camphorspoke/internal/daemon/responsememory"
 	"camphorspoke/internal/daemon/settings"
 	"camphorspoke/internal/edge"
@@ -105,7 +106,9 @@
 type entry struct {
 	instance *instance
 	pool     *backend.Pool
-	placer   *placer.Placer
+	// reach finds out whether this instance reaches any backend server.
+	reach  *reachability.Monitor
+	placer *placer.Placer
 	// currentSettings holds the entry settings; reload replaces them when the seed
 	// addresses have changed.
 	currentSettings atomic.Pointer[settings.Entry]
@@ -173,6 +176,7 @@
 		RuleBytes:    in.ruleBytes,
 
 		LimitedServers: in.limitedServers,
+		Isolated:       in.isolated,
 	})
 	if err != nil {
 		return err
@@ -227,6 +231,7 @@
 		OnHandover: func(*pb.Assignment) {},
 	})
 	in.onCleanUp(stopAgent)
+	e.startReachability()
 	var stopFinder func()
 	e.finder, stopFinder = discovery.New(discovery.Config{
 		Seeds:              func() []string { return e.currentSettings.Load().PeerSeeds },
--- /dev/null
+++ b/internal/daemon/server/entryisolation.go
@@ -0,0 +1,47 @@
+package server
+
+// This file defines how an entry instance finds out that it reaches no backend server.
+
+import (
+	"camphorspoke/internal/daemon/reachability"
+	"camphorspoke/internal/routing/isolation"
+)
+
+// startReachability starts the monitor, to which the pool of connections to backend servers reports.
+func (e *entry) startReachability() {
+	in := e.instance
+	var stop func()
+	e.reach, stop = reachability.New(reachability.Config{
+		Now:      in.now,
+		Accepts:  e.pool.Accepts,
+		Servers:  e.listedServers,
+		OnChange: in.agent.SetIsolated,
+		Logger:   in.log,
+	})
+	e.pool.OnDial = e.reach.Record
+	in.onCleanUp(stop)
+}
+
+// listedServers returns the backend servers that this instance lists.
+func (e *entry) listedServers() []isolation.Server {
+	var out []isolation.Server
+	for _, s := range e.instance.agent.View().Servers {
+		if s.GetGone() {
+			continue
+		}
+		out = append(out, isolation.Server{
+			Address:       s.GetAddress(),
+			Service:       s.GetService(),
+			FailureDomain: s.GetFailureDomain(),
+		})
+	}
+	return out
+}
+
+// isolated returns 1 by the name of this instance while it reaches no backend server.
+func (in *instance) isolated() map[string]int {
+	if in.entry == nil || !in.entry.reach.Isolated() {
+		return nil
+	}
+	return map[string]int{in.cfg.Instance: 1}
+}
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -60,6 +60,9 @@
 	// Now returns the time of a clock that includes system suspend, as
 	// boottime.Clock does.
 	Now func() time.Duration
+	// OnDial is called with the outcome of each attempt to open a connection, begun at a time by
+	// Now; it may be nil. Attempts that their request gave up within acceptTimeout are left out.
+	OnDial func(address string, begun time.Duration, err error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -128,9 +131,13 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	begun := p.Now()
+	limited, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	nc, err := link.ResetUnsent(link.Dialer())(ctx, "tcp", address)
+	nc, err := link.ResetUnsent(link.Dialer())(limited, "tcp", address)
+	if p.OnDial != nil && !(ctx.Err() != nil && p.Now()-begun < acceptTimeout) {
+		p.OnDial(address, begun, err)
+	}
 	if err != nil {
 		return nil, fault.Wrap(fault.Unreachable, address, err)
 	}
--- /dev/null
+++ b/internal/routing/isolation/main_test.go
@@ -0,0 +1,9 @@
+package isolation_test
+
+import (
+	"testing"
+
+	"camphorspoke/internal/check/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m, 0) }
