--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -70,6 +70,10 @@
 	// serve, and that it is not known which of them began it.
 	StreamVersionUnknown Kind = "streamVersionUnknown"
 
+	// Isolated means that the instance reaches no backend server, and that no other instance took
+	// the request in its place.
+	Isolated Kind = "isolated"
+
 	ClaimSettled Kind = "claimSettled"
 	BadSetting   Kind = "badSetting"
 
@@ -141,7 +145,7 @@
 		return class{code: connect.CodeAborted, outcome: notRun}
 	case DeadlineTooNear, BodyTimedOut:
 		return class{code: connect.CodeDeadlineExceeded, outcome: notRun}
-	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, RequestQuarantined, PromptTooLarge, StreamVersionUnknown, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
+	case RulesStale, NoQuorum, NotLeader, NoEngine, NotRun, KeyNotRun, Leaving, PromptQuarantined, RequestQuarantined, PromptTooLarge, StreamVersionUnknown, Isolated, OverBound, NotOwner, NotCached, CircuitOpen, Unreachable:
 		return class{code: connect.CodeUnavailable, outcome: notRun}
 	case InDoubt, LinkBroken, TimedOut:
 		return class{code: connect.CodeUnknown, outcome: pb.Outcome_OUTCOME_IN_DOUBT}
--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -81,6 +81,10 @@
 			c.refuse(c.finalFault(fault.New(fault.DeadlineTooNear, c.service, "the deadline is too near to send the request")))
 			return
 		}
+		if c.mustForward() {
+			c.forwardAway()
+			return
+		}
 		g, err := c.place()
 		if err != nil {
 			c.countUnplaced(err)
@@ -193,9 +197,9 @@
 // place gets a backend server for the next attempt.
 func (c *call) place() (*placer.Grant, error) {
 	req := c.placementRequest()
-	req.Tried, req.Retry = c.tried, c.sends > 0
+	req.Tried, req.Retry = c.tried, c.sends+c.sendsBefore > 0
 	// Each earlier attempt has had a placement, also one whose request was not sent.
-	req.Counted = len(c.tried) > 0
+	req.Counted = len(c.tried) > 0 || c.sendsBefore > 0
 	return c.h.Placer.Place(c.ctx, c.service, req)
 }
 
--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -67,6 +67,12 @@
 			return failed, scheduler.Failed
 		}
 	}
+	return a.relayWhole()
+}
+
+// relayWhole relays a response that is not a stream.
+func (a *attempt) relayWhole() (exchangeResult, scheduler.Event) {
+	c, resp := a.c, a.resp
 	body, err := a.bufferBody()
 	if err != nil {
 		c.lastErr = err
@@ -222,7 +228,9 @@
 // writeEvents writes events to the caller and flushes them. It returns false if the
 // caller has disconnected.
 func (c *call) writeEvents(resp *backend.Response, b []byte) bool {
-	c.version = c.grant.Version
+	if c.grant != nil {
+		c.version = c.grant.Version
+	}
 	c.sendHeader(resp)
 	if _, err := c.w.Write(b); err != nil {
 		return false
--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -83,6 +83,16 @@
 	h.Set("Last", f.LastEventID)
 }
 
+func (testDialect) SetPeerHeaders(h http.Header, p edge.PeerForwarding) {
+	h.Set("Wait", p.TimeLeft.String())
+	if p.LastEventID != "" {
+		h.Set("Last", p.LastEventID)
+	}
+	if p.Resumes != "" {
+		h.Set("Resumes", p.Resumes)
+	}
+}
+
 func (testDialect) ParseResponse(status int, h http.Header) edge.ResponseInfo {
 	info := edge.ResponseInfo{
 		ID:          h.Get("Id"),
--- a/internal/daemon/ingress/forward_test.go
+++ b/internal/daemon/ingress/forward_test.go
@@ -4,16 +4,24 @@
 // other instances reach it.
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
+	"camphorspoke/internal/daemon/ingress"
 	"camphorspoke/internal/daemon/reachability"
-	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/edge/backend"
+	"camphorspoke/internal/routing/forwarding"
 	"camphorspoke/internal/routing/isolation"
 )
 
@@ -26,7 +34,8 @@
 	t.Helper()
 	var addresses []string
 	for range cutServers {
-		addresses = append(addresses, closedAddress(t))
+		address, _ := closedAddress(t)
+		addresses = append(addresses, address)
 	}
 	e := &testEnv{
 		t:     t,
@@ -35,24 +44,31 @@
 	return e.start(ruleTextWithKey(), addresses).forwardTo(addresses, others...)
 }
 
-// closedAddress returns an address at which connections are refused.
-func closedAddress(t *testing.T) string {
+// closedAddress returns an address at which connections are refused. The port stays reserved, so that
+// no other listener gets it, until the test ends or release is called.
+func closedAddress(t *testing.T) (address string, release func()) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	release = sync.OnceFunc(func() { unix.Close(fd) })
+	t.Cleanup(release)
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{
+		Addr: [4]byte{127, 0, 0, 1},
+	}))
+	bound, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port), release
 }
 
 // forwardTo lets the instance forward requests to the instances at the given addresses while it
 // reaches none of its servers.
 func (e *testEnv) forwardTo(servers []string, others ...string) *testEnv {
 	e.t.Helper()
-	var instances []*pb.Instance
+	var instances []forwarding.Instance
 	for i, address := range others {
-		instances = append(instances, &pb.Instance{
-			Name:          fmt.Sprintf("o%d", i),
-			CallerAddress: strings.TrimPrefix(address, "http://"),
+		instances = append(instances, forwarding.Instance{
+			Name:    fmt.Sprintf("o%d", i),
+			Address: strings.TrimPrefix(address, "http://"),
 		})
 	}
 	var listed []isolation.Server
@@ -70,8 +86,15 @@
 	})
 	e.t.Cleanup(stop)
 	e.handler.Pool.OnDial = monitor.Record
-	v := e.membership.View()
-	e.membership.view.Store(v.WithTables(v.Index+1, false, nil, instances))
+	peers := &backend.Pool{
+		Now: e.handler.Now,
+	}
+	e.t.Cleanup(peers.Close)
+	e.handler.Forwarding = ingress.Forwarding{
+		Monitor:   monitor,
+		Pool:      peers,
+		Instances: func() []forwarding.Instance { return instances },
+	}
 	return e
 }
 
@@ -97,3 +120,97 @@
 	require.NoError(t, err)
 	require.Equal(t, completeStream(5), body)
 }
+
+// TestServerDoesNotReceiveTheMarkOfForwardedRequests: a server gets the headers of the caller, and
+// none that instances exchange.
+func TestServerDoesNotReceiveTheMarkOfForwardedRequests(t *testing.T) {
+	var marked atomic.Bool
+	other := newTestEnv(t, func(c net.Conn, r *http.Request) {
+		marked.Store(marked.Load() || r.Header.Get("Camphorspoke-Forwarded") != "")
+		respondOK(c, r)
+	})
+	e := newCutEnv(t, other.url)
+	require.Equal(t, http.StatusOK, e.status("/read/"))
+	require.False(t, marked.Load())
+}
+
+// TestInstancesThatAllReachNoServerRefuseAtOnce: no instance reaches a server. A request is not
+// handed from one to the next; it is refused at once as not run, with a time.
+func TestInstancesThatAllReachNoServerRefuseAtOnce(t *testing.T) {
+	other := newCutEnv(t)
+	require.Equal(t, http.StatusServiceUnavailable, other.status("/read/"))
+	e := newCutEnv(t, other.url, other.url)
+	start := time.Now()
+	resp, _, err := e.do("/book/")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, "isolated", resp.Header.Get("Kind"))
+	require.NotEmpty(t, resp.Header.Get("Retry"))
+	require.Empty(t, resp.Header.Get("Camphorspoke-Forward-Refused"))
+	require.Less(t, time.Since(start), time.Second)
+}
+
+// TestRefusingInstanceIsPassedOver: one of two other instances takes no requests. What it refuses
+// goes to the other one.
+func TestRefusingInstanceIsPassedOver(t *testing.T) {
+	cut := newCutEnv(t)
+	require.Equal(t, http.StatusServiceUnavailable, cut.status("/read/"))
+	other := newTestEnv(t, respondOK)
+	closed, _ := closedAddress(t)
+	e := newCutEnv(t, cut.url, other.url, closed)
+	for range 10 {
+		require.Equal(t, http.StatusOK, e.status("/book/"))
+	}
+	require.Equal(t, 10, other.requestCount())
+}
+
+// peerThat returns the address of an instance that reads each request and then does something
+// with its connection.
+func peerThat(t *testing.T, respond responder, received *atomic.Int32) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, r.Body)
+				received.Add(1)
+				respond(c, r)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestForwardedRequestIsSentOnceIfTheLinkBreaks: the connection to the other instance breaks once the
+// request was sent, so that it may have run. The caller is not told that it has not, and no other
+// instance gets it.
+func TestForwardedRequestIsSentOnceIfTheLinkBreaks(t *testing.T) {
+	for _, path := range []string{"/book/", "/read/"} {
+		var received atomic.Int32
+		breaking := peerThat(t, closeConnection, &received)
+		e := newCutEnv(t, breaking, breaking)
+		require.Equal(t, http.StatusBadGateway, e.status(path))
+		require.EqualValues(t, 1, received.Load())
+	}
+}
+
+// TestForwardedResponseThatBreaksOffLooksBroken: the connection to the other instance breaks within the
+// response. What the caller gets does not look complete.
+func TestForwardedResponseThatBreaksOffLooksBroken(t *testing.T) {
+	var received atomic.Int32
+	e := newCutEnv(t, peerThat(t, stream(5, 2), &received))
+	_, body, err := e.do("/chat/")
+	require.Error(t, err)
+	require.Equal(t, completeStream(2), body)
+}
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -99,6 +99,8 @@
 	// HedgePercent limits the hedged requests of services whose rule states no limit; zero
 	// is none.
 	HedgePercent int
+	// Forwarding lets other instances serve the requests of an isolated one.
+	Forwarding Forwarding
 
 	// abandonments finds the requests whose callers leave again and again.
 	abandonments abandonment.Tracker
@@ -142,9 +144,16 @@
 	requiresKey bool
 
 	// sends counts the backend servers that received the request, runs those at which
-	// it may have run.
-	sends int
-	runs  int
+	// it may have run. sendsBefore counts those that received it from the instance that forwarded
+	// it, if forwarded is true.
+	sends       int
+	runs        int
+	forwarded   bool
+	sendsBefore int
+	// endForwarded ends the count of a request that another instance has forwarded; nil for others.
+	endForwarded func()
+	// forwardedTo is the instance to which the request was forwarded last; empty if to none.
+	forwardedTo string
 	// tried holds the backend servers at which an attempt failed, and unreachable counts
 	// those among them that could not be reached.
 	tried       []string
@@ -190,6 +199,7 @@
 	if _, leaving := h.shutdownState(); leaving {
 		w.Header().Set("Connection", "close")
 	}
+	c.readForwarded()
 	defer c.releaseBody()
 	defer c.leave()
 	if err := c.admit(); err != nil {
@@ -236,6 +246,9 @@
 		return c.leavingFault("the instance has drained and is about to exit")
 	}
 	c.entered = true
+	if err := c.admitForwarded(); err != nil {
+		return err
+	}
 	v := c.h.Membership.View()
 	if !c.h.Membership.Fresh() && !c.isPublic(v) {
 		c.awaitFreshRules()
@@ -295,8 +308,11 @@
 	}
 }
 
-// leave ends the count of the request by the gate.
+// leave ends the counts of the request.
 func (c *call) leave() {
+	if c.endForwarded != nil {
+		c.endForwarded()
+	}
 	if c.entered {
 		c.h.Gate.Leave()
 	}
@@ -440,6 +456,12 @@
 	if c.hedge != "" {
 		fields["hedge"] = c.hedge
 	}
+	if c.forwarded {
+		fields["forwarded"], fields["sendsBefore"] = true, c.sendsBefore
+	}
+	if c.forwardedTo != "" {
+		fields["forwardedTo"] = c.forwardedTo
+	}
 	if c.req.Resumes != "" {
 		fields["resumes"], fields["boundTo"] = c.req.Resumes, c.version
 	}
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -37,6 +37,7 @@
 	hedges           metric.Int64Counter
 	closed           metric.Int64Counter
 	takenUp          metric.Int64Counter
+	forwarded        metric.Int64Counter
 }
 
 // Callbacks holds callbacks for the metrics whose values are read at scrape time.
@@ -105,6 +106,7 @@
 	m.hedges = b.counter("camphorspoke.hedges", "Copies of requests for a second server, by service and by whether the copy answered the request, was sent in vain or was not sent.")
 	m.closed = b.counter("camphorspoke.client.connections.closed", "Connections of clients that were closed at a limit, by reason.")
 	m.takenUp = b.counter("camphorspoke.streams.taken.up", "Streams that callers take up again, by service and by whether the version that began them is known or unknown; and streams whose version no server has any more.")
+	m.forwarded = b.counter("camphorspoke.requests.forwarded", "Requests that this instance forwarded to another one, as it reaches no backend server, by service and result.")
 	b.observableCounter("camphorspoke.control.bytes", "Bytes of control traffic by kind.", "kind", func() map[string]int64 { return toInt64(callbacks.ControlBytes()) })
 	b.observableCounter("camphorspoke.invariant.violations", "Violated invariants by name.", "name", func() map[string]int64 { return toInt64(callbacks.Violations()) })
 	b.observableGauge("camphorspoke.server.load", "Requests running and queued at each owned backend server.", "server", func() map[string]int64 { return toInt64(callbacks.Loads()) })
@@ -215,6 +217,18 @@
 	m.takenUp.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc), attribute.String("result", result)))
 }
 
+// ForwardNoInstance is the result of a request that no other instance takes in the place of an
+// isolated one.
+const ForwardNoInstance = "noInstance"
+
+// Forwarded counts a request that was forwarded to another instance.
+func (m *Meters) Forwarded(ctx context.Context, svc, result string) {
+	if m == nil {
+		return
+	}
+	m.forwarded.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc), attribute.String("result", result)))
+}
+
 // Request records a finished request, its outcome and its duration.
 func (m *Meters) Request(ctx context.Context, svc, outcome string, d time.Duration) {
 	if m == nil {
--- a/internal/daemon/reachability/reachability.go
+++ b/internal/daemon/reachability/reachability.go
@@ -117,7 +117,7 @@
 	}
 	m.isolatedAt = now
 	m.cfg.Logger.WithError(err).WithField("servers", listed).
-		Warn("reachability: this instance reaches no backend server")
+		Warn("reachability: this instance reaches no backend server; requests are forwarded to other instances")
 	select {
 	case m.wake <- struct{}{}:
 	default:
@@ -132,7 +132,7 @@
 		return
 	}
 	m.cfg.Logger.WithField("server", address).WithField("isolatedMs", (m.cfg.Now() - m.isolatedAt).Milliseconds()).
-		Info("reachability: a backend server accepts connections of this instance again")
+		Info("reachability: a backend server accepts connections of this instance again; requests are no longer forwarded")
 	m.notify(false)
 }
 
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -106,6 +106,8 @@
 type entry struct {
 	instance *instance
 	pool     *backend.Pool
+	// peerPool holds the connections over which requests are forwarded to other instances.
+	peerPool *backend.Pool
 	// reach finds out whether this instance reaches any backend server.
 	reach  *reachability.Monitor
 	placer *placer.Placer
@@ -156,10 +158,14 @@
 		pool: &backend.Pool{
 			Now: in.now,
 		},
+		peerPool: &backend.Pool{
+			Now: in.now,
+		},
 	}
 	e.currentSettings.Store(&cfg)
 	in.entry = e
 	in.onCleanUp(e.pool.Close)
+	in.onCleanUp(e.peerPool.Close)
 	if err := in.buildControl(); err != nil {
 		return err
 	}
@@ -410,6 +416,12 @@
 		FailureDomain: in.cfg.FailureDomain,
 		HedgePercent:  in.cfg.Entry.HedgePercent,
 		ShutdownState: e.shutdownState,
+		Forwarding: ingress.Forwarding{
+			Monitor:   e.reach,
+			Pool:      e.peerPool,
+			Instances: e.forwardTargets,
+			CPUMilli:  uint32(milliPerCore * in.cfg.Entry.CPUShare),
+		},
 		Bodies: &bodymemory.Budget{
 			Bytes: in.memoryBytes(bodyMemoryShare),
 		},
@@ -482,6 +494,7 @@
 			return
 		case <-t.C:
 			e.pool.Sweep()
+			e.peerPool.Sweep()
 		}
 	}
 }
--- a/internal/daemon/server/entryendpoints.go
+++ b/internal/daemon/server/entryendpoints.go
@@ -12,6 +12,11 @@
 	"camphorspoke/internal/routing/directory"
 )
 
+// maxIsolatedPerUsable is the number of isolated instances for each other one up to which
+// callers are directed to the others only. Beyond it, the few others would get more connections than they
+// take; isolated instances then spread the requests.
+const maxIsolatedPerUsable = 3
+
 // Ready reports whether this instance accepts callers: it has the rules, confirmed to
 // be in force, and the tables of backend servers.
 func (e *entry) Ready() bool {
@@ -26,7 +31,7 @@
 	if !e.instance.agent.Fresh() {
 		return nil
 	}
-	var usable []directory.Instance
+	var usable, isolated []directory.Instance
 	for _, i := range e.instance.agent.View().Routers() {
 		if i.GetName() == e.instance.cfg.Instance && !e.Ready() {
 			continue
@@ -34,12 +39,20 @@
 		if i.GetLeaving() || e.instance.agent.Unresponsive(i.GetName()) || !isHostPort(i.GetCallerAddress()) {
 			continue
 		}
-		usable = append(usable, directory.Instance{
+		listed := directory.Instance{
 			Name:          i.GetName(),
 			FailureDomain: i.GetFailureDomain(),
 			Address:       i.GetCallerAddress(),
 			CPUMilli:      i.GetCpuMilli(),
-		})
+		}
+		if e.instance.agent.Isolated(i.GetName()) {
+			isolated = append(isolated, listed)
+			continue
+		}
+		usable = append(usable, listed)
+	}
+	if len(usable) < len(isolated)/maxIsolatedPerUsable {
+		usable = append(usable, isolated...)
 	}
 	picker := directory.Picker{
 		Instance: e.instance.cfg.Instance,
--- a/internal/daemon/server/entryisolation.go
+++ b/internal/daemon/server/entryisolation.go
@@ -1,9 +1,11 @@
 package server
 
-// This file defines how an entry instance finds out that it reaches no backend server.
+// This file defines how an entry instance finds out that it reaches no backend server, and which
+// instances then serve its requests.
 
 import (
 	"camphorspoke/internal/daemon/reachability"
+	"camphorspoke/internal/routing/forwarding"
 	"camphorspoke/internal/routing/isolation"
 )
 
@@ -38,6 +40,25 @@
 	return out
 }
 
+// forwardTargets returns the instances that may serve requests in the place of this one.
+func (e *entry) forwardTargets() []forwarding.Instance {
+	agent := e.instance.agent
+	var out []forwarding.Instance
+	for _, i := range agent.View().Routers() {
+		if i.GetName() == e.instance.cfg.Instance || i.GetLeaving() || agent.Unresponsive(i.GetName()) ||
+			agent.Isolated(i.GetName()) || !isHostPort(i.GetCallerAddress()) {
+			continue
+		}
+		out = append(out, forwarding.Instance{
+			Name:          i.GetName(),
+			FailureDomain: i.GetFailureDomain(),
+			Address:       i.GetCallerAddress(),
+			CPUMilli:      i.GetCpuMilli(),
+		})
+	}
+	return out
+}
+
 // isolated returns 1 by the name of this instance while it reaches no backend server.
 func (in *instance) isolated() map[string]int {
 	if in.entry == nil || !in.entry.reach.Isolated() {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -117,6 +117,16 @@
 	FetchFrom string
 }
 
+// PeerForwarding holds the metadata that changes in a request which another instance serves in the
+// place of this one.
+type PeerForwarding struct {
+	// TimeLeft is the time left until the caller's timeout.
+	TimeLeft time.Duration
+	// LastEventID and Resumes, if not empty, replace what the caller sent.
+	LastEventID string
+	Resumes     string
+}
+
 // Execution is what a response proves about the execution of its request.
 type Execution int
 
@@ -173,6 +183,9 @@
 	// holds the caller's headers; those that a caller may not set are replaced or
 	// removed.
 	SetForwardHeaders(h http.Header, f Forwarding)
+	// SetPeerHeaders sets the headers of a request that another instance serves in the place of
+	// this one. h holds the caller's headers, of which all others are kept.
+	SetPeerHeaders(h http.Header, p PeerForwarding)
 	// ParseResponse decodes the metadata of a backend server's response.
 	ParseResponse(status int, h http.Header) ResponseInfo
 	// WriteError writes an error response to the caller.
