--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -165,7 +165,7 @@
 	c.lastErr = a.err
 	if !fault.MayHaveRun(a.err) {
 		a.grant.Report(scheduler.Report{
-			Event: c.attributedEvent(scheduler.Unreachable),
+			Event: c.serversEvent(scheduler.Unreachable, a.grant, a.sent),
 		})
 		return notSent
 	}
@@ -173,7 +173,8 @@
 	c.runs++
 	event := c.attributedEvent(c.brokenEvent(a.grant, 0))
 	if event == scheduler.Cancelled && c.timedOut(a.sent) {
-		event = scheduler.Broken
+		go c.reportSilent(a.grant)
+		return broken
 	}
 	if event == scheduler.Cancelled && c.h.abandonments.Left(c.fingerprint()) {
 		go c.reportAbandoned(a.grant)
@@ -185,12 +186,24 @@
 	return broken
 }
 
+// reportSilent reports a request that got no response until its deadline.
+func (c *call) reportSilent(g *placer.Grant) {
+	event := scheduler.Cancelled
+	if c.h.Forwarding.Monitor.ServerFailed(g.Address, c.h.Now()) {
+		event = scheduler.Broken
+	}
+	g.Report(scheduler.Report{
+		Event: event,
+	})
+}
+
 // reportAbandoned reports the end of a request whose caller has left, like others with the same request
 // before it, once its server has had the time to crash under it.
 func (c *call) reportAbandoned(g *placer.Grant) {
 	time.Sleep(crashCheckDelay)
 	event := scheduler.Cancelled
-	if !c.h.Pool.Accepts(g.Address) {
+	now := c.h.Now()
+	if !c.h.Pool.Accepts(g.Address) && c.h.Forwarding.Monitor.ServerFailed(g.Address, now) {
 		c.logCrash(g, 0)
 		event = scheduler.Down
 	}
@@ -261,12 +274,16 @@
 }
 
 // brokenEvent returns the event to report for a broken connection: Down if the server
-// accepts no other, which is logged. relayed is the number of bytes of its response that
-// the caller has received.
+// accepts no other, which is logged, unless this instance reaches no server at all. relayed is the
+// number of bytes of its response that the caller has received.
 func (c *call) brokenEvent(g *placer.Grant, relayed int) scheduler.Event {
+	now := c.h.Now()
 	if c.ctx.Err() != nil || c.h.Pool.Accepts(g.Address) {
 		return scheduler.Broken
 	}
+	if !c.h.Forwarding.Monitor.ServerFailed(g.Address, now) {
+		return scheduler.Cancelled
+	}
 	c.logCrash(g, relayed)
 	return scheduler.Down
 }
@@ -295,6 +312,15 @@
 	return out
 }
 
+// serversEvent returns the event to report for a failure in an exchange that was begun at a time. It
+// counts as the server's only if this instance reaches any server.
+func (c *call) serversEvent(e scheduler.Event, g *placer.Grant, begun time.Duration) scheduler.Event {
+	if e = c.attributedEvent(e); e == scheduler.Cancelled || c.h.Forwarding.Monitor.ServerFailed(g.Address, begun) {
+		return e
+	}
+	return scheduler.Cancelled
+}
+
 // attributedEvent returns the event to report to the scheduler. A failure counts as
 // the server's only if the caller is still connected and the deadline has not passed.
 func (c *call) attributedEvent(e scheduler.Event) scheduler.Event {
--- a/internal/daemon/ingress/forward_test.go
+++ b/internal/daemon/ingress/forward_test.go
@@ -214,3 +214,94 @@
 	require.Error(t, err)
 	require.Equal(t, completeStream(2), body)
 }
+
+// TestStreamGoesOnAtAnotherInstanceAfterACut: an instance is cut off from all servers in the middle of
+// a stream. Another one goes on after the last event that the caller has, and knows by the name of the
+// attempt which stream it is. A request that may run once only does not go on.
+func TestStreamGoesOnAtAnotherInstanceAfterACut(t *testing.T) {
+	var resumes atomic.Value
+	other := newTestEnv(t, func(c net.Conn, r *http.Request) {
+		resumes.Store(r.Header.Get("Resumes"))
+		stream(5, 0)(c, r)
+	})
+	closed, _ := closedAddress(t)
+	alsoClosed, _ := closedAddress(t)
+	for path, whole := range map[string]bool{"/chat/": true, "/once/": false} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			r, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			l.Close()
+			stream(5, 2)(c, r)
+		}()
+		addresses := []string{l.Addr().String(), closed, alsoClosed}
+		e := &testEnv{
+			t:     t,
+			slots: 4,
+		}
+		e.start(ruleTextWithKey(), addresses[:1]).forwardTo(addresses, other.url)
+		_, body, err := e.do(path)
+		if !whole {
+			require.Error(t, err)
+			require.Equal(t, completeStream(2), body)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, completeStream(5), body)
+		require.Equal(t, "x1", resumes.Load())
+	}
+}
+
+// TestServersAreNotBlamedByInstanceCutOff: an instance that is cut off does not report its failures as
+// those of servers. Once the cut ends, it sends requests to them at once.
+func TestServersAreNotBlamedByInstanceCutOff(t *testing.T) {
+	other := newTestEnv(t, respondOK)
+	address, release := closedAddress(t)
+	closed, _ := closedAddress(t)
+	alsoClosed, _ := closedAddress(t)
+	e := &testEnv{
+		t:     t,
+		slots: 4,
+	}
+	e.start(ruleTextWithKey(), []string{address}).forwardTo([]string{address, closed, alsoClosed}, other.url)
+	for range 5 {
+		require.Equal(t, http.StatusOK, e.status("/book/"))
+	}
+	release()
+	l, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	var own atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					own.Add(1)
+					respondOK(c, r)
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() { l.Close() })
+	require.Eventually(t, func() bool { return !e.handler.Forwarding.Monitor.Isolated() }, 2*time.Second, time.Millisecond)
+	require.Equal(t, http.StatusOK, e.status("/book/"))
+	require.EqualValues(t, 1, own.Load())
+}
