--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -199,6 +199,9 @@
 		if err != nil {
 			return nil, stray, fault.Wrap(fault.WrongFrame, c.address, err)
 		}
+		if !isStatus(resp.StatusCode) {
+			return nil, stray, fault.New(fault.WrongFrame, c.address, "received a response with the status "+strconv.Itoa(resp.StatusCode))
+		}
 		if containsStatusLine(resp) {
 			return nil, stray, fault.New(fault.WrongFrame, c.address, "the response head breaks off and runs into another response")
 		}
@@ -224,6 +227,9 @@
 	return nil, stray, fault.New(fault.WrongFrame, c.address, "received only informational responses or responses to other requests")
 }
 
+// isStatus reports whether a status is in one of the classes that HTTP defines.
+func isStatus(status int) bool { return status >= http.StatusContinue && status < 600 }
+
 // statusLine matches a status line at the end of a text.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( .*)?$`)
 
