--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -80,6 +80,9 @@
 	reused bool
 	// requests holds the requests that were written to the connection.
 	requests history
+	// written receives the result of writing the body of the last request, if it was long; nil
+	// if it was written before the response was read.
+	written <-chan error
 }
 
 // get returns an idle connection to address that has neither expired nor been
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -10,10 +10,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"camphorspoke/internal/base/fault"
@@ -66,6 +68,10 @@
 	writeState    *atomic.Int32
 	sawStray      bool
 	serverCloses  bool
+	// endsWithConnection is true if the end of the connection is the end of the body. endErr is what
+	// a read returns there, once it has been reached.
+	endsWithConnection bool
+	endErr             error
 	// number is that of the request on its connection, counted from 1.
 	number int
 	// atEnd is true once the body was read to its end, ended once the connection was
@@ -134,13 +140,17 @@
 		writeState:    writeState,
 		sawStray:      stray,
 		serverCloses:  resp.Close,
-		number:        number,
+
+		endsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+
+		number: number,
 	}, nil
 }
 
 // write sends the request head together with a small body; a large body is
 // sent by a goroutine while the response is read.
 func (c *conn) write(req *Request, writeState *atomic.Int32) error {
+	c.written = nil
 	var b bytes.Buffer
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	if err := req.Header.Write(&b); err != nil {
@@ -160,14 +170,34 @@
 	if err != nil {
 		return c.writeError(n, err)
 	}
+	written := make(chan error, 1)
+	c.written = written
 	go func() {
-		if _, err := c.Write(req.Body); err == nil {
+		_, err := c.Write(req.Body)
+		if err == nil {
 			writeState.Store(writeDone)
 		}
+		written <- err
 	}()
 	return nil
 }
 
+// endedInOrder reports whether the end of what the connection carries, which a read has found, was an
+// orderly end by the server. The error of a connection that was reset is reported once, to the read
+// or to the write that comes first. If the write takes it, the read finds an end.
+func (c *conn) endedInOrder() bool {
+	if c.written == nil {
+		return true
+	}
+	// The write ends now; if it had taken the error, it returns that and not the deadline.
+	if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return false
+	}
+	err := <-c.written
+	// A broken pipe means that the server's end had arrived before the reset.
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE)
+}
+
 // writeError returns err, the result of a write that sent n bytes, as a fault:
 // Unreachable if nothing was sent, LinkBroken otherwise. It returns nil if err
 // is nil.
@@ -275,8 +305,7 @@
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if errors.Is(err, io.EOF) {
-		r.atEnd = true
-		return n, err
+		return n, r.end()
 	}
 	if err != nil {
 		r.Close()
@@ -285,6 +314,20 @@
 	return n, nil
 }
 
+// end returns io.EOF at the end of the body, or a failure if the body is not complete there.
+func (r *Response) end() error {
+	if r.endErr != nil {
+		return r.endErr
+	}
+	if r.endsWithConnection && !r.conn.endedInOrder() {
+		r.Close()
+		r.endErr = fault.New(fault.LinkBroken, r.conn.address, "the connection was reset before the end of a response without a length")
+		return r.endErr
+	}
+	r.atEnd, r.endErr = true, io.EOF
+	return r.endErr
+}
+
 // AwaitBody waits for the first byte of the body, or for its end. The bytes that have arrived are
 // returned by Read.
 func (r *Response) AwaitBody() error {
