--- a/internal/edge/plainservice/plainservice.go
+++ b/internal/edge/plainservice/plainservice.go
@@ -15,7 +15,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"sync/atomic"
 
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/edge"
@@ -62,7 +64,11 @@
 		Host:   address,
 		Path:   "/call/" + call.Name,
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), bytes.NewReader(call.Body))
+	var written atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) },
+	})
+	req, err := http.NewRequestWithContext(traced, http.MethodPost, u.String(), bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, fault.Wrap(fault.NotRun, address, err)
 	}
@@ -86,6 +92,10 @@
 		return nil, fault.New(fault.NotRun, address, "the backend server reports that it did not execute the call")
 	case err != nil:
 		return nil, fault.Wrap(fault.InDoubt, address, err)
+	case endsWithConnection(resp) && !written.Load():
+		// If the connection was reset, the write of the call may have taken its error, and the read
+		// finds an end.
+		return nil, fault.New(fault.InDoubt, address, "a response without a length ended before the call was written")
 	case len(body) > MaxBody:
 		return nil, fault.New(fault.InDoubt, address, "the response body exceeds the size limit")
 	case resp.StatusCode != http.StatusOK:
@@ -94,6 +104,11 @@
 	return body, nil
 }
 
+// endsWithConnection reports whether the end of the connection is the end of the body.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // dialFailed reports whether err occurred before a connection was established.
 func dialFailed(err error) bool {
 	var op *net.OpError
