--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -15,6 +15,7 @@
 	"camphorspoke/internal/daemon/placer"
 	"camphorspoke/internal/edge"
 	"camphorspoke/internal/edge/backend"
+	"camphorspoke/internal/routing/brittle"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/rules/ruleset"
@@ -155,6 +156,15 @@
 		Leaving:     a.info.Leaving,
 		ColdFor:     a.info.ColdFor,
 		Limit:       a.info.Limit,
+		Brittle:     a.brittle(),
+	}
+}
+
+// brittle returns what the response says of whether its server is brittle.
+func (a *attempt) brittle() brittle.Statement {
+	return brittle.Statement{
+		Known:    a.info.BrittleKnown,
+		Refusals: a.info.Brittle,
 	}
 }
 
@@ -248,6 +258,7 @@
 		Event:    c.attributedEvent(event),
 		Elapsed:  c.h.Now() - a.sent,
 		Answered: relayed > 0,
+		Brittle:  a.brittle(),
 	})
 	if result == ended && !c.mustAbort {
 		c.logOutcome("done", nil)
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -55,6 +55,9 @@
 	// LimitedServers returns the number of backend servers that name a limit, by service; it
 	// may be nil.
 	LimitedServers func() map[string]int
+	// BrittleServices returns 1 for each service whose servers fall over if they refuse too much; it
+	// may be nil.
+	BrittleServices func() map[string]int
 	// Versions returns the number of listed backend servers of each version of their software, by
 	// service and version with a slash between them; it may be nil.
 	Versions func() map[string]int
@@ -119,6 +122,9 @@
 	if callbacks.LimitedServers != nil {
 		b.observableGauge("camphorspoke.limited.servers", "Backend servers that name a limit, by service.", "service", func() map[string]int64 { return toInt64(callbacks.LimitedServers()) })
 	}
+	if callbacks.BrittleServices != nil {
+		b.observableGauge("camphorspoke.brittle.services", "1 for each service whose servers say that they fall over if they refuse too much.", "service", func() map[string]int64 { return toInt64(callbacks.BrittleServices()) })
+	}
 	if callbacks.Versions != nil {
 		b.observableGauge("camphorspoke.server.versions", "Listed backend servers by service and version of their software.", "version", func() map[string]int64 { return toInt64(callbacks.Versions()) })
 	}
--- a/internal/daemon/placer/limits.go
+++ b/internal/daemon/placer/limits.go
@@ -11,10 +11,11 @@
 )
 
 // setLimitShares sets the shares of this instance of what servers that name a limit take, by
-// its position in the order of deciders.
+// its position in the order of deciders, and the number of instances.
 func setLimitShares(svc *scheduler.Service, rank, instances int) {
 	svc.LimitShare = serverlimit.DeciderShare(rank, instances)
 	svc.AloneLimitShare = serverlimit.AloneShare(instances)
+	svc.Instances = instances
 }
 
 // logLimits logs the limits that servers of a service have named, changed or ended. The caller
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -9,6 +9,7 @@
 	"time"
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/brittle"
 	"camphorspoke/internal/routing/pushback"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/routing/serverlimit"
@@ -136,6 +137,9 @@
 			OtherServer:  r.OtherServer,
 			Stream:       begun.stream,
 			Version:      begun.version,
+
+			BrittleRefusals: r.Brittle.Refusals,
+			BrittleKnown:    r.Brittle.Known,
 		},
 	})
 }
@@ -173,6 +177,19 @@
 	}
 }
 
+// toBrittle returns what a report says of whether its server is brittle; nothing if its number of
+// refusals is none.
+func toBrittle(r *pb.PlaceReport) brittle.Statement {
+	refusals := r.GetBrittleRefusals()
+	if !(refusals >= 0) {
+		return brittle.Statement{}
+	}
+	return brittle.Statement{
+		Known:    r.GetBrittleKnown(),
+		Refusals: refusals,
+	}
+}
+
 // toAsk returns the message that asks for a placement.
 func toAsk(service string, req scheduler.Request) *pb.PlaceAsk {
 	ids, tokens := fromParts(req.Parts)
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -105,6 +105,7 @@
 	for name, s := range d.services {
 		d.updateCold(name, s)
 		d.logLimits(name, s)
+		d.logBrittle(name, s)
 		for _, account := range s.TakeSurges() {
 			d.cfg.Logger.WithField("account", account).WithField("service", name).
 				Info("placer: an account sends far more requests than it usually does; they wait behind those of others")
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -189,6 +189,7 @@
 		HedgeWon:    r.GetHedgeWon(),
 		Limit:       toLimit(r.GetLimit()),
 		OtherServer: r.GetOtherServer(),
+		Brittle:     toBrittle(r),
 	})
 }
 
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -181,8 +181,9 @@
 		Versions:     in.serverVersions,
 		RuleBytes:    in.ruleBytes,
 
-		LimitedServers: in.limitedServers,
-		Isolated:       in.isolated,
+		LimitedServers:  in.limitedServers,
+		BrittleServices: in.brittleServices,
+		Isolated:        in.isolated,
 	})
 	if err != nil {
 		return err
@@ -319,6 +320,14 @@
 	return in.entry.placer.Schedulers().LimitedServers()
 }
 
+// brittleServices returns 1 for each service whose servers are brittle.
+func (in *instance) brittleServices() map[string]int {
+	if in.entry == nil || in.entry.placer == nil {
+		return nil
+	}
+	return in.entry.placer.Schedulers().BrittleServices()
+}
+
 // serverVersions returns the number of listed backend servers by service and version.
 func (in *instance) serverVersions() map[string]int {
 	out := make(map[string]int)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -170,6 +170,11 @@
 	Leaving bool
 	// ColdFor is for how long the backend server announces to stay cold; zero if it does not.
 	ColdFor time.Duration
+	// Brittle is how many requests the backend server refuses in a second, for want of room, before
+	// it falls over; zero if it does not say that it is brittle. BrittleKnown is true if it says so,
+	// or would have said so in this response.
+	Brittle      float64
+	BrittleKnown bool
 	// Limit is what the response says of the limit of its server.
 	Limit serverlimit.Statement
 }
--- a/internal/routing/scheduler/hedge.go
+++ b/internal/routing/scheduler/hedge.go
@@ -35,7 +35,7 @@
 	if d, refused := s.refuseQuarantined(now, req); refused {
 		return d
 	}
-	if req.Alone || len(s.queue) > 0 || s.svc.HedgeShare <= 0 {
+	if req.Alone || s.isBrittle || len(s.queue) > 0 || s.svc.HedgeShare <= 0 {
 		return refuse(req, Hedge, 0)
 	}
 	sv := s.hedgeServer(now, req)
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -52,6 +52,10 @@
 	best := s.bestCached(req)
 	from, fetched := s.fetchSource(now, req, sv, cached)
 	limit := s.currentLimit(now)
+	s.restartWindows(now)
+	if req.Alone {
+		s.aloneRunning++
+	}
 	g := &grant{
 		server:     sv,
 		request:    req,
@@ -150,7 +154,7 @@
 // and would attract requests.
 func (s *Scheduler) choose(now time.Duration, req Request) *server {
 	s.memoryShort = s.allMemoryFull(req)
-	if s.memoryShort {
+	if s.memoryShort || s.aloneFull(req) {
 		return nil
 	}
 	if s.full && now < s.fullUntil {
@@ -232,8 +236,12 @@
 // maxGrants returns how many requests may be granted to sv at a time. A server that
 // is not an engine gets more requests than slots: its requests are short, so
 // for part of the time for which one counts as running, the request or the report of
-// its completion is in transit, and the slot on the server would be idle.
+// its completion is in transit, and the slot on the server would be idle. A brittle server gets
+// no more than its window.
 func (s *Scheduler) maxGrants(sv *server) int {
+	if s.isBrittle {
+		return sv.window.Size(sv.slots)
+	}
 	if s.svc.Engine {
 		return sv.slots
 	}
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -32,6 +32,9 @@
 //   - Servers that turn requests away and ask for a pause: they get none from the instance
 //     that they asked. While all of them have asked it, its requests are refused at once,
 //     with the time until the first pause ends.
+//   - Brittle servers, which fall over if they refuse too much: they get no more requests than
+//     they have slots for, fewer after a refusal, and few once they are back. The others wait
+//     here, or are refused by rank.
 //   - Evacuated failure domains: their servers get no requests. While no other server takes
 //     any, requests are refused at once, also those that are queued.
 //   - A part of prompts that crashes every server which answers it: requests with it are
@@ -47,6 +50,7 @@
 	"slices"
 	"time"
 
+	"camphorspoke/internal/routing/brittle"
 	"camphorspoke/internal/routing/calibration"
 	"camphorspoke/internal/routing/crashsuspect"
 	"camphorspoke/internal/routing/departure"
@@ -118,6 +122,15 @@
 	// limit may have changed since the last TakeLimitChanges.
 	limitShares    limitShares
 	limitsObserved bool
+	// brittle holds whether the servers say that they are brittle, isBrittle as of the last call, and
+	// brittleLogged what TakeBrittleChange has returned last.
+	brittle       brittle.State
+	isBrittle     bool
+	brittleLogged bool
+	// grantAt is when the last request was granted, and aloneRunning the number of granted requests
+	// on which this instance decided alone.
+	grantAt      time.Duration
+	aloneRunning int
 }
 
 // grant is a request that counts as running on a server.
@@ -172,6 +185,7 @@
 func (s *Scheduler) applySettings(now time.Duration) {
 	s.applyCold(now)
 	s.applyLimitShares(now)
+	s.applyBrittle(now)
 }
 
 // SetServers replaces the list of servers. A server that is no longer listed stops
@@ -309,6 +323,7 @@
 	s.recordDeparture(g.server, r)
 	s.recordColdReport(now, g, r)
 	s.recordLimitReport(now, g, r)
+	s.recordBrittle(now, g, r)
 	s.recordSpeed(now, g, r)
 	g.pushedBack = g.pushedBack || r.RetryAfter > 0
 	started := g.started
@@ -327,6 +342,9 @@
 	delete(s.granted, id)
 	s.full = false
 	g.server.running--
+	if g.request.Alone {
+		s.aloneRunning--
+	}
 	s.releaseMemory(g)
 	g.server.recordReportedLoad(now, r)
 	s.recordVerdict(now, g, r, started)
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"camphorspoke/internal/routing/brittle"
 	"camphorspoke/internal/routing/departure"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/pushback"
@@ -132,6 +133,8 @@
 	cold coldness
 	// serverLimit is what the server has said of its limit.
 	serverLimit limitState
+	// window is how many requests the server gets at a time while it is brittle.
+	window brittle.Window
 }
 
 func newServer(name string) *server {
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"camphorspoke/internal/routing/brittle"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/serverlimit"
 )
@@ -41,6 +42,8 @@
 	// names a limit takes: when it decides for all instances, and for its own requests only.
 	LimitShare      serverlimit.Share
 	AloneLimitShare serverlimit.Share
+	// Instances is the number of instances that may decide; zero counts as one.
+	Instances int
 	// HedgeShare is the largest share of the requests in RetryWindow that get a hedge.
 	HedgeShare float64
 }
@@ -221,6 +224,8 @@
 	ColdFor time.Duration
 	// Limit is what the response says of the limit of its server.
 	Limit serverlimit.Statement
+	// Brittle is what the response says of whether its server falls over if it refuses too much.
+	Brittle brittle.Statement
 	// OtherServer is true for an Unreachable server at whose address another one answered.
 	OtherServer bool
 	// HedgeWon is true if the request is a hedge whose response answers it, while the server
