--- a/internal/daemon/server/entryendpoints.go
+++ b/internal/daemon/server/entryendpoints.go
@@ -51,7 +51,7 @@
 		}
 		usable = append(usable, listed)
 	}
-	if len(usable) < len(isolated)/maxIsolatedPerUsable {
+	if maxIsolatedPerUsable*len(usable) < len(isolated) {
 		usable = append(usable, isolated...)
 	}
 	picker := directory.Picker{
