--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -199,7 +199,7 @@
 	req := c.placementRequest()
 	req.Tried, req.Retry = c.tried, c.sends+c.sendsBefore > 0
 	// Each earlier attempt has had a placement, also one whose request was not sent.
-	req.Counted = len(c.tried) > 0 || c.sendsBefore > 0
+	req.Counted = len(c.tried) > 0 || c.countedBefore
 	return c.h.Placer.Place(c.ctx, c.service, req)
 }
 
--- a/internal/daemon/ingress/forward.go
+++ b/internal/daemon/ingress/forward.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,8 +29,10 @@
 
 const (
 	// forwardedHeader marks a request that another instance has forwarded. Its value is the number
-	// of servers that have received the request.
+	// of servers that have received the request, and alreadyCounted if a decider has counted it as a
+	// request of the service.
 	forwardedHeader = "Camphorspoke-Forwarded"
+	alreadyCounted  = ",counted"
 	// forwardRefusedHeader marks the answer of an instance that takes no forwarded request now.
 	forwardRefusedHeader = "Camphorspoke-Forward-Refused"
 	// maxForwards is the number of instances to which a request is sent in turn, as long as it has
@@ -85,6 +88,7 @@
 		return
 	}
 	c.forwarded = true
+	value, c.countedBefore = strings.CutSuffix(value, alreadyCounted)
 	if n, err := strconv.Atoi(value); err == nil && n > 0 {
 		c.sendsBefore = n
 	}
@@ -225,7 +229,11 @@
 		p.Resumes = c.req.ID
 	}
 	c.h.Dialect.SetPeerHeaders(header, p)
-	header.Set(forwardedHeader, strconv.Itoa(c.sends))
+	forwarded := strconv.Itoa(c.sends)
+	if len(c.tried) > 0 {
+		forwarded += alreadyCounted
+	}
+	header.Set(forwardedHeader, forwarded)
 	return &backend.Request{
 		Method: c.r.Method,
 		Target: c.r.RequestURI,
--- a/internal/daemon/ingress/forward_test.go
+++ b/internal/daemon/ingress/forward_test.go
@@ -179,13 +179,16 @@
 			}
 			go func() {
 				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					received.Add(1)
+					respond(c, r)
 				}
-				io.Copy(io.Discard, r.Body)
-				received.Add(1)
-				respond(c, r)
 			}()
 		}
 	}()
@@ -305,3 +308,50 @@
 	require.Equal(t, http.StatusOK, e.status("/book/"))
 	require.EqualValues(t, 1, own.Load())
 }
+
+// TestForwardedRequestIsCountedOnce: an instance had its request placed before it found out that it reaches
+// no server. Counted again at the other instance, the request would earn repeats twice.
+func TestForwardedRequestIsCountedOnce(t *testing.T) {
+	var marks sync.Map
+	var received atomic.Int32
+	peer := peerThat(t, func(c net.Conn, r *http.Request) {
+		marks.Store(r.Header.Get("Id"), r.Header.Get("Camphorspoke-Forwarded"))
+		respondOK(c, r)
+	}, &received)
+	e := newCutEnv(t, peer)
+	for range 2 {
+		require.Equal(t, http.StatusOK, e.status("/read/"))
+	}
+	first, _ := marks.Load("x1")
+	require.Equal(t, "0,counted", first)
+	second, _ := marks.Load("x2")
+	require.Equal(t, "0", second)
+
+	// At the other instance, only requests that are counted there earn repeats.
+	const requests = 20
+	for mark, wanted := range map[string]int{"0": requests, "0,counted": 0} {
+		other := &testEnv{
+			t:           t,
+			slots:       4,
+			retryWindow: 2 * time.Second,
+			retryRatio:  1,
+		}
+		other.start(ruleTextWithKey(), []string{other.backend("b0", respondServerError), other.backend("b1", respondServerError)})
+		for range requests {
+			other.do("/open/", "Camphorspoke-Forwarded", mark)
+		}
+		// The budget counts requests in whole buckets of a twentieth of the window.
+		time.Sleep(250 * time.Millisecond)
+		repeated := 0
+		for range requests {
+			before := other.requestCount()
+			other.do("/read/", "Camphorspoke-Forwarded", "0,counted")
+			repeated += other.requestCount() - before - 1
+		}
+		if wanted == 0 {
+			require.Zero(t, repeated)
+		} else {
+			require.Positive(t, repeated)
+		}
+	}
+}
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -150,6 +150,8 @@
 	runs        int
 	forwarded   bool
 	sendsBefore int
+	// countedBefore is true if a decider has counted the request for the instance that forwarded it.
+	countedBefore bool
 	// endForwarded ends the count of a request that another instance has forwarded; nil for others.
 	endForwarded func()
 	// forwardedTo is the instance to which the request was forwarded last; empty if to none.
