Entry gauges, outcomes of requests and adopted grants in files of their own

Functions are moved as they were; tests of forwarding use the servers of the test environment instead of their own.

--- a/internal/daemon/ingress/forward_test.go
+++ b/internal/daemon/ingress/forward_test.go
@@ -164,35 +164,14 @@
 	require.Equal(t, 10, other.requestCount())
 }
 
-// peerThat returns the address of an instance that reads each request and then does something
-// with its connection.
-func peerThat(t *testing.T, respond responder, received *atomic.Int32) string {
+// peerThat returns an instance that does something with each connection on which it has read a request,
+// and its address.
+func peerThat(t *testing.T, respond responder) (peer *testEnv, address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, r.Body)
-					received.Add(1)
-					respond(c, r)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
+	peer = &testEnv{
+		t: t,
+	}
+	return peer, peer.backend("peer", respond)
 }
 
 // TestForwardedRequestIsSentOnceIfTheLinkBreaks: the connection to the other instance breaks once the
@@ -200,19 +179,18 @@
 // instance gets it.
 func TestForwardedRequestIsSentOnceIfTheLinkBreaks(t *testing.T) {
 	for _, path := range []string{"/book/", "/read/"} {
-		var received atomic.Int32
-		breaking := peerThat(t, closeConnection, &received)
+		peer, breaking := peerThat(t, closeConnection)
 		e := newCutEnv(t, breaking, breaking)
 		require.Equal(t, http.StatusBadGateway, e.status(path))
-		require.EqualValues(t, 1, received.Load())
+		require.Equal(t, 1, peer.requestCount())
 	}
 }
 
 // TestForwardedResponseThatBreaksOffLooksBroken: the connection to the other instance breaks within the
 // response. What the caller gets does not look complete.
 func TestForwardedResponseThatBreaksOffLooksBroken(t *testing.T) {
-	var received atomic.Int32
-	e := newCutEnv(t, peerThat(t, stream(5, 2), &received))
+	_, breaking := peerThat(t, stream(5, 2))
+	e := newCutEnv(t, breaking)
 	_, body, err := e.do("/chat/")
 	require.Error(t, err)
 	require.Equal(t, completeStream(2), body)
@@ -313,11 +291,10 @@
 // no server. Counted again at the other instance, the request would earn repeats twice.
 func TestForwardedRequestIsCountedOnce(t *testing.T) {
 	var marks sync.Map
-	var received atomic.Int32
-	peer := peerThat(t, func(c net.Conn, r *http.Request) {
+	_, peer := peerThat(t, func(c net.Conn, r *http.Request) {
 		marks.Store(r.Header.Get("Id"), r.Header.Get("Camphorspoke-Forwarded"))
 		respondOK(c, r)
-	}, &received)
+	})
 	e := newCutEnv(t, peer)
 	for range 2 {
 		require.Equal(t, http.StatusOK, e.status("/read/"))
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -458,34 +458,6 @@
 // QueueLen returns the number of queued requests.
 func (s *Scheduler) QueueLen() int { return len(s.queue) }
 
-// Adopt takes over a request that another scheduler granted: it counts the request as running
-// on the named server, and its parts as cached there. Of the request, the ID, the instance, the
-// parts and the fingerprint are used. When its ID is zero, it only records the parts.
-func (s *Scheduler) Adopt(now time.Duration, name string, req Request) {
-	sv := s.servers[name]
-	if sv == nil {
-		return
-	}
-	sv.cache.Use(req.Parts)
-	if req.ID == 0 || s.granted[req.ID] != nil {
-		return
-	}
-	g := &grant{
-		server: sv,
-		request: Request{
-			ID:          req.ID,
-			Instance:    req.Instance,
-			Parts:       req.Parts,
-			Fingerprint: req.Fingerprint,
-		},
-		grantedAt: now,
-		listing:   sv.listing,
-	}
-	s.granted[req.ID] = g
-	s.holdMemory(g)
-	sv.recordGrant(g)
-}
-
 // CachedPrefixes is the content of one server's cache, as modelled by the scheduler.
 type CachedPrefixes struct {
 	Server string
