--- a/internal/daemon/placer/brittle.go
+++ b/internal/daemon/placer/brittle.go
@@ -18,6 +18,14 @@
 	log.Info("placer: the servers of a service no longer say that they fall over if they refuse too much")
 }
 
+// brittle reports whether the servers of a service are brittle, as far as this instance has received it.
+func (d *Schedulers) brittle(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[service]
+	return s != nil && s.Brittle()
+}
+
 // BrittleServices returns 1 for each service whose servers are brittle.
 func (d *Schedulers) BrittleServices() map[string]int {
 	d.mu.Lock()
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -212,6 +212,7 @@
 
 		ExcludedDomains: req.ExcludedDomains,
 		Version:         req.Version,
+		Brittle:         req.Brittle,
 	}
 }
 
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -237,6 +237,7 @@
 func (p *Placer) Place(ctx context.Context, service string, req scheduler.Request) (*Grant, error) {
 	start := p.cfg.Now()
 	req.Instance = p.cfg.Instance
+	req.Brittle = p.schedulers.brittle(service)
 	var left time.Duration
 	var withdrawn []string
 	withdrawnForLimit := 0
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -129,6 +129,7 @@
 		Instance:        req.GetInstance(),
 		ExcludedDomains: req.GetExcludedDomains(),
 		Version:         req.GetVersion(),
+		Brittle:         req.GetBrittle(),
 	}
 }
 
--- a/internal/routing/brittle/brittle.go
+++ b/internal/routing/brittle/brittle.go
@@ -20,6 +20,9 @@
 	// endDelay is how long after the last such answer a request has to be granted whose answer ends it.
 	// Answers of several servers come out of order.
 	endDelay = time.Second
+	// probation is how long a window stays at one request after a reset: another instance that has
+	// decided before may go on for as long, with a window of its own.
+	probation = time.Second
 	// decrease is by what a refusal multiplies a window.
 	decrease = 0.7
 )
@@ -62,19 +65,34 @@
 	// one.
 	size      float64
 	threshold float64
+	// heldUntil is the time until which the window does not grow.
+	heldUntil time.Duration
 }
 
 // Size returns the number of requests that a server with the given slots may have.
 func (w *Window) Size(slots int) int { return min(max(int(w.size), 1), slots) }
 
 // Open sets the window to all slots, for a server that is known to take them.
-func (w *Window) Open(slots int) { w.size, w.threshold = float64(slots), float64(slots) }
+func (w *Window) Open(slots int) {
+	*w = Window{
+		size:      float64(slots),
+		threshold: float64(slots),
+	}
+}
 
-// Reset sets the window to one request, for a server of which it is not known what it has.
-func (w *Window) Reset() { *w = Window{} }
+// Reset sets the window to one request, for a server of which it is not known what it has. It stays so
+// for probation.
+func (w *Window) Reset(now time.Duration) {
+	*w = Window{
+		heldUntil: now + probation,
+	}
+}
 
 // Answered grows the window after an answer.
-func (w *Window) Answered(slots int) {
+func (w *Window) Answered(now time.Duration, slots int) {
+	if now < w.heldUntil {
+		return
+	}
 	w.size = max(w.size, 1)
 	if w.threshold == 0 || w.size < w.threshold {
 		w.size++
--- a/internal/routing/brittle/brittle_test.go
+++ b/internal/routing/brittle/brittle_test.go
@@ -50,7 +50,7 @@
 	for round := range 4 {
 		require.Equal(t, 1<<round, w.Size(slots))
 		for range w.Size(slots) {
-			w.Answered(slots)
+			w.Answered(0, slots)
 		}
 	}
 	require.Equal(t, slots, w.Size(slots))
@@ -58,7 +58,7 @@
 	w.Refused(slots)
 	require.Equal(t, 5, w.Size(slots))
 	for range 2 {
-		w.Answered(slots)
+		w.Answered(0, slots)
 	}
 	require.Equal(t, 5, w.Size(slots))
 	for range 100 {
@@ -67,6 +67,9 @@
 	require.Equal(t, 1, w.Size(slots))
 	w.Open(slots)
 	require.Equal(t, slots, w.Size(slots))
-	w.Reset()
-	require.Equal(t, 1, w.Size(slots))
+	w.Reset(time.Second)
+	w.Answered(1900*time.Millisecond, slots)
+	require.Equal(t, 1, w.Size(slots), "another instance may still decide")
+	w.Answered(2*time.Second, slots)
+	require.Equal(t, 2, w.Size(slots))
 }
--- a/internal/routing/scheduler/brittle.go
+++ b/internal/routing/scheduler/brittle.go
@@ -3,7 +3,11 @@
 // This file defines how servers that say that they are brittle get no more than they have room for;
 // see package brittle.
 
-import "time"
+import (
+	"time"
+
+	"camphorspoke/internal/routing/brittle"
+)
 
 const (
 	// brittleBackoff is how long a brittle server that refused a request gets no other.
@@ -39,17 +43,28 @@
 	w := &g.server.window
 	switch r.Event {
 	case Done, Failed:
-		w.Answered(g.server.slots)
+		w.Answered(now, g.server.slots)
 	case Rejected:
 		w.Refused(g.server.slots)
 		g.server.fullUntil = max(g.server.fullUntil, now+brittleBackoff)
 	case Unreachable, Down:
-		w.Reset()
+		w.Reset(now)
+	}
+}
+
+// recordBrittleRequest records that the instance that received a request knows that the servers are
+// brittle: this scheduler may have received no answer yet.
+func (s *Scheduler) recordBrittleRequest(now time.Duration, req Request) {
+	if req.Brittle && !s.isBrittle {
+		s.brittle.Observe(now, now, brittle.Statement{
+			Known:    true,
+			Refusals: 1,
+		})
 	}
 }
 
 // applyBrittle applies a change of the state, or its end with time. Servers that have just become
-// brittle may get as much as they have slots.
+// brittle may get as much as they have slots, unless it is not known what they have.
 func (s *Scheduler) applyBrittle(now time.Duration) {
 	before := s.isBrittle
 	s.isBrittle = s.brittle.Brittle(now)
@@ -57,7 +72,10 @@
 		return
 	}
 	for _, sv := range s.listedServers {
-		sv.window.Open(sv.slots)
+		sv.window.Reset(now)
+		if now-s.grantAt <= idleTime {
+			sv.window.Open(sv.slots)
+		}
 	}
 }
 
@@ -66,7 +84,7 @@
 func (s *Scheduler) restartWindows(now time.Duration) {
 	if s.isBrittle && now-s.grantAt > idleTime {
 		for _, sv := range s.listedServers {
-			sv.window.Reset()
+			sv.window.Reset(now)
 		}
 	}
 	s.grantAt = now
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -161,6 +161,7 @@
 	s := &Scheduler{
 		servers: make(map[string]*server),
 		granted: make(map[uint64]*grant),
+		grantAt: math.MinInt64 / 2,
 	}
 	s.SetService(svc)
 	return s
@@ -230,6 +231,7 @@
 // Schedule decides on a request at once, or queues it and returns false; the decision is
 // then returned by a later Tick or Report.
 func (s *Scheduler) Schedule(now time.Duration, req Request) (Decision, bool) {
+	s.recordBrittleRequest(now, req)
 	s.applySettings(now)
 	if req.Hedge {
 		return s.scheduleHedge(now, req), true
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -118,6 +118,8 @@
 	// MayTry is true if the request may be the trial of a quarantined part. It is set
 	// where one scheduler decides for all instances, so that there is one trial at a time.
 	MayTry bool
+	// Brittle is true if the instance that received the request knows that the servers are brittle.
+	Brittle bool
 	// Instance is the instance that received the request, and FailureDomain its failure
 	// domain.
 	Instance      string
