--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -85,6 +85,10 @@
 			c.forwardAway()
 			return
 		}
+		if c.mustReturn() {
+			c.refuse(c.refusedForward())
+			return
+		}
 		g, err := c.place()
 		if err != nil {
 			c.countUnplaced(err)
--- a/internal/daemon/ingress/forward.go
+++ b/internal/daemon/ingress/forward.go
@@ -105,10 +105,22 @@
 	if f.serving.Add(1) <= int64(forwarding.Capacity(f.CPUMilli)) && !f.Monitor.Isolated() {
 		return nil
 	}
+	return c.refusedForward()
+}
+
+// refusedForward returns the refusal of a request that another instance has forwarded, which may forward
+// it elsewhere.
+func (c *call) refusedForward() error {
 	c.w.Header().Set(forwardRefusedHeader, "1")
 	return isolatedFault(c.req.ID)
 }
 
+// mustReturn reports whether a request that another instance has forwarded has to go back to it: this
+// instance has become isolated too, and no server has received the request.
+func (c *call) mustReturn() bool {
+	return c.forwarded && c.sends == 0 && c.h.Forwarding.Monitor.Isolated()
+}
+
 // mustForward reports whether the request has to be served by another instance.
 func (c *call) mustForward() bool {
 	return !c.forwarded && c.h.Forwarding.Pool != nil && c.h.Forwarding.Monitor.Isolated()
--- a/internal/daemon/ingress/forward_test.go
+++ b/internal/daemon/ingress/forward_test.go
@@ -164,6 +164,19 @@
 	require.Equal(t, 10, other.requestCount())
 }
 
+// TestForwardedRequestGoesBackIfTheOtherInstanceIsCutOffToo: an instance finds out with a forwarded
+// request that it reaches no server either. The request goes to a third one, and is not tried at one server
+// after the other.
+func TestForwardedRequestGoesBackIfTheOtherInstanceIsCutOffToo(t *testing.T) {
+	other := newTestEnv(t, respondOK)
+	for range 10 {
+		cut := newCutEnv(t)
+		e := newCutEnv(t, cut.url, other.url)
+		require.Equal(t, http.StatusOK, e.status("/book/"))
+	}
+	require.Equal(t, 10, other.requestCount())
+}
+
 // peerThat returns an instance that does something with each connection on which it has read a request,
 // and its address.
 func peerThat(t *testing.T, respond responder) (peer *testEnv, address string) {
