Test of large configurations in virtual time

The bound stays; the link, the group and the clock are now in a bubble of virtual time, so that only the bytes on the link and the time limits of the daemon count.

--- a/internal/daemon/server/largerules_test.go
+++ b/internal/daemon/server/largerules_test.go
@@ -10,12 +10,13 @@
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
 
-	"camphorspoke/internal/base/boottime"
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/base/invariant"
 	"camphorspoke/internal/control"
@@ -65,19 +66,32 @@
 	return time.Duration(float64(bytes) * 8 / smallLinkMbps * float64(time.Microsecond))
 }
 
-// slowListener accepts slow connections.
-type slowListener struct {
-	net.Listener
+// slowLink is a link to the control group: a listener, and a dialer that connects to it.
+type slowLink struct {
+	pipeListener
 }
 
-func (l slowListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+func newSlowLink() *slowLink {
+	return &slowLink{
+		pipeListener: pipeListener{
+			conns:  make(chan net.Conn),
+			closed: make(chan struct{}),
+		},
+	}
+}
+
+func (l *slowLink) dial(ctx context.Context, _ string) (net.Conn, error) {
+	own, other := net.Pipe()
+	select {
+	case l.conns <- other:
+		return slowConn{
+			Conn: own,
+		}, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	return slowConn{
-		Conn: c,
-	}, nil
 }
 
 // unreachablePeers reaches no other replica.
@@ -102,9 +116,9 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := l.Addr().String()
+	const address = "127.0.0.1:1"
+	begin := time.Now()
+	l := newSlowLink()
 	r, stopReplica, err := replica.Start(replica.Config{
 		Name:    "r1",
 		Address: address,
@@ -115,7 +129,7 @@
 		Transport: unreachablePeers{},
 		Logger:    log,
 		Checker:   &invariant.Checker{},
-		Now:       boottime.New().Now,
+		Now:       func() time.Duration { return time.Since(begin) },
 	})
 	require.NoError(t, err)
 	t.Cleanup(stopReplica)
@@ -133,10 +147,10 @@
 		Replica: r,
 		Manager: m,
 	})
-	go func() { _ = s.Serve(slowListener{l}) }()
+	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
 	require.Eventually(t, r.Leads, 10*time.Second, time.Millisecond)
-	client, closeClient := controlclient.New([]string{address})
+	client, closeClient := controlclient.New([]string{address}, grpc.WithContextDialer(l.dial))
 	t.Cleanup(closeClient)
 	return &entry{
 		instance: &instance{
@@ -175,18 +189,20 @@
 // larger than what the link of a small instance carries in the time for a read. An operator that asked
 // such an instance got no configuration, or no acknowledgement, however often it asked.
 func TestLargeConfigurationIsReadBackThroughSmallInstance(t *testing.T) {
-	e := newSmallInstance(t)
-	rules, document := largeConfiguration(4240)
-	begun := time.Now()
-	require.NoError(t, e.Replace(t.Context(), 1, rules, document))
-	replaced := time.Since(begun)
-	for range 3 {
-		begun = time.Now()
-		revision, source, err := e.Source(t.Context())
-		require.NoError(t, err)
-		require.Less(t, time.Since(begun), operatorPatience)
-		require.EqualValues(t, 1, revision)
-		require.Equal(t, document, source)
-	}
-	require.Less(t, replaced, operatorPatience)
+	synctest.Test(t, func(t *testing.T) {
+		e := newSmallInstance(t)
+		rules, document := largeConfiguration(4240)
+		begun := time.Now()
+		require.NoError(t, e.Replace(t.Context(), 1, rules, document))
+		replaced := time.Since(begun)
+		for range 3 {
+			begun = time.Now()
+			revision, source, err := e.Source(t.Context())
+			require.NoError(t, err)
+			require.Less(t, time.Since(begun), operatorPatience)
+			require.EqualValues(t, 1, revision)
+			require.Equal(t, document, source)
+		}
+		require.Less(t, replaced, operatorPatience)
+	})
 }
