Soak: a signal waits for the start of its process on a busy machine too

The log of e2 has no line of a second shutdown, and 1.6 s lie between the end of the first stop and the next 'serving on': the process was stopped again 0.2 s after its start, before it had reached its main function, and a third one served.

The wait of 0.2 s stays; in addition a later process of the same program has to have ended. No check changes.

--- a/internal/check/soak/daemon.go
+++ b/internal/check/soak/daemon.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -31,7 +32,8 @@
 	// stopSlack is how long after the grace period a process may still take to exit.
 	stopSlack = 3 * time.Second
 	memoryMB  = 284
-	// startupTime is longer than a process takes from its start to its main function.
+	// startupTime is longer than a process takes from its start to its main function, unless the
+	// machine is busy.
 	startupTime = 200 * time.Millisecond
 	// maxSeeds is the largest number of seeds.
 	maxSeeds = 3
@@ -123,14 +125,23 @@
 	}
 }
 
-// awaitStartup waits until the process has had time to reach its main function:
-// before that no program can handle a signal.
-func (d *daemon) awaitStartup() { time.Sleep(time.Until(d.started.Add(startupTime))) }
+// awaitStartup waits until the process has had time to reach its main function: before that no program
+// can handle a signal. On a busy machine that takes longer than startupTime, so another process of the
+// same program, which is started later, has to have ended as well.
+func (d *daemon) awaitStartup() error {
+	time.Sleep(time.Until(d.started.Add(startupTime)))
+	if err := exec.Command(filepath.Join(d.s.cfg.Bin, "camphord"), "-version").Run(); err != nil {
+		return fault.Wrap(fault.Internal, d.name, err)
+	}
+	return nil
+}
 
 // stop stops the process gracefully and checks that it exits without an error
 // within the grace period and stopSlack.
 func (d *daemon) stop() error {
-	d.awaitStartup()
+	if err := d.awaitStartup(); err != nil {
+		return err
+	}
 	d.s.checker.Stopping(d.address(frontPort), d.s.cfg.Grace)
 	if err := d.process.Signal(syscall.SIGTERM); err != nil {
 		return fault.Wrap(fault.Internal, d.name, err)
--- a/internal/check/soak/faults.go
+++ b/internal/check/soak/faults.go
@@ -149,7 +149,9 @@
 	d := f.randomDaemon()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.awaitStartup()
+	if err := d.awaitStartup(); err != nil {
+		return err
+	}
 	return d.process.Signal(syscall.SIGHUP)
 }
 
