--- a/review/standin-2/cutoff.go
+++ b/review/standin-2/cutoff.go
@@ -21,7 +21,7 @@
 
 // cutOff resets all connections of two machines without a disk to runners, and those that they open.
 func cutOff(f *fleet.Fleet) (bool, error) {
-	if _, err := serving(f, eventStream(9, 60, 10*time.Millisecond)); err != nil {
+	if err := serving(f, 1, eventStream(9, 60, 10*time.Millisecond)); err != nil {
 		return false, err
 	}
 	stop := make(chan struct{})
--- a/review/standin-2/firststart.go
+++ b/review/standin-2/firststart.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// darkTime is for how long the machine of case 7 is without power.
+	// darkTime is for how long the machine of case 8 is without power.
 	darkTime = 25 * time.Second
-	// orderTime is for how long the operator of case 6 sends its order.
+	// orderTime is for how long the operator of case 7 sends its order.
 	orderTime = 60 * time.Second
 )
 
--- a/review/standin-2/fleet/client.go
+++ b/review/standin-2/fleet/client.go
@@ -62,11 +62,13 @@
 	Path, ID, Key string
 	DeadlineMs    int64
 	Body          string
+	// Header holds further lines of the head, each with its end.
+	Header string
 }
 
 // Do sends a request and reads the whole response.
 func (c *Conn) Do(r Request) (status int, header http.Header, body []byte, err error) {
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Milliseconds: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n", r.Path, Host, r.ID, r.DeadlineMs, r.Key, len(r.Body))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Milliseconds: %d\r\nAuthorization: Token %s\r\n%sContent-Length: %d\r\n\r\n", r.Path, Host, r.ID, r.DeadlineMs, r.Key, r.Header, len(r.Body))
 	if _, err := io.WriteString(c.Conn, head+r.Body); err != nil {
 		return 0, nil, nil, err
 	}
@@ -86,6 +88,8 @@
 	PerS     float64
 	// Retries is how often a client tries again after a promise that the request has not run.
 	Retries int
+	// Header, if set, returns further lines of the head of a request.
+	Header func() string
 }
 
 // Counts holds what became of the requests of one kind.
@@ -189,6 +193,10 @@
 
 func (f *Fleet) attempt(k Kind, address string, left time.Duration) (status int, header http.Header, err error) {
 	id := NewID()
+	more := ""
+	if k.Header != nil {
+		more = k.Header()
+	}
 	c, err := Dial(address, 0, 4096)
 	if err != nil {
 		f.Logf("client %s %s: no connection: %v", k.Path, id, err)
@@ -196,7 +204,7 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(left))
-	status, header, _, err = c.Do(Request{Path: k.Path, ID: id, Key: "key-one", DeadlineMs: left.Milliseconds(), Body: "{}"})
+	status, header, _, err = c.Do(Request{Path: k.Path, ID: id, Key: "key-one", DeadlineMs: left.Milliseconds(), Body: "{}", Header: more})
 	f.Logf("client %s %s at %s: %d %v", k.Path, id, address, status, err)
 	return status, header, err
 }
--- a/review/standin-2/setup.go
+++ b/review/standin-2/setup.go
@@ -11,6 +11,12 @@
 	"standin2/fleet"
 )
 
+// The slots of the runners of skeena-bench.
+const (
+	modelSlots = 64
+	plainSlots = 6
+)
+
 // eventStream returns a handler that answers with events of a number of bytes, and a pause between
 // them.
 func eventStream(events, bytes int, pause time.Duration) http.HandlerFunc {
@@ -36,32 +42,39 @@
 	fmt.Fprint(w, strings.Repeat("x", 800))
 }
 
-// serving starts a runner of each service in each zone and the daemons, has the first configuration
-// accepted, and waits until the core has been stable for StableWindow.
-func serving(f *fleet.Fleet, stream http.HandlerFunc) ([]*fleet.Runner, error) {
-	var runners []*fleet.Runner
+// serving starts a number of model runners and one plain runner in each zone, and the daemons, has the
+// first configuration accepted, and waits until the core has been stable for StableWindow.
+func serving(f *fleet.Fleet, modelRunners int, stream http.HandlerFunc) error {
 	var entries []fleet.Entry
+	start := func(id, service, zone string, slots int, handle http.HandlerFunc) error {
+		r, err := f.NewRunner(id, service, zone, "v1", slots, handle)
+		if err == nil {
+			entries = append(entries, r.Entry)
+		}
+		return err
+	}
 	for i, zone := range f.Site.Zones {
-		for service, handle := range map[string]http.HandlerFunc{"assist": stream, "dispatch": plainAnswer} {
-			r, err := f.NewRunner(fmt.Sprintf("i-%s-%d", service, i+1), service, zone, "v1", 64, handle)
-			if err != nil {
-				return nil, err
+		for n := range modelRunners {
+			if err := start(fmt.Sprintf("i-assist-%d-%d", i+1, n+1), "assist", zone, modelSlots, stream); err != nil {
+				return err
 			}
-			runners, entries = append(runners, r), append(entries, r.Entry)
+		}
+		if err := start(fmt.Sprintf("i-dispatch-%d", i+1), "dispatch", zone, plainSlots, plainAnswer); err != nil {
+			return err
 		}
 	}
 	f.List.Set(entries...)
 	if err := f.Start(); err != nil {
-		return nil, err
+		return err
 	}
 	time.Sleep(time.Second)
 	status, _, err := f.Replace(fleet.Standard(3).JSON(), 10*time.Second)
 	if err != nil || status != http.StatusOK {
-		return nil, fmt.Errorf("the first configuration got status %d, %v", status, err)
+		return fmt.Errorf("the first configuration got status %d, %v", status, err)
 	}
 	if !f.AwaitReady(len(f.Daemons), 15*time.Second) {
-		return nil, fmt.Errorf("not all daemons are ready")
+		return fmt.Errorf("not all daemons are ready")
 	}
 	time.Sleep(f.Site.StableWindow)
-	return runners, nil
+	return nil
 }
--- a/review/standin-2/slow.go
+++ b/review/standin-2/slow.go
@@ -35,7 +35,7 @@
 // slowReaders lets clients on kept connections ask for a stream right after the daemon has got a
 // SIGHUP, and read it slowly but steadily.
 func slowReaders(f *fleet.Fleet) (bool, error) {
-	if _, err := serving(f, eventStream(events, eventBytes, 5*time.Millisecond)); err != nil {
+	if err := serving(f, 1, eventStream(events, eventBytes, 5*time.Millisecond)); err != nil {
 		return false, err
 	}
 	d := f.Daemons[len(f.Daemons)-1]
