--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -38,6 +38,7 @@
 	closed           metric.Int64Counter
 	takenUp          metric.Int64Counter
 	forwarded        metric.Int64Counter
+	connections      metric.Int64Counter
 }
 
 // Callbacks holds callbacks for the metrics whose values are read at scrape time.
@@ -110,6 +111,7 @@
 	m.closed = b.counter("camphorspoke.client.connections.closed", "Connections of clients that were closed at a limit, by reason.")
 	m.takenUp = b.counter("camphorspoke.streams.taken.up", "Streams that callers take up again, by service and by whether the version that began them is known or unknown; and streams whose version no server has any more.")
 	m.forwarded = b.counter("camphorspoke.requests.forwarded", "Requests that this instance forwarded to another one, as it reaches no backend server, by service and result.")
+	m.connections = b.counter("camphorspoke.server.connections", "New connections to backend servers, by whether they were answered, could not be opened, or ended without a byte of a response.")
 	b.observableCounter("camphorspoke.control.bytes", "Bytes of control traffic by kind.", "kind", func() map[string]int64 { return toInt64(callbacks.ControlBytes()) })
 	b.observableCounter("camphorspoke.invariant.violations", "Violated invariants by name.", "name", func() map[string]int64 { return toInt64(callbacks.Violations()) })
 	b.observableGauge("camphorspoke.server.load", "Requests running and queued at each owned backend server.", "server", func() map[string]int64 { return toInt64(callbacks.Loads()) })
@@ -235,6 +237,24 @@
 	m.forwarded.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc), attribute.String("result", result)))
 }
 
+// What may become of a new connection to a backend server.
+const (
+	// ServerAnswered means that a byte of a response has come.
+	ServerAnswered = "answered"
+	// ServerUnopened means that the connection could not be opened.
+	ServerUnopened = "unopened"
+	// ServerUnanswered means that the connection was opened and ended without a byte of a response.
+	ServerUnanswered = "unanswered"
+)
+
+// ServerConnection counts a new connection to a backend server by its outcome.
+func (m *Meters) ServerConnection(ctx context.Context, outcome string) {
+	if m == nil {
+		return
+	}
+	m.connections.Add(ctx, 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // Request records a finished request, its outcome and its duration.
 func (m *Meters) Request(ctx context.Context, svc, outcome string, d time.Duration) {
 	if m == nil {
--- a/internal/daemon/server/entryisolation.go
+++ b/internal/daemon/server/entryisolation.go
@@ -4,7 +4,11 @@
 // instances then serve its requests.
 
 import (
+	"context"
+
+	"camphorspoke/internal/daemon/metrics"
 	"camphorspoke/internal/daemon/reachability"
+	"camphorspoke/internal/edge/backend"
 	"camphorspoke/internal/routing/forwarding"
 	"camphorspoke/internal/routing/isolation"
 )
@@ -21,9 +25,22 @@
 		Logger:   in.log,
 	})
 	e.pool.OnDial = e.reach.Record
+	e.pool.OnConnection = e.countConnection
 	in.onCleanUp(stop)
 }
 
+// countConnection counts a new connection to a backend server by its outcome.
+func (e *entry) countConnection(o backend.Outcome) {
+	outcome := metrics.ServerUnopened
+	switch {
+	case o.Err == nil:
+		outcome = metrics.ServerAnswered
+	case o.Opened:
+		outcome = metrics.ServerUnanswered
+	}
+	e.meters.ServerConnection(context.Background(), outcome)
+}
+
 // listedServers returns the backend servers that this instance lists.
 func (e *entry) listedServers() []isolation.Server {
 	var out []isolation.Server
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -63,15 +63,33 @@
 	// OnDial is called with the outcome of each attempt to open a connection, begun at a time by
 	// Now; it may be nil. Attempts that their request gave up within acceptTimeout are left out.
 	OnDial func(address string, begun time.Duration, err error)
+	// OnConnection is called with the outcome of each new connection; it may be nil.
+	OnConnection func(Outcome)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
+// Outcome is what became of a new connection to a backend server.
+type Outcome struct {
+	Address string
+	// Begun is when the attempt to open the connection was begun, by Pool.Now.
+	Begun time.Duration
+	// Opened is true if the connection was opened.
+	Opened bool
+	// Err is nil once the first byte of a response has come. Otherwise it is why the connection
+	// could not be opened, or ended before the first response.
+	Err error
+}
+
 type conn struct {
 	net.Conn
 	address string
-	r       *bufio.Reader
+	// begun is when the attempt to open the connection was begun, by Pool.Now.
+	begun time.Duration
+	// answered is true once a byte of a response has come.
+	answered bool
+	r        *bufio.Reader
 	// limit is the source of r.
 	limit *limitedReader
 	// expiry is the time, by Pool.Now, after which an idle connection is not reused.
@@ -142,6 +160,13 @@
 		p.OnDial(address, begun, err)
 	}
 	if err != nil {
+		if ctx.Err() == nil || p.Now()-begun >= acceptTimeout {
+			p.report(Outcome{
+				Address: address,
+				Begun:   begun,
+				Err:     err,
+			})
+		}
 		return nil, fault.Wrap(fault.Unreachable, address, err)
 	}
 	limit := &limitedReader{
@@ -150,11 +175,46 @@
 	return &conn{
 		Conn:    nc,
 		address: address,
+		begun:   begun,
 		r:       bufio.NewReaderSize(limit, readBufferSize),
 		limit:   limit,
 	}, nil
 }
 
+// report passes the outcome of a new connection on.
+func (p *Pool) report(o Outcome) {
+	if p.OnConnection != nil {
+		p.OnConnection(o)
+	}
+}
+
+// reportAnswer reports that the first byte of a response has come on a connection, once.
+func (p *Pool) reportAnswer(c *conn) {
+	if c.answered {
+		return
+	}
+	c.answered = true
+	p.report(Outcome{
+		Address: c.address,
+		Begun:   c.begun,
+		Opened:  true,
+	})
+}
+
+// reportUnanswered reports that a connection has ended before the first response. One that was idle
+// before is left out, as its server may have closed it for that.
+func (p *Pool) reportUnanswered(c *conn, err error) {
+	if c.answered || c.reused {
+		return
+	}
+	p.report(Outcome{
+		Address: c.address,
+		Begun:   c.begun,
+		Opened:  true,
+		Err:     err,
+	})
+}
+
 // put returns a connection to the pool and reports whether it is kept there; otherwise it is
 // closed. idleTimeout is the Keep-Alive timeout of the backend server, or negative if it sent
 // none.
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -116,15 +116,19 @@
 	if err := c.write(req, writeState); err != nil {
 		stopAfterFunc()
 		c.Close()
+		if ctx.Err() == nil {
+			p.reportUnanswered(c, err)
+		}
 		return nil, err
 	}
-	resp, stray, err := c.readHead(req)
+	resp, stray, err := c.readHead(req, p.reportAnswer)
 	if err != nil {
 		stopAfterFunc()
 		c.Close()
 		if ctx.Err() != nil {
 			return nil, fault.Wrap(fault.TimedOut, address, ctx.Err())
 		}
+		p.reportUnanswered(c, err)
 		return nil, err
 	}
 	return &Response{
@@ -214,8 +218,8 @@
 
 // readHead reads the status line and headers of the response to req. It skips
 // informational (1xx) responses and discards stray ones; stray reports whether
-// there were any.
-func (c *conn) readHead(req *Request) (resp *http.Response, stray bool, err error) {
+// there were any. onByte is called once the first byte has come.
+func (c *conn) readHead(req *Request, onByte func(*conn)) (resp *http.Response, stray bool, err error) {
 	httpReq := &http.Request{
 		Method: req.Method,
 	}
@@ -225,6 +229,7 @@
 		if _, perr := c.r.Peek(1); perr != nil {
 			return nil, stray, fault.Wrap(fault.LinkBroken, c.address, perr)
 		}
+		onByte(c)
 		resp, err = http.ReadResponse(c.r, httpReq)
 		if err != nil {
 			return nil, stray, fault.Wrap(fault.WrongFrame, c.address, err)
