--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -81,8 +81,7 @@
 			c.refuse(c.finalFault(fault.New(fault.DeadlineTooNear, c.service, "the deadline is too near to send the request")))
 			return
 		}
-		if c.mustForward() {
-			c.forwardAway()
+		if c.mustForward() && c.forwardAway() {
 			return
 		}
 		if c.mustReturn() {
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -284,17 +284,21 @@
 	log.WithField("pauseMs", info.RetryAfter.Milliseconds()).Warn("ingress: a server asked for a pause")
 }
 
-// brokenEvent returns the event to report for a broken connection: Down if the server
-// accepts no other, which is logged, unless this instance reaches no server at all. relayed is the
-// number of bytes of its response that the caller has received.
+// brokenEvent returns the event to report for a broken connection, unless this instance reaches no
+// server at all: Down if the server accepts no other, which is logged. relayed is the number of
+// bytes of its response that the caller has received.
 func (c *call) brokenEvent(g *placer.Grant, relayed int) scheduler.Event {
 	now := c.h.Now()
-	if c.ctx.Err() != nil || c.h.Pool.Accepts(g.Address) {
+	if c.ctx.Err() != nil {
 		return scheduler.Broken
 	}
+	accepts := c.h.Pool.Accepts(g.Address)
 	if !c.h.Forwarding.Monitor.ServerFailed(g.Address, now) {
 		return scheduler.Cancelled
 	}
+	if accepts {
+		return scheduler.Broken
+	}
 	c.logCrash(g, relayed)
 	return scheduler.Down
 }
--- a/internal/daemon/ingress/forward.go
+++ b/internal/daemon/ingress/forward.go
@@ -123,11 +123,13 @@
 
 // mustForward reports whether the request has to be served by another instance.
 func (c *call) mustForward() bool {
-	return !c.forwarded && c.h.Forwarding.Pool != nil && c.h.Forwarding.Monitor.Isolated()
+	return !c.forwarded && !c.staysHere && c.h.Forwarding.Pool != nil && c.h.Forwarding.Monitor.Isolated()
 }
 
-// forwardAway lets another instance serve the request, or refuses it.
-func (c *call) forwardAway() {
+// forwardAway lets another instance serve the request, or refuses it. It returns false if no
+// instance takes it and the servers accept connections: they may be overloaded, which looks like
+// isolation at every instance, so that this one has to try them.
+func (c *call) forwardAway() (over bool) {
 	f := &c.h.Forwarding
 	for range maxForwards {
 		if c.timeLeft() < minTimeLeft || !c.repeatAllowed() {
@@ -142,14 +144,19 @@
 		c.h.Meters.Forwarded(c.ctx, c.service, resultNames[result])
 		switch result {
 		case ended:
-			return
+			return true
 		case broken, failed:
 			c.refuse(c.finalFault(c.lastErr))
-			return
+			return true
 		}
 	}
+	if f.Monitor.Accepted() && c.repeatAllowed() {
+		c.staysHere = true
+		return false
+	}
 	c.h.Meters.Forwarded(c.ctx, c.service, metrics.ForwardNoInstance)
 	c.refuse(c.finalFault(isolatedFault(c.service)))
+	return true
 }
 
 // isolatedFault returns the refusal of a request that no instance serves in the place of an
--- a/internal/daemon/ingress/forward_test.go
+++ b/internal/daemon/ingress/forward_test.go
@@ -80,12 +80,12 @@
 	}
 	monitor, stop := reachability.New(reachability.Config{
 		Now:     e.handler.Now,
-		Accepts: e.handler.Pool.Accepts,
+		Answers: func(s isolation.Server) bool { return e.handler.Pool.Probe(s.Address, s.HealthPath) },
 		Servers: func() []isolation.Server { return listed },
 		Logger:  e.handler.Logger,
 	})
 	e.t.Cleanup(stop)
-	e.handler.Pool.OnDial = monitor.Record
+	e.handler.Pool.OnConnection, e.handler.Pool.OnSilence = monitor.Record, monitor.Silent
 	peers := &backend.Pool{
 		Now: e.handler.Now,
 	}
@@ -288,7 +288,9 @@
 						return
 					}
 					io.Copy(io.Discard, r.Body)
-					own.Add(1)
+					if r.Method == http.MethodPost { // not a probe
+						own.Add(1)
+					}
 					respondOK(c, r)
 				}
 			}()
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -154,6 +154,9 @@
 	countedBefore bool
 	// endForwarded ends the count of a request that another instance has forwarded; nil for others.
 	endForwarded func()
+	// staysHere is true if no other instance takes the request, so that this one tries its servers
+	// although it counts as isolated.
+	staysHere bool
 	// forwardedTo is the instance to which the request was forwarded last; empty if to none.
 	forwardedTo string
 	// tried holds the backend servers at which an attempt failed, and unreachable counts
--- a/internal/daemon/server/entryisolation.go
+++ b/internal/daemon/server/entryisolation.go
@@ -11,6 +11,7 @@
 	"camphorspoke/internal/edge/backend"
 	"camphorspoke/internal/routing/forwarding"
 	"camphorspoke/internal/routing/isolation"
+	"camphorspoke/internal/routing/view"
 )
 
 // startReachability starts the monitor, to which the pool of connections to backend servers reports.
@@ -19,18 +20,19 @@
 	var stop func()
 	e.reach, stop = reachability.New(reachability.Config{
 		Now:      in.now,
-		Accepts:  e.pool.Accepts,
+		Answers:  func(s isolation.Server) bool { return e.pool.Probe(s.Address, s.HealthPath) },
 		Servers:  e.listedServers,
 		OnChange: in.agent.SetIsolated,
 		Logger:   in.log,
 	})
-	e.pool.OnDial = e.reach.Record
-	e.pool.OnConnection = e.countConnection
+	e.pool.OnConnection = e.recordConnection
+	e.pool.OnSilence = e.reach.Silent
 	in.onCleanUp(stop)
 }
 
-// countConnection counts a new connection to a backend server by its outcome.
-func (e *entry) countConnection(o backend.Outcome) {
+// recordConnection records what a new connection to a backend server shows, and counts it.
+func (e *entry) recordConnection(o backend.Outcome) {
+	e.reach.Record(o)
 	outcome := metrics.ServerUnopened
 	switch {
 	case o.Err == nil:
@@ -44,7 +46,8 @@
 // listedServers returns the backend servers that this instance lists.
 func (e *entry) listedServers() []isolation.Server {
 	var out []isolation.Server
-	for _, s := range e.instance.agent.View().Servers {
+	v := e.instance.agent.View()
+	for _, s := range v.Servers {
 		if s.GetGone() {
 			continue
 		}
@@ -52,11 +55,20 @@
 			Address:       s.GetAddress(),
 			Service:       s.GetService(),
 			FailureDomain: s.GetFailureDomain(),
+			HealthPath:    healthPath(v, s.GetService()),
 		})
 	}
 	return out
 }
 
+// healthPath returns the path of the health check of a service; empty if it has none or is unknown.
+func healthPath(v *view.View, service string) string {
+	if v.Rules == nil {
+		return ""
+	}
+	return v.Rules.Services[service].HealthPath
+}
+
 // forwardTargets returns the instances that may serve requests in the place of this one.
 func (e *entry) forwardTargets() []forwarding.Instance {
 	agent := e.instance.agent
--- a/internal/edge/backend/backend.go
+++ b/internal/edge/backend/backend.go
@@ -51,7 +51,11 @@
 	// connectTimeout bounds the dialing of a connection.
 	connectTimeout = 450 * time.Millisecond
 	// acceptTimeout bounds the check whether a server accepts connections.
-	acceptTimeout  = 100 * time.Millisecond
+	acceptTimeout = 100 * time.Millisecond
+	// answerTimeout bounds the wait for the answer to a probe on an open connection, silenceTimeout
+	// the wait for the first byte on a new connection after which its server counts as silent.
+	answerTimeout  = 300 * time.Millisecond
+	silenceTimeout = 500 * time.Millisecond
 	readBufferSize = 8 << 10
 )
 
@@ -60,28 +64,17 @@
 	// Now returns the time of a clock that includes system suspend, as
 	// boottime.Clock does.
 	Now func() time.Duration
-	// OnDial is called with the outcome of each attempt to open a connection, begun at a time by
-	// Now; it may be nil. Attempts that their request gave up within acceptTimeout are left out.
-	OnDial func(address string, begun time.Duration, err error)
-	// OnConnection is called with the outcome of each new connection; it may be nil.
+	// OnConnection is called with the outcome of each new connection; it may be nil. Attempts to
+	// open one that their request gave up within acceptTimeout are left out.
 	OnConnection func(Outcome)
+	// OnSilence is called when the first byte of a response on a new connection, whose attempt was
+	// begun at a time by Now, has not come within silenceTimeout; it may be nil.
+	OnSilence func(address string, begun time.Duration)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
-// Outcome is what became of a new connection to a backend server.
-type Outcome struct {
-	Address string
-	// Begun is when the attempt to open the connection was begun, by Pool.Now.
-	Begun time.Duration
-	// Opened is true if the connection was opened.
-	Opened bool
-	// Err is nil once the first byte of a response has come. Otherwise it is why the connection
-	// could not be opened, or ended before the first response.
-	Err error
-}
-
 type conn struct {
 	net.Conn
 	address string
@@ -122,9 +115,10 @@
 	}
 }
 
-// Accepts reports whether the server at address accepts a new connection, which it
-// keeps for the next request. It is meant for a server that has just broken a
-// connection: one that is down refuses the next.
+// Accepts reports whether the server at address accepts a new connection. It is meant for a server
+// that has just broken a connection: one that is down refuses the next. It does not show that the
+// server is reached, as something on the way may accept the connection; see Probe. For the same
+// reason the connection is not kept for a request, which would be lost on it.
 func (p *Pool) Accepts(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
 	defer cancel()
@@ -132,7 +126,7 @@
 	if err != nil {
 		return false
 	}
-	p.put(c, -1)
+	c.Close()
 	return true
 }
 
@@ -156,9 +150,6 @@
 	limited, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	nc, err := link.ResetUnsent(link.Dialer())(limited, "tcp", address)
-	if p.OnDial != nil && !(ctx.Err() != nil && p.Now()-begun < acceptTimeout) {
-		p.OnDial(address, begun, err)
-	}
 	if err != nil {
 		if ctx.Err() == nil || p.Now()-begun >= acceptTimeout {
 			p.report(Outcome{
@@ -181,40 +172,6 @@
 	}, nil
 }
 
-// report passes the outcome of a new connection on.
-func (p *Pool) report(o Outcome) {
-	if p.OnConnection != nil {
-		p.OnConnection(o)
-	}
-}
-
-// reportAnswer reports that the first byte of a response has come on a connection, once.
-func (p *Pool) reportAnswer(c *conn) {
-	if c.answered {
-		return
-	}
-	c.answered = true
-	p.report(Outcome{
-		Address: c.address,
-		Begun:   c.begun,
-		Opened:  true,
-	})
-}
-
-// reportUnanswered reports that a connection has ended before the first response. One that was idle
-// before is left out, as its server may have closed it for that.
-func (p *Pool) reportUnanswered(c *conn, err error) {
-	if c.answered || c.reused {
-		return
-	}
-	p.report(Outcome{
-		Address: c.address,
-		Begun:   c.begun,
-		Opened:  true,
-		Err:     err,
-	})
-}
-
 // put returns a connection to the pool and reports whether it is kept there; otherwise it is
 // closed. idleTimeout is the Keep-Alive timeout of the backend server, or negative if it sent
 // none.
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -109,6 +109,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return p.exchange(ctx, c, req)
+}
+
+// exchange writes a request to a connection and reads the status line and headers of its response.
+func (p *Pool) exchange(ctx context.Context, c *conn, req *Request) (*Response, error) {
+	defer p.watchSilence(c)()
 	stopAfterFunc := context.AfterFunc(ctx, func() { c.Close() })
 	writeState := &atomic.Int32{}
 	c.requests.add(req.ID)
@@ -126,7 +132,7 @@
 		stopAfterFunc()
 		c.Close()
 		if ctx.Err() != nil {
-			return nil, fault.Wrap(fault.TimedOut, address, ctx.Err())
+			return nil, fault.Wrap(fault.TimedOut, c.address, ctx.Err())
 		}
 		p.reportUnanswered(c, err)
 		return nil, err
