--- a/internal/daemon/ingress/forward.go
+++ b/internal/daemon/ingress/forward.go
@@ -66,17 +66,17 @@
 }
 
 // pick chooses an instance. done must be called once the request has ended there.
-func (f *Forwarding) pick(now func() time.Duration, domain string) (i forwarding.Instance, done func(refused bool), ok bool) {
+func (f *Forwarding) pick(now func() time.Duration, domain string) (i forwarding.Instance, done func(forwarding.Outcome), ok bool) {
 	instances := f.Instances()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if i, ok = f.picker.Pick(now(), instances, domain); !ok {
 		return i, nil, false
 	}
-	return i, func(refused bool) {
+	return i, func(o forwarding.Outcome) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.picker.Ended(now(), i.Name, refused)
+		f.picker.Ended(now(), i.Name, o)
 	}, true
 }
 
@@ -139,8 +139,8 @@
 		if !ok {
 			break
 		}
-		result := c.forwardTo(i)
-		done(result == rejected || result == notSent)
+		result, answered := c.forwardTo(i)
+		done(c.forwardOutcome(result, answered))
 		c.h.Meters.Forwarded(c.ctx, c.service, resultNames[result])
 		switch result {
 		case ended:
@@ -159,6 +159,19 @@
 	return true
 }
 
+// forwardOutcome returns what the result of a forwarded request says of the other instance. What
+// breaks once that has begun to answer may be due to a server.
+func (c *call) forwardOutcome(result exchangeResult, answered bool) forwarding.Outcome {
+	switch {
+	case result == rejected || result == notSent:
+		return forwarding.Refused
+	case !answered && c.ctx.Err() == nil:
+		return forwarding.Broken
+	default:
+		return forwarding.Answered
+	}
+}
+
 // isolatedFault returns the refusal of a request that no instance serves in the place of an
 // isolated one.
 func isolatedFault(subject string) error {
@@ -170,24 +183,25 @@
 	}
 }
 
-// forwardTo sends the request to another instance and relays its response.
-func (c *call) forwardTo(i forwarding.Instance) exchangeResult {
+// forwardTo sends the request to another instance and relays its response. answered is true if there
+// is one.
+func (c *call) forwardTo(i forwarding.Instance) (result exchangeResult, answered bool) {
 	c.forwardedTo = i.Name
 	resp, err := c.h.Forwarding.Pool.Send(c.ctx, i.Address, c.peerRequest())
 	if err != nil {
 		c.lastErr = err
 		if !fault.MayHaveRun(err) {
-			return notSent
+			return notSent, false
 		}
 		c.countForwardedRun()
-		return broken
+		return broken, false
 	}
 	defer resp.Close()
 	if resp.Header.Get(forwardRefusedHeader) != "" {
 		_, _ = io.CopyN(io.Discard, resp, copyBufferSize)
 		resp.Keep()
 		c.lastErr = fault.New(fault.NotRun, i.Name, "the instance takes no forwarded requests now")
-		return rejected
+		return rejected, true
 	}
 	a := &attempt{
 		c:    c,
@@ -196,11 +210,11 @@
 		hold: c.h.Responses.Open(i.Name),
 	}
 	defer a.releaseResponse()
-	result := a.relayForwarded()
+	result = a.relayForwarded()
 	if result == ended && !c.mustAbort {
 		c.logOutcome("done", nil)
 	}
-	return result
+	return result, true
 }
 
 // countForwardedRun counts a request that may have run at servers of another instance, as often as
--- a/internal/daemon/ingress/forward_test.go
+++ b/internal/daemon/ingress/forward_test.go
@@ -199,6 +199,27 @@
 	}
 }
 
+// TestInstanceThatResetsForwardedRequestsIsPassedOver: connections to one of two other instances are accepted
+// and reset. What is sent there may have run and is lost, so that it gets few requests. Before, it
+// got half of them for as long as it went on.
+func TestInstanceThatResetsForwardedRequestsIsPassedOver(t *testing.T) {
+	const requests = 40
+	resetting := newCutSwitch(t, 1, respondOK)
+	cut := acceptedCuts["reset once a byte has come"]
+	resetting.cut.Store(&cut)
+	other := newTestEnv(t, respondOK, respondOK)
+	e := newCutEnv(t, resetting.addresses[0], other.url)
+	lost := 0
+	for range requests {
+		if status := e.status("/book/"); status != http.StatusOK {
+			require.Equal(t, http.StatusBadGateway, status)
+			lost++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.LessOrEqual(t, lost, 3)
+}
+
 // TestForwardedResponseThatBreaksOffLooksBroken: the connection to the other instance breaks within the
 // response. What the caller gets does not look complete.
 func TestForwardedResponseThatBreaksOffLooksBroken(t *testing.T) {
--- a/internal/routing/forwarding/forwarding.go
+++ b/internal/routing/forwarding/forwarding.go
@@ -3,10 +3,11 @@
 //
 // Load pattern: most instances, or all of a failure domain, are cut off from the servers, and the
 // others take the requests of all. Each of them takes requests in proportion to its processor. One
-// that refused a request is left out for a while, as others may have room.
+// that refused a request is left out for a while, as others may have room. So is one whose connections
+// are accepted and broken: a request that is lost there may have run, and cannot go elsewhere.
 package forwarding
 
-// This file defines Picker.
+// This file defines Picker, Instance and Outcome.
 
 import (
 	"math/rand/v2"
@@ -20,6 +21,9 @@
 	// refusalPause is how long an instance that refused a request, or could not be reached, gets
 	// no other.
 	refusalPause = 500 * time.Millisecond
+	// maxDoublings is how often the pause doubles for an instance that breaks connections again and
+	// again.
+	maxDoublings = 4
 	// defaultCPUMilli stands for an unknown processor share, in thousandths of a core.
 	defaultCPUMilli = 250
 	// otherDomainFactor is multiplied with the pressure on instances of other failure domains.
@@ -42,6 +46,18 @@
 	return float64(i.CPUMilli)
 }
 
+// Outcome is how a request that was forwarded to an instance has ended there.
+type Outcome int
+
+const (
+	// Answered means that the instance has answered, or that the caller has left.
+	Answered Outcome = iota
+	// Refused means that the instance took no request, or could not be reached.
+	Refused
+	// Broken means that the connection to the instance broke once the request was sent.
+	Broken
+)
+
 // Capacity returns the number of forwarded requests that an instance with a processor share, in
 // thousandths of a core, serves at a time.
 func Capacity(cpuMilli uint32) int {
@@ -54,14 +70,16 @@
 type Picker struct {
 	// inFlight holds the number of requests forwarded to each instance that have not ended.
 	inFlight map[string]int
-	refusals pushback.Tracker
+	// broken holds how many requests in a row broke at each instance.
+	broken map[string]int
+	pauses pushback.Tracker
 }
 
 // Pick chooses one of the instances and counts a request as forwarded to it; ok is false if none is
 // left. Of two that it draws, it takes the one with fewer requests in flight for its processor
 // share. Those of other failure domains than the given one count as more loaded.
 func (p *Picker) Pick(now time.Duration, instances []Instance, domain string) (chosen Instance, ok bool) {
-	usable := slices.DeleteFunc(slices.Clone(instances), func(i Instance) bool { return p.refusals.Left(now, i.Name) > 0 })
+	usable := slices.DeleteFunc(slices.Clone(instances), func(i Instance) bool { return p.pauses.Left(now, i.Name) > 0 })
 	if len(usable) == 0 {
 		return Instance{}, false
 	}
@@ -100,13 +118,22 @@
 	return instances[len(instances)-1]
 }
 
-// Ended records that a request that was forwarded to an instance has ended. If it was refused, the
-// instance gets no other for a while.
-func (p *Picker) Ended(now time.Duration, instance string, refused bool) {
+// Ended records how a request that was forwarded to an instance has ended. If the instance did not
+// answer, it gets no other for a while.
+func (p *Picker) Ended(now time.Duration, instance string, outcome Outcome) {
 	if p.inFlight[instance]--; p.inFlight[instance] <= 0 {
 		delete(p.inFlight, instance)
 	}
-	if refused {
-		p.refusals.Record(now, instance, refusalPause)
+	switch outcome {
+	case Answered:
+		delete(p.broken, instance)
+	case Refused:
+		p.pauses.Record(now, instance, refusalPause)
+	case Broken:
+		p.pauses.Record(now, instance, refusalPause<<min(p.broken[instance], maxDoublings))
+		if p.broken == nil {
+			p.broken = make(map[string]int)
+		}
+		p.broken[instance]++
 	}
 }
--- a/internal/routing/forwarding/forwarding_test.go
+++ b/internal/routing/forwarding/forwarding_test.go
@@ -50,7 +50,7 @@
 		if i.FailureDomain == "a" {
 			near++
 		}
-		p.Ended(0, i.Name, false)
+		p.Ended(0, i.Name, forwarding.Answered)
 	}
 	require.Greater(t, near, 600)
 }
@@ -62,13 +62,37 @@
 	var p forwarding.Picker
 	first, ok := p.Pick(0, list, "a")
 	require.True(t, ok)
-	p.Ended(0, first.Name, true)
+	p.Ended(0, first.Name, forwarding.Refused)
 	second, ok := p.Pick(0, list, "a")
 	require.True(t, ok)
 	require.NotEqual(t, first.Name, second.Name)
-	p.Ended(0, second.Name, true)
+	p.Ended(0, second.Name, forwarding.Refused)
 	_, ok = p.Pick(400*time.Millisecond, list, "a")
 	require.False(t, ok)
 	_, ok = p.Pick(500*time.Millisecond, list, "a")
 	require.True(t, ok)
 }
+
+// TestInstanceThatBreaksConnectionsGetsFewRequests: each request that is sent to it is lost. It is tried
+// again at longer and longer intervals, until it answers.
+func TestInstanceThatBreaksConnectionsGetsFewRequests(t *testing.T) {
+	list := instances(1, "a", 0)
+	var p forwarding.Picker
+	var sent []time.Duration
+	for now := time.Duration(0); now < 25*time.Second; now += 10 * time.Millisecond {
+		if _, ok := p.Pick(now, list, "a"); ok {
+			sent = append(sent, now)
+			p.Ended(now, list[0].Name, forwarding.Broken)
+		}
+	}
+	const second = time.Second
+	require.Equal(t, []time.Duration{0, second / 2, 3 * second / 2, 7 * second / 2, 15 * second / 2, 31 * second / 2, 47 * second / 2}, sent)
+	_, ok := p.Pick(40*second, list, "a")
+	require.True(t, ok)
+	p.Ended(40*second, list[0].Name, forwarding.Answered)
+	_, ok = p.Pick(40*second, list, "a")
+	require.True(t, ok)
+	p.Ended(40*second, list[0].Name, forwarding.Broken)
+	_, ok = p.Pick(40*second+second/2, list, "a")
+	require.True(t, ok)
+}
