--- a/internal/control/replica/firststart_test.go
+++ b/internal/control/replica/firststart_test.go
@@ -256,16 +256,17 @@
 
 // leader returns the leader that a seed reaches, nil if there is none.
 func (f *firstStart) leader(from string) *Replica {
-	for _, address := range f.leaders() {
-		if from == address {
-			return f.replica(address)
-		}
-		return seedLink{
-			system: f,
-			from:   from,
-		}.delivers(address)
+	leaders := f.leaders()
+	switch {
+	case len(leaders) == 0:
+		return nil
+	case leaders[0] == from:
+		return f.replica(from)
 	}
-	return nil
+	return seedLink{
+		system: f,
+		from:   from,
+	}.delivers(leaders[0])
 }
 
 func (f *firstStart) join(ctx context.Context, address string) error {
