--- a/internal/control/manager/bench_test.go
+++ b/internal/control/manager/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"camphorspoke/internal/check/memorydisk"
 	"camphorspoke/internal/control/manager"
 	"camphorspoke/internal/control/replica"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
@@ -39,8 +40,8 @@
 				Peers: map[string]string{
 					"r0": "r0",
 				},
-				Storage: &memoryStorage{},
-				Stored:  (&memoryStorage{}).stored(),
+				Storage: &memorydisk.Disk{},
+				Stored:  (&memorydisk.Disk{}).Contents(),
 				Logger:  discardLogger(),
 			})
 			require.NoError(b, err)
--- a/internal/control/manager/cold_test.go
+++ b/internal/control/manager/cold_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"camphorspoke/internal/check/memorydisk"
 	"camphorspoke/internal/control/manager"
 	"camphorspoke/internal/control/replica"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
@@ -38,8 +39,8 @@
 			Peers: map[string]string{
 				"r0": "r0",
 			},
-			Storage: &memoryStorage{},
-			Stored:  (&memoryStorage{}).stored(),
+			Storage: &memorydisk.Disk{},
+			Stored:  (&memorydisk.Disk{}).Contents(),
 			Logger:  discardLogger(),
 		})
 		require.NoError(t, err)
--- a/internal/control/manager/machine_test.go
+++ b/internal/control/manager/machine_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"camphorspoke/internal/base/invariant"
+	"camphorspoke/internal/check/memorydisk"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 )
 
@@ -94,7 +95,7 @@
 		})
 	}
 	for i := range replicas {
-		sim.startNode(fmt.Sprintf("r%d", i), &memoryStorage{})
+		sim.startNode(fmt.Sprintf("r%d", i), &memorydisk.Disk{})
 	}
 	for i := range routers {
 		sim.startRouter(fmt.Sprintf("n%d", i))
--- a/internal/control/manager/partiallist_test.go
+++ b/internal/control/manager/partiallist_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"camphorspoke/internal/base/fault"
+	"camphorspoke/internal/check/memorydisk"
 	"camphorspoke/internal/control/manager"
 	"camphorspoke/internal/control/replica"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
@@ -61,8 +62,8 @@
 			Peers: map[string]string{
 				"r0": "r0",
 			},
-			Storage: &memoryStorage{},
-			Stored:  (&memoryStorage{}).stored(),
+			Storage: &memorydisk.Disk{},
+			Stored:  (&memorydisk.Disk{}).Contents(),
 			Logger:  discardLogger(),
 		})
 		require.NoError(t, err)
@@ -99,8 +100,8 @@
 			Peers: map[string]string{
 				"r0": "r0",
 			},
-			Storage: &memoryStorage{},
-			Stored:  (&memoryStorage{}).stored(),
+			Storage: &memorydisk.Disk{},
+			Stored:  (&memorydisk.Disk{}).Contents(),
 			Logger:  discardLogger(),
 		})
 		require.NoError(t, err)
--- a/internal/control/manager/simulation_test.go
+++ b/internal/control/manager/simulation_test.go
@@ -17,57 +17,21 @@
 
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/base/invariant"
+	"camphorspoke/internal/check/memorydisk"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/control/manager"
 	"camphorspoke/internal/control/replica"
 	"camphorspoke/internal/control/tables"
-	"camphorspoke/internal/control/wal"
 	"camphorspoke/internal/daemon"
 	"camphorspoke/internal/daemon/membership"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing/view"
 )
 
-// memoryStorage is a control.Storage in memory. It survives restarts of its
-// replica.
-type memoryStorage struct {
-	mu       sync.Mutex
-	contents wal.Contents
-}
-
-func (m *memoryStorage) Append(rec *pb.WalRecord) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if reason := m.contents.Add(proto.Clone(rec).(*pb.WalRecord)); reason != "" {
-		return fault.New(fault.Internal, "disk", reason)
-	}
-	return nil
-}
-
-func (m *memoryStorage) Rotate(head *pb.WalRecord) error {
-	head.Resets = true
-	return m.Append(head)
-}
-
-func (m *memoryStorage) SaveSnapshot(s *pb.RaftSnapshot) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.contents.Snapshot = s
-	return nil
-}
-
-// stored returns the contents that a restarted replica reads.
-func (m *memoryStorage) stored() *wal.Contents {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	c := m.contents
-	return &c
-}
-
 // node is a control replica with its manager.
 type node struct {
 	name    string
-	disk    *memoryStorage
+	disk    *memorydisk.Disk
 	replica *replica.Replica
 	manager *manager.Manager
 	stop    func()
@@ -189,7 +153,7 @@
 	return sim.listed, nil
 }
 
-func (sim *simulation) startNode(name string, disk *memoryStorage) {
+func (sim *simulation) startNode(name string, disk *memorydisk.Disk) {
 	seed := uint64(sim.random() * (1 << 53))
 	peers := make(map[string]string)
 	for i := range replicas {
@@ -207,7 +171,7 @@
 			from: name,
 		},
 		Storage:       disk,
-		Stored:        disk.stored(),
+		Stored:        disk.Contents(),
 		Logger:        discardLogger(),
 		Checker:       sim.checker,
 		Seed:          1 + seed,
--- a/internal/control/manager/startup_test.go
+++ b/internal/control/manager/startup_test.go
@@ -16,6 +16,7 @@
 
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/base/invariant"
+	"camphorspoke/internal/check/memorydisk"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/control/tables"
 	"camphorspoke/internal/daemon/membership"
@@ -257,7 +258,7 @@
 		})
 	}
 	for i := range replicas {
-		sim.startNode(fmt.Sprintf("r%d", i), &memoryStorage{})
+		sim.startNode(fmt.Sprintf("r%d", i), &memorydisk.Disk{})
 	}
 	operator := client{
 		sim:  sim,
--- a/internal/control/replica/firststart_test.go
+++ b/internal/control/replica/firststart_test.go
@@ -21,9 +21,9 @@
 
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/base/invariant"
+	"camphorspoke/internal/check/memorydisk"
 	"camphorspoke/internal/control"
 	"camphorspoke/internal/control/raftlog"
-	"camphorspoke/internal/control/wal"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 )
 
@@ -46,42 +46,6 @@
 	maxLate      = 3 * time.Second
 )
 
-// memoryDisk is a storage in memory that survives restarts of its replica.
-type memoryDisk struct {
-	mu       sync.Mutex
-	contents wal.Contents
-}
-
-func (d *memoryDisk) Append(rec *pb.WalRecord) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if reason := d.contents.Add(proto.CloneOf(rec)); reason != "" {
-		return fault.New(fault.Internal, "disk", reason)
-	}
-	return nil
-}
-
-func (d *memoryDisk) Rotate(head *pb.WalRecord) error {
-	head.Resets = true
-	return d.Append(head)
-}
-
-func (d *memoryDisk) SaveSnapshot(s *pb.RaftSnapshot) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.contents.Snapshot = s
-	return nil
-}
-
-// stored returns a copy of what is on the disk.
-func (d *memoryDisk) stored() *wal.Contents {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	c := d.contents
-	c.Entries = slices.Clone(c.Entries)
-	return &c
-}
-
 // firstStart is a system that starts for the first time.
 type firstStart struct {
 	t     *testing.T
@@ -89,7 +53,7 @@
 	seeds []string
 	begun time.Time
 	stops map[string]func()
-	disks map[string]*memoryDisk
+	disks map[string]*memorydisk.Disk
 	// started holds the seeds that were started before.
 	started map[string]bool
 	// disturbed is when the last event was, and diskLost is true once a disk was lost.
@@ -205,7 +169,7 @@
 		Name:       nameAt(address),
 		Address:    address,
 		Storage:    disk,
-		Stored:     disk.stored(),
+		Stored:     disk.Contents(),
 		Seeds:      f.seeds,
 		FirstStart: !f.started[address],
 		Voters:     3,
@@ -338,7 +302,7 @@
 func (f *firstStart) loseDisk(address string) {
 	f.diskLost = true
 	f.stop(address)
-	f.disks[address] = &memoryDisk{}
+	f.disks[address] = &memorydisk.Disk{}
 	f.start(address)
 }
 
@@ -368,7 +332,7 @@
 // needs reports whether a seed has accepted members of a group of which the one at an address is one.
 func (f *firstStart) needs(address string) bool {
 	return slices.ContainsFunc(f.seeds, func(s string) bool {
-		return slices.ContainsFunc(f.disks[s].stored().Formation.GetMembers().GetMembers(), func(m *pb.RaftMember) bool { return m.GetAddress() == address })
+		return slices.ContainsFunc(f.disks[s].Contents().Formation.GetMembers().GetMembers(), func(m *pb.RaftMember) bool { return m.GetAddress() == address })
 	})
 }
 
@@ -382,13 +346,13 @@
 		begun:    time.Now(),
 		replicas: make(map[string]*Replica),
 		stops:    make(map[string]func()),
-		disks:    make(map[string]*memoryDisk),
+		disks:    make(map[string]*memorydisk.Disk),
 		started:  make(map[string]bool),
 		cut:      make(map[string]bool),
 		beyond:   seed%3 == 0,
 	}
 	for _, address := range f.seeds {
-		f.disks[address] = &memoryDisk{}
+		f.disks[address] = &memorydisk.Disk{}
 	}
 	defer func() {
 		for _, address := range f.seeds {
