Soak: with half of the seeds, a seed of the first start stays down until a change is acknowledged

It was killed and came back at once or after up to 2 s, whether the others had formed the control group or not. Now, in half of the runs, it comes back only once they have.

--- a/internal/check/soak/soak.go
+++ b/internal/check/soak/soak.go
@@ -196,6 +196,11 @@
 			return err
 		}
 	}
+	return s.applyFirst()
+}
+
+// applyFirst applies the first configuration.
+func (s *Soak) applyFirst() error {
 	if !s.operator.applyChange(context.Background(), false) {
 		return fault.New(fault.NoQuorum, "soak", "the first configuration was not acknowledged")
 	}
@@ -203,13 +208,18 @@
 }
 
 // killFirstStart kills a seed shortly after its first start, and starts it again, which is
-// no first start.
+// no first start. With half of the seeds of the soak, the others have to form the control group
+// without it.
 func (s *Soak) killFirstStart() error {
 	rng := rand.New(rand.NewPCG(s.cfg.Seed, firstStartSequence))
 	time.Sleep(time.Duration(rng.Int64N(int64(firstStartTime))))
 	d := s.daemons[rng.IntN(min(maxSeeds, s.cfg.Replicas))]
 	s.log("fault", "first start of "+d.name)
-	return d.crash(time.Duration(rng.Int64N(int64(2*time.Second))), nil)
+	pause := time.Duration(rng.Int64N(int64(2 * time.Second)))
+	if rng.IntN(2) == 0 {
+		return d.crash(pause, s.applyFirst)
+	}
+	return d.crash(pause, nil)
 }
 
 func (s *Soak) addBackend(service, domain string) (*backend, error) {
