Soak: backend servers have ports that nothing takes while they are down

Cause: a backend server's address was an ephemeral port of 127.0.0.1, which the connections of all processes on the machine draw from; while the server was down one of them had taken it.

Change: each has an address 127.0.2.N of its own, at a port of the soak's reserved range, as the daemons have. No check changes.

--- a/internal/check/soak/daemon.go
+++ b/internal/check/soak/daemon.go
@@ -23,6 +23,8 @@
 	readyPort
 	directoryPort
 	operatorPort
+	// backendPort is that of a backend server.
+	backendPort
 	internalPortCount = 5
 )
 
--- a/internal/check/soak/proxy.go
+++ b/internal/check/soak/proxy.go
@@ -28,7 +28,7 @@
 
 const forwardDelay = 150 * time.Millisecond
 
-// proxy forwards TCP connections from a port on loopback to the target address.
+// proxy forwards TCP connections from an address on loopback to the target address.
 type proxy struct {
 	target  string
 	address string
@@ -42,8 +42,8 @@
 	closed bool
 }
 
-func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newProxy(target, address string) (*proxy, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, "proxy", err)
 	}
--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -74,7 +74,8 @@
 	executing sync.WaitGroup
 }
 
-func (s *Soak) newBackend(name, service, domain string) (*backend, error) {
+// newBackend starts a backend server behind a proxy at an address.
+func (s *Soak) newBackend(name, service, domain, address string) (*backend, error) {
 	b := &backend{
 		name:    name,
 		service: service,
@@ -87,7 +88,7 @@
 	b.server.Config.ConnContext = withRefusals
 	b.server.Start()
 	var err error
-	if b.proxy, err = newProxy(strings.TrimPrefix(b.server.URL, "http://")); err != nil {
+	if b.proxy, err = newProxy(strings.TrimPrefix(b.server.URL, "http://"), address); err != nil {
 		b.server.Close()
 		return nil, err
 	}
--- a/internal/check/soak/soak.go
+++ b/internal/check/soak/soak.go
@@ -166,6 +166,10 @@
 
 // startAll starts the stand-ins and the daemons and applies a first configuration.
 func (s *Soak) startAll() error {
+	var err error
+	if s.ports, s.releasePorts, err = portrange.New(); err != nil {
+		return err
+	}
 	s.serverList = newServerList(s.checker)
 	s.operator = s.newOperator()
 	for i := range 6 {
@@ -182,10 +186,6 @@
 	for i := range s.cfg.Daemons {
 		s.daemons = append(s.daemons, s.newDaemon(i))
 	}
-	var err error
-	if s.ports, s.releasePorts, err = portrange.New(); err != nil {
-		return err
-	}
 	for _, d := range s.daemons {
 		if err := d.start(true); err != nil {
 			return err
@@ -226,11 +226,16 @@
 	return err
 }
 
+// maxBackendAddresses is the number of addresses for backend servers.
+const maxBackendAddresses = 250
+
 func (s *Soak) addBackend(service, domain string) (*backend, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.backendCount++
-	b, err := s.newBackend(fmt.Sprintf("i-%s-%d", service, s.backendCount), service, domain)
+	// Each backend server has an address of its own, at a port that nothing takes while it is down.
+	address := s.ports.Address(fmt.Sprintf("127.0.2.%d", 1+s.backendCount%maxBackendAddresses), backendPort)
+	b, err := s.newBackend(fmt.Sprintf("i-%s-%d", service, s.backendCount), service, domain, address)
 	if err == nil {
 		b.repeatsRefusals = s.cfg.RenameServers
 		s.backends = append(s.backends, b)
