--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -51,13 +51,8 @@
 	return a
 }
 
-func exchange(address string, q *request) answer {
-	c, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(q.deadline))
+// head returns the head of the request.
+func (q *request) head() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Milliseconds: %d\r\nContent-Length: %d\r\n", q.method, q.target, host, q.id, q.deadline.Milliseconds(), len(q.body))
 	if q.key != "" {
@@ -66,8 +61,18 @@
 	for k, v := range q.header {
 		fmt.Fprintf(&b, "%s: %s\r\n", k, v)
 	}
-	b.WriteString("\r\n" + q.body)
-	if _, err := io.WriteString(c, b.String()); err != nil {
+	b.WriteString("\r\n")
+	return b.String()
+}
+
+func exchange(address string, q *request) answer {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(q.deadline))
+	if _, err := io.WriteString(c, q.head()+q.body); err != nil {
 		return answer{err: err}
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: q.method})
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -35,6 +35,8 @@
 	cmd     *exec.Cmd
 	done    chan struct{}
 	stopped bool
+	// started is true once the process was started for the first time.
+	started bool
 	log     *os.File
 }
 
@@ -135,7 +137,7 @@
 		"listenAddresses.control":   d.address(controlPort),
 		"internalPorts":             fmt.Sprintf("%d,%d", f.base+internalPort, f.base+internalPort+15),
 		"seeds":                     strings.Join(seeds, ","),
-		"bootstrap":                 "true",
+		"bootstrap":                 fmt.Sprint(!d.started),
 		"cloud.address":             f.list,
 		"cloud.ratePerS":            "42.0",
 		"limits.linkMbps":           "1000.0",
@@ -190,7 +192,7 @@
 		return err
 	}
 	d.cmd, d.done = cmd, make(chan struct{})
-	d.stopped = false
+	d.stopped, d.started = false, true
 	d.fleet.rec.note("start %s %s pid=%d", d.name, d.ip, cmd.Process.Pid)
 	go func(cmd *exec.Cmd, done chan struct{}) {
 		err := cmd.Wait()
