--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 # deploy/system.toml and review/build-3.sh.
 cd "$(dirname "${BASH_SOURCE[0]}")" || exit 2
 [ -x ../../target/camphord ] && [ -x ../../target/review-3/standin3 ] || exit 2
-exec ../../target/review-3/standin3 -root ../.. -record record.txt frozen-public
+exec ../../target/review-3/standin3 -root ../.. -record record.txt last-tenant
