--- a/review/standin-3/keys.go
+++ b/review/standin-3/keys.go
@@ -9,54 +9,98 @@
 	"time"
 )
 
-// revokeTime is the bound revokeMs of the deployment.
-const revokeTime = 5 * time.Second
+const (
+	// revokeTime is the bound revokeMs of the deployment.
+	revokeTime = 5 * time.Second
+	// longestFreeze is the longest time for which a machine of the core stands still on the sheet.
+	longestFreeze = 7300 * time.Millisecond
+	// freezeMargin is how much longer than revokeTime a daemon stands still after the acknowledgement.
+	freezeMargin = 600 * time.Millisecond
+)
+
+// freezeRounds is how often a daemon is frozen. Which of two comes first as it wakes, the requests that
+// wait for it or the answer to its heartbeat, is a matter of milliseconds.
+const freezeRounds = 6
 
-// frozenPublic freezes a daemon while a key is taken away and another one is given to another tenant.
-// Requests with these keys are sent to it, on a public route, over revokeTime after the acknowledgement
-// and before it wakes.
+// frozenPublic freezes one daemon after the other while a key is taken away and another one is given to
+// another tenant. Requests with these keys are sent to it, on a public route, over revokeTime after the
+// acknowledgement and before it wakes.
 func frozenPublic(rec *recorder, root string, trouble bool) error {
 	d, err := newDeployment(rec, root, 0, 3, configuration(7, true, tenant("t-one", "key-gone", "key-moved", "key-kept"), tenant("t-two", "key-two")))
 	if err != nil {
 		return err
 	}
 	defer d.stop()
-	frozen := d.daemons[2]
+	rounds := 0
+	for n := range freezeRounds {
+		before := rec.count()
+		if err := d.freezeRound(d.daemons[len(d.daemons)-1-n%len(d.daemons)], 9+4*n, trouble); err != nil {
+			return err
+		}
+		if rec.count() > before {
+			rounds++
+		}
+	}
+	fmt.Printf("%d of %d rounds\n", rounds, freezeRounds)
+	return nil
+}
+
+// freezeRound plays one freeze, with configurations of two versions, and gives the keys back.
+func (d *deployment) freezeRound(frozen *daemon, version int, trouble bool) error {
 	q := book("key-gone")
-	if a := send(rec, frozen, q); a.status != 200 || d.ledger.of(q.id)[0].tenant != "t-one" {
+	if a := send(d.rec, frozen, q); a.status != 200 || d.ledger.of(q.id)[0].tenant != "t-one" {
 		return fmt.Errorf("a request with its key, before: status %d", a.status)
 	}
 	begun := time.Now()
 	if trouble {
 		frozen.signal(syscall.SIGSTOP)
 	}
-	others := append(append([]*daemon(nil), d.daemons[:2]...), d.daemons[3:]...)
-	if s := d.operator.apply(others, configuration(9, true, tenant("t-one", "key-kept"), tenant("t-two", "key-two", "key-moved")), 5*time.Second); s != 200 {
-		return fmt.Errorf("the second configuration: status %d", s)
+	var others []*daemon
+	for _, x := range d.daemons {
+		if x != frozen {
+			others = append(others, x)
+		}
+	}
+	if s := d.operator.apply(others, configuration(version, true, tenant("t-one", "key-kept"), tenant("t-two", "key-two", "key-moved")), 5*time.Second); s != 200 {
+		return fmt.Errorf("version %d: status %d", version, s)
 	}
 	acked := time.Now()
-	rec.note("version 9 is acknowledged: key-gone is taken away, key-moved is one of t-two")
+	d.rec.note("version %d is acknowledged: key-gone is taken away, key-moved is one of t-two", version)
+	if trouble && time.Since(begun)+revokeTime+freezeMargin > longestFreeze {
+		d.rec.note("this took longer than a freeze may last; %s wakes", frozen.name)
+		frozen.signal(syscall.SIGCONT)
+		return d.giveBack(version + 2)
+	}
 	time.Sleep(time.Until(acked.Add(revokeTime + 300*time.Millisecond)))
 	var wg sync.WaitGroup
 	sent := make([]*request, 40)
 	for i := range sent {
 		sent[i] = book([]string{"key-gone", "key-moved"}[i%2])
-		wg.Go(func() { send(rec, frozen, sent[i]) })
+		wg.Go(func() { send(d.rec, frozen, sent[i]) })
 	}
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
 	if trouble {
 		frozen.signal(syscall.SIGCONT)
-		rec.note("the daemon stood still for %.1f s", time.Since(begun).Seconds())
+		d.rec.note("%s stood still for %.1f s", frozen.name, time.Since(begun).Seconds())
 	}
 	wg.Wait()
 	holder := map[string]string{"key-gone": "", "key-moved": "t-two"}
 	for _, q := range sent {
 		for _, x := range d.ledger.of(q.id) {
 			if x.tenant != "" && x.tenant != holder[q.key] {
-				rec.breaks("UNASKED %s: sent with %s over %v after the acknowledgement, runs at %s with X-Tenant %q, which doesn't hold the key", q.id, q.key, revokeTime, x.runner, x.tenant)
+				d.rec.breaks("UNASKED %s: sent with %s over %v after the acknowledgement, runs at %s with X-Tenant %q, which doesn't hold the key", q.id, q.key, revokeTime, x.runner, x.tenant)
 			}
 		}
 	}
+	return d.giveBack(version + 2)
+}
+
+// giveBack gives the keys back, and waits until all is calm again.
+func (d *deployment) giveBack(version int) error {
+	if s := d.operator.apply(d.daemons, configuration(version, true, tenant("t-one", "key-gone", "key-moved", "key-kept"), tenant("t-two", "key-two")), 5*time.Second); s != 200 {
+		return fmt.Errorf("version %d: status %d", version, s)
+	}
+	time.Sleep(4 * time.Second)
 	return nil
 }
 
