--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -32,7 +32,14 @@
 
 // book returns a request of the unsafe route.
 func book(key string) *request {
-	return &request{id: newID(), method: http.MethodPost, target: "/book/visit", key: key, body: "visit", deadline: 1500 * time.Millisecond}
+	return &request{
+		id:       newID(),
+		method:   http.MethodPost,
+		target:   "/book/visit",
+		key:      key,
+		body:     "visit",
+		deadline: 1500 * time.Millisecond,
+	}
 }
 
 // chat returns a request of the resumable stream.
@@ -80,5 +87,10 @@
 		return answer{err: err}
 	}
 	text, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, body: string(text), complete: err == nil, err: err}
+	return answer{
+		status:   resp.StatusCode,
+		body:     string(text),
+		complete: err == nil,
+		err:      err,
+	}
 }
--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -11,6 +11,15 @@
 // zones are the zones of the deployment.
 var zones = []string{"terrace", "smithers", "kitimat"}
 
+// daemonSpecs are the machines of the deployment.
+var daemonSpecs = []daemonSpec{
+	{zone: "terrace", disk: true},
+	{zone: "smithers", disk: true},
+	{zone: "kitimat", disk: true},
+	{zone: "terrace"},
+	{zone: "smithers"},
+}
+
 // deployment is a small deployment.
 type deployment struct {
 	*fleet
@@ -27,11 +36,17 @@
 	if err != nil {
 		return nil, err
 	}
-	f, err := newFleet(rec, root, []daemonSpec{{"terrace", true}, {"smithers", true}, {"kitimat", true}, {"terrace", false}, {"smithers", false}}, p.address)
+	f, err := newFleet(rec, root, daemonSpecs, p.address)
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{fleet: f, rec: rec, ledger: &ledger{}, platform: p, operator: newOperator(f)}
+	d := &deployment{
+		fleet:    f,
+		rec:      rec,
+		ledger:   &ledger{},
+		platform: p,
+		operator: newOperator(f),
+	}
 	if err := d.start(assist, dispatch, first); err != nil {
 		f.stop()
 		return nil, err
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -236,7 +236,10 @@
 
 // ready reports whether the daemon says that it is ready.
 func (d *daemon) ready() bool {
-	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	c := http.Client{
+		Timeout:   time.Second,
+		Transport: &http.Transport{DisableKeepAlives: true},
+	}
 	resp, err := c.Get("http://" + d.address(readyPort) + "/api/ready")
 	if err != nil {
 		return false
@@ -284,7 +287,10 @@
 }
 
 func newOperator(f *fleet) *operator {
-	return &operator{f: f, client: http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &operator{
+		f:      f,
+		client: http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
 }
 
 // send sends a configuration once and returns the status, zero if there was no answer.
--- a/review/standin-3/platform.go
+++ b/review/standin-3/platform.go
@@ -36,9 +36,15 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &platform{rec: rec, address: l.Addr().String()}
+	p := &platform{
+		rec:     rec,
+		address: l.Addr().String(),
+	}
 	p.changed()
-	s := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
+	s := &http.Server{
+		Handler:           p,
+		ReadHeaderTimeout: time.Second,
+	}
 	go func() { _ = s.Serve(l) }()
 	return p, nil
 }
@@ -78,7 +84,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pages = append(p.pages, page{at: time.Now(), text: text})
+	p.pages = append(p.pages, page{
+		at:   time.Now(),
+		text: text,
+	})
 }
 
 // setDown begins or ends an outage of the platform.
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -23,7 +23,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recorder{file: f, start: time.Now()}, nil
+	return &recorder{
+		file:  f,
+		start: time.Now(),
+	}, nil
 }
 
 func (r *recorder) note(format string, args ...any) {
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -76,7 +76,16 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{id: id, service: service, zone: zone, address: ln.Addr().String(), ledger: l, rec: rec, version: "v1", state: "ready"}
+	r := &runner{
+		id:      id,
+		service: service,
+		zone:    zone,
+		address: ln.Addr().String(),
+		ledger:  l,
+		rec:     rec,
+		version: "v1",
+		state:   "ready",
+	}
 	r.begin(ln)
 	return r, nil
 }
@@ -209,7 +218,12 @@
 	case expected != "" && expected != r.id:
 		return r.write(c, http.StatusMisdirectedRequest, map[string]string{"X-Attempt-Id": attempt}, "")
 	}
-	x := run{runner: r.id, attempt: attempt, tenant: q.Header.Get("X-Tenant"), signature: fmt.Sprintf("%016x", rand.Uint64())}
+	x := run{
+		runner:    r.id,
+		attempt:   attempt,
+		tenant:    q.Header.Get("X-Tenant"),
+		signature: fmt.Sprintf("%016x", rand.Uint64()),
+	}
 	r.mu.Lock()
 	x.version = r.version
 	r.mu.Unlock()
