A configuration that takes the last account away closes the routes

Cause: the rule file has a line for each account and none that says that keys are needed. The ingress took a file without account rules for one that needs no keys. A configuration with null opened the routes in the same way.

An instance logs when a change opens or closes the routes.

--- a/internal/check/entryfleet/entryfleet_test.go
+++ b/internal/check/entryfleet/entryfleet_test.go
@@ -202,18 +202,25 @@
 // putConfiguration sends a configuration to an instance, with one tenant that has
 // the given key, and returns the status of the response, or 0 without one.
 func (f *fleet) putConfiguration(i int, version int, key string) int {
+	f.t.Helper()
+	return f.putTenants(i, version, []any{map[string]any{"name": "acme", "keys": []string{key}}})
+}
+
+// putTenants is like putConfiguration, with the list of tenants.
+func (f *fleet) putTenants(i int, version int, tenants []any) int {
 	f.t.Helper()
 	body, err := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []any{
 			map[string]any{"name": "r", "host": "h.example", "pathPrefix": "/p/", "kind": "unsafe", "timeoutMs": 2500, "service": "app", "attempts": 1},
+			map[string]any{"name": "o", "host": "h.example", "pathPrefix": "/open/", "kind": "unsafe", "timeoutMs": 2500, "service": "app", "attempts": 1, "public": true},
 			map[string]any{"name": "c", "host": "h.example", "pathPrefix": "/chat/", "kind": "stream", "timeoutMs": 2500, "service": "llm", "attempts": 2},
 		},
 		"services": []any{
 			map[string]any{"name": "app", "healthPath": "/health"},
 			map[string]any{"name": "llm", "healthPath": "/health", "engine": map[string]any{"slots": 8, "kvTokens": 100000}},
 		},
-		"tenants": []any{map[string]any{"name": "acme", "keys": []string{key}}},
+		"tenants": tenants,
 	})
 	require.NoError(f.t, err)
 	resp, err := client.Post("http://"+f.addr(i, configurationPort)+"/api/configuration/replace", "application/json", bytes.NewReader(body))
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -346,10 +346,10 @@
 }
 
 // authenticate finds the account to which the caller's key belongs. A key is not
-// needed if the route is public or the rules list no accounts.
+// needed if the route is public or the rules require none.
 func (c *call) authenticate(rules *ruleset.Rules) error {
 	c.setUrgency(ruleset.Account{})
-	if len(rules.Accounts) == 0 {
+	if !rules.RequiresKeys {
 		return nil
 	}
 	name, ok := rules.AccountByKeyDigest[ruleset.KeyDigest(c.req.APIKey)]
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"camphorspoke/internal/base/fault"
+	"camphorspoke/internal/rules/ruleset"
 )
 
 func TestForwardsRequest(t *testing.T) {
@@ -42,6 +43,24 @@
 	require.Equal(t, 1, e.requestCount())
 }
 
+// TestRulesWithoutAccountsRefuseEveryKey guards against routes that are open to every caller once the
+// last account is gone.
+func TestRulesWithoutAccountsRefuseEveryKey(t *testing.T) {
+	e := newTestEnv(t, respondOK)
+	e.changeRules(fmt.Sprintf("account acme share=1 keys=%s", ruleset.KeyDigest("secret")), "account - share=1 keys=-")
+	for _, key := range []string{"secret", "other", "-", ""} {
+		resp, _, err := e.do("/read/x", "Key", key)
+		require.NoError(t, err)
+		require.Equal(t, fault.UnknownKey, resp.Header.Get("Kind"), key)
+	}
+	require.Zero(t, e.requestCount())
+	_, body, err := e.do("/open/x")
+	require.NoError(t, err)
+	require.Equal(t, "for ", body)
+	e.changeRules("account - share=1 keys=- # t: t", "")
+	require.Equal(t, http.StatusOK, e.status("/read/x", "Key", "other"))
+}
+
 // TestUnconfirmedRules: an instance whose rules are not confirmed to be in force
 // serves public routes. It refuses all other requests with a retry delay, and never
 // reports a route or a key as unknown.
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -235,6 +235,7 @@
 		OnViewChange: func(old, next *view.View) {
 			e.placer.Update(next)
 			in.logEvacuations(old, next)
+			in.logKeyRequirement(old, next)
 		},
 		OnHandover: func(*pb.Assignment) {},
 	})
--- a/internal/rules/parse/parse.go
+++ b/internal/rules/parse/parse.go
@@ -8,6 +8,7 @@
 //	        [retention=24h]
 //	        [move=64MiB] [spill=cold|move] [fence=checked|ignored] # WHO: why
 //	account NAME share=N [limit=N]                       # WHO: why
+//	account - share=1 keys=-                             # WHO: why
 //	kind NAME class=urgent|normal|batch                  # WHO: why
 //	nonidempotent SERVICE call=NAME                      # WHO: why
 //	route NAME host=H prefix=/P/ kind=safe|unsafe|stream to=SERVICE[:WEIGHT],...
@@ -19,7 +20,8 @@
 // In the host and the prefix of a route, characters that would end the value, such
 // as a space or '#', are percent-encoded. A service also accepts [health=PATH]
 // [connections=N] [slots=N] [cache-tokens=N] [fetch=no|yes] [cold-time=3s] [cold-rate=14],
-// an account [priority=N] [keys=DIGEST,...].
+// an account [priority=N] [keys=DIGEST,...]. Callers need a key as soon as the file has an account
+// rule; "account -" with keys=- is one that adds no account.
 //
 // A file with any error is rejected as a whole. Errors are reported with their
 // position as file:line:column, like those of a compiler, up to MaxProblems of them.
@@ -241,6 +243,7 @@
 		s.discard()
 		return
 	}
+	p.out.RequiresKeys = true
 	a := ruleset.Account{
 		Name:        name.text,
 		Share:       s.integer("share", -1, 1, 1_000_000),
@@ -250,6 +253,10 @@
 		a.HasPriority = true
 		a.Priority = s.integer("priority", 0, 0, maxPriority)
 	}
+	if name.text == ruleset.NoAccount && s.values["keys"].text == ruleset.NoAccount {
+		s.take("keys")
+		return
+	}
 	p.keys(name.text, s)
 	p.out.Accounts[name.text] = a
 	p.out.TotalShare += a.Share
--- a/internal/rules/ruleset/ruleset.go
+++ b/internal/rules/ruleset/ruleset.go
@@ -31,12 +31,19 @@
 	MaxColdTime = 10 * time.Minute
 	// MaxColdRate is the largest value of Service.ColdRate, in requests per second.
 	MaxColdRate = 1e6
+	// NoAccount is the name, and the only key, in the account rule of a file that lists no
+	// accounts although callers need a key. Builds without Rules.RequiresKeys need a key as well
+	// if they read it: for them it is an account whose key no caller can have.
+	NoAccount = "-"
 )
 
 // Rules is one version of the rules. It is immutable once parsed.
 type Rules struct {
 	Services map[string]Service
 	Accounts map[string]Account
+	// RequiresKeys is true if callers need the key of an account on routes that are not public.
+	// It may be true without any account; every key is then refused.
+	RequiresKeys bool
 	// TotalShare is the sum of the shares of all accounts.
 	TotalShare int
 	// Kinds maps the name of a kind of work to its priority class.
