A key names its account only under rules that are confirmed to be in force

Keys that were new ran under no account.

What a route lets through and whom the server is told were one question. A request that waited for its body, for a slot or for its next try while its key was taken away or moved went out under the account of before, on closed routes too.

Naming no account in its place would be wrong for keys that are held. Confirmation is asked before the view is read, so that a freeze in between leaves rules that are newer than it, never older ones. Requests without a key on public routes are served as before. With rules that have no accounts, a request with a key waits too: newer rules may have some.

An instance that wakes from a long freeze refused such requests at once, as its rules had been stale for long. The wait now ends at once only if heartbeats have failed for over a second.

TestUnconfirmedRules and TestWaitsForRuleConfirmation sent a key on the public route without need; they now send none there, and the first also requires that one with a key is refused.

--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -94,11 +94,11 @@
 			c.refuse(c.finalFault(err))
 			return
 		}
-		if c.requiresKey && !c.h.Membership.Fresh() {
+		if err := c.confirmAccount(); err != nil {
 			g.Report(scheduler.Report{
 				Event: scheduler.Cancelled,
 			})
-			c.refuse(c.finalFault(staleRulesFault("the confirmation of the rules expired while the request waited")))
+			c.refuse(c.finalFault(err))
 			return
 		}
 		if !c.repeatAllowed() {
--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -207,6 +207,7 @@
 route book host=h prefix=/book/ kind=unsafe to=s timeout=2s attempts=1 # t: t
 route chat host=h prefix=/chat/ kind=stream to=s timeout=2s attempts=2 resume=yes # t: t
 route once host=h prefix=/once/ kind=stream to=s timeout=2s attempts=2 # t: t
+route news host=h prefix=/news/ kind=stream to=s timeout=2s attempts=2 resume=yes public=yes # t: t
 route fast host=h prefix=/fast/ kind=safe to=s timeout=200ms attempts=2 # t: t
 `
 
--- a/internal/daemon/ingress/explain.go
+++ b/internal/daemon/ingress/explain.go
@@ -36,10 +36,6 @@
 // one named, or that of the key in req if no name is given. A request that would be refused by
 // the rules fails with the failure that its caller would receive.
 func (h *Handler) Explain(ctx context.Context, hostName, target, account string, req edge.Request) (*Explanation, error) {
-	v := h.Membership.View()
-	if v.Rules == nil || v.RuleVersion == 0 {
-		return nil, staleRulesFault("no rules have been received yet")
-	}
 	c := &call{
 		h:     h,
 		r:     &http.Request{Host: hostName, RequestURI: target},
@@ -47,6 +43,10 @@
 		req:   req,
 		start: h.Now(),
 	}
+	v := c.readRules()
+	if v.Rules == nil || v.RuleVersion == 0 {
+		return nil, staleRulesFault("no rules have been received yet")
+	}
 	if c.route = v.Rules.Match(host(hostName), path(target)); c.route == nil {
 		return nil, c.rulesFault(fault.UnknownRoute, hostName)
 	}
@@ -57,7 +57,7 @@
 	c.service = c.route.PickService(xxhash.Sum64String(req.ID))
 	out := &Explanation{
 		RuleVersion:  v.RuleVersion,
-		RulesFresh:   h.Membership.Fresh(),
+		RulesFresh:   c.rulesFresh,
 		Route:        c.route.Name,
 		Service:      c.service,
 		Account:      c.account,
--- a/internal/daemon/ingress/hedge.go
+++ b/internal/daemon/ingress/hedge.go
@@ -171,7 +171,7 @@
 // mayCopy reports whether the copy may be sent now.
 func (r *race) mayCopy() bool {
 	c := r.c
-	if c.requiresKey && !c.h.Membership.Fresh() {
+	if c.confirmAccount() != nil {
 		return false
 	}
 	return c.hedgeVerdict(r.plan, len(r.inProgress), c.timeLeft()) == hedge.Send
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -52,9 +52,9 @@
 	// down before their request would finish; the retry goes to another instance. Up
 	// to the same time again is added at random, to spread the retries.
 	leavingRetryAfter = 30 * time.Millisecond
-	// confirmationWindow is the time after a start, or after the last confirmation of
-	// the rules expired, in which a new confirmation is expected soon. Within it, a
-	// request waits for the confirmation for up to maxFreshWait.
+	// confirmationWindow is the time after a start, after the last confirmation of the rules
+	// expired, or after the first attempt failed to confirm them again, in which a new confirmation is
+	// expected soon. Within it, a request waits for the confirmation for up to maxFreshWait.
 	confirmationWindow = time.Second
 	maxFreshWait       = 300 * time.Millisecond
 	// freshWaitShare is the largest share of the caller's timeout that is spent on
@@ -69,9 +69,9 @@
 	// Fresh reports whether the rules held are confirmed to be in force.
 	Fresh() bool
 	// AwaitFresh waits until the rules are fresh, for timeout at most, and reports
-	// whether they are. It returns at once if they have been stale for longer than
-	// maxStale.
-	AwaitFresh(ctx context.Context, maxStale, timeout time.Duration) bool
+	// whether they are. It returns at once if they are stale and the attempts to confirm them
+	// have failed for longer than maxFailing.
+	AwaitFresh(ctx context.Context, maxFailing, timeout time.Duration) bool
 }
 
 // Handler is the HTTP handler for the requests of callers.
@@ -122,10 +122,13 @@
 	// req holds what the dialect parsed from r.
 	req   edge.Request
 	route *ruleset.Route
-	// ruleVersion is the version of the rules by which the request was admitted.
+	// ruleVersion is the version of the rules by which the request was admitted. rulesFresh is true
+	// if they were confirmed to be in force then.
 	ruleVersion uint64
-	account     string
-	service     string
+	rulesFresh  bool
+	// account is the account to which the caller's key belonged then; empty if to none.
+	account string
+	service string
 	// urgency ranks the request among waiting requests, 0 first.
 	urgency int
 	// engineUrgency is the urgency passed on to engines, 0 to maxUrgency, 0 first.
@@ -139,9 +142,6 @@
 	hash uint64
 	// deadline is when the request times out, on the clock of Now.
 	deadline time.Duration
-	// requiresKey is true when the route is not public and the request was admitted
-	// by its key. The rules must then still be fresh when the request is sent.
-	requiresKey bool
 
 	// sends counts the backend servers that received the request, runs those at which
 	// it may have run. sendsBefore counts those that received it from the instance that forwarded
@@ -254,15 +254,13 @@
 	if err := c.admitForwarded(); err != nil {
 		return err
 	}
-	v := c.h.Membership.View()
-	if !c.h.Membership.Fresh() && !c.isPublic(v) {
+	if !c.h.Membership.Fresh() && c.needsFreshRules() {
 		c.awaitFreshRules()
-		v = c.h.Membership.View()
 	}
+	v := c.readRules()
 	if v.Rules == nil || v.RuleVersion == 0 {
 		return staleRulesFault("no rules have been received yet")
 	}
-	c.ruleVersion = v.RuleVersion
 	c.route = v.Rules.Match(host(c.r.Host), path(c.r.RequestURI))
 	if c.route == nil {
 		return c.rulesFault(fault.UnknownRoute, c.r.Host)
@@ -323,18 +321,33 @@
 	}
 }
 
-// isPublic reports whether the request needs no confirmation that the rules are in
-// force, because its route is public.
-func (c *call) isPublic(v *view.View) bool {
-	if v.Rules == nil {
-		return false
+// readRules returns the view by which the request is admitted, and records whether its rules were
+// confirmed to be in force. That is asked before the view is read: a process that is frozen in between
+// then has rules that are newer than the confirmation, never older ones.
+func (c *call) readRules() *view.View {
+	c.rulesFresh = c.h.Membership.Fresh()
+	v := c.h.Membership.View()
+	c.ruleVersion = v.RuleVersion
+	return v
+}
+
+// hasKey reports whether the request carries a key. On a public route too, the key decides which
+// account the backend server is told.
+func (c *call) hasKey() bool { return c.req.APIKey != "" }
+
+// needsFreshRules reports whether the request needs rules that are confirmed to be in force. One
+// without a key on a public route does not.
+func (c *call) needsFreshRules() bool {
+	v := c.h.Membership.View()
+	if v.Rules == nil || c.hasKey() {
+		return true
 	}
 	route := v.Rules.Match(host(c.r.Host), path(c.r.RequestURI))
-	return route != nil && route.Public
+	return route == nil || !route.Public
 }
 
 // awaitFreshRules delays the request for a short while if the rules are likely to be
-// confirmed soon, so that an instance that has just started does not refuse requests.
+// confirmed soon, so that an instance that has just started, or was frozen, does not refuse requests.
 // The delay is a fraction of the caller's timeout at most, so that the response is
 // still in time.
 func (c *call) awaitFreshRules() {
@@ -346,26 +359,42 @@
 }
 
 // authenticate finds the account to which the caller's key belongs. A key is not
-// needed if the route is public or the rules require none.
+// needed if the route is public or the rules require none. A request with a key is refused while the
+// rules are not confirmed, also where it needs none: its key may belong to another account or to none
+// by now, and the backend server would be told the wrong one.
 func (c *call) authenticate(rules *ruleset.Rules) error {
 	c.setUrgency(ruleset.Account{})
-	if !rules.RequiresKeys {
-		return nil
+	if c.hasKey() && !c.rulesFresh {
+		return unconfirmedRulesFault()
 	}
 	name, ok := rules.AccountByKeyDigest[ruleset.KeyDigest(c.req.APIKey)]
-	if !ok && !c.route.Public {
+	if ok {
+		c.account = name
+		c.setUrgency(rules.Accounts[name])
+		return nil
+	}
+	if rules.RequiresKeys && !c.route.Public {
 		return c.rulesFault(fault.UnknownKey, c.route.Name)
 	}
-	if !ok {
+	return nil
+}
+
+// confirmAccount checks, right before the request is sent, that the caller's key still belongs to the
+// account by which the request was admitted. The request may have waited since, and the process may
+// have been frozen meanwhile. It returns the refusal if not.
+func (c *call) confirmAccount() error {
+	if !c.hasKey() {
 		return nil
 	}
-	c.requiresKey = !c.route.Public
-	c.account = name
-	c.setUrgency(rules.Accounts[name])
-	if c.requiresKey && !c.h.Membership.Fresh() {
-		return staleRulesFault("the rules of this instance could not be confirmed to be in force")
+	if !c.h.Membership.Fresh() {
+		return staleRulesFault("the confirmation of the rules expired while the request waited")
 	}
-	return nil
+	// Read after Fresh, as in readRules.
+	v := c.h.Membership.View()
+	if v.RuleVersion == c.ruleVersion || v.Rules.AccountByKeyDigest[ruleset.KeyDigest(c.req.APIKey)] == c.account {
+		return nil
+	}
+	return staleRulesFault("the caller's key was taken away or moved to another account while the request waited")
 }
 
 // setUrgency ranks the request among waiting requests and among those at an engine:
@@ -379,12 +408,16 @@
 // force, it returns a stale-rules failure instead, because they might allow the
 // request.
 func (c *call) rulesFault(kind fault.Kind, subject string) error {
-	if !c.h.Membership.Fresh() {
-		return staleRulesFault("the rules of this instance could not be confirmed to be in force")
+	if !c.rulesFresh {
+		return unconfirmedRulesFault()
 	}
 	return fault.New(kind, subject, "no match in the rules in force")
 }
 
+func unconfirmedRulesFault() error {
+	return staleRulesFault("the rules of this instance could not be confirmed to be in force")
+}
+
 // staleRulesFault returns the failure for a request that needs fresh rules.
 func staleRulesFault(advice string) error {
 	return &fault.Fault{
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -62,13 +62,13 @@
 }
 
 // TestUnconfirmedRules: an instance whose rules are not confirmed to be in force
-// serves public routes. It refuses all other requests with a retry delay, and never
+// serves requests without a key on public routes. It refuses all others with a retry delay, and never
 // reports a route or a key as unknown.
 func TestUnconfirmedRules(t *testing.T) {
 	e := newTestEnv(t, respondOK)
 	e.membership.stale.Store(true)
-	require.Equal(t, http.StatusOK, e.status("/open/x"))
-	for _, path := range []string{"/read/x", "/nowhere/x"} {
+	require.Equal(t, http.StatusOK, e.status("/open/x", "Key", ""))
+	for _, path := range []string{"/read/x", "/nowhere/x", "/open/x"} {
 		resp, _, err := e.do(path)
 		require.NoError(t, err)
 		require.Equal(t, fault.RulesStale, resp.Header.Get("Kind"))
@@ -79,7 +79,7 @@
 
 // TestWaitsForRuleConfirmation: shortly after a start a request waits until the rules
 // are confirmed, and is then served. Without a confirmation it is refused after a
-// fraction of a second. Requests on public routes do not wait.
+// fraction of a second. Requests without a key on public routes do not wait.
 func TestWaitsForRuleConfirmation(t *testing.T) {
 	e := newTestEnv(t, respondOK)
 	e.membership.stale.Store(true)
@@ -88,7 +88,7 @@
 	require.Equal(t, http.StatusOK, e.status("/read/x"))
 	e.membership.stale.Store(true)
 	start := time.Now()
-	require.Equal(t, http.StatusOK, e.status("/open/x"))
+	require.Equal(t, http.StatusOK, e.status("/open/x", "Key", ""))
 	require.Less(t, time.Since(start), 200*time.Millisecond)
 	start = time.Now()
 	resp, _, err := e.do("/read/x")
--- a/internal/daemon/membership/await_test.go
+++ b/internal/daemon/membership/await_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,6 +73,11 @@
 
 // startAgent starts an agent whose clock reads zero at start.
 func startAgent(start time.Time, l leader) (*membership.Agent, func()) {
+	return startAgentWithClock(func() time.Duration { return time.Since(start) }, l)
+}
+
+// startAgentWithClock is like startAgent, with the clock of the agent.
+func startAgentWithClock(now func() time.Duration, l leader) (*membership.Agent, func()) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	a, stop := membership.New(membership.Config{
@@ -79,7 +85,7 @@
 		Control:      l,
 		Logger:       log,
 		Checker:      &invariant.Checker{},
-		Now:          func() time.Duration { return time.Since(start) },
+		Now:          now,
 		Loads:        func() []*pb.LoadReport { return nil },
 		OnLoads:      func([]*pb.LoadReport) {},
 		OnViewChange: func(_, _ *view.View) {},
@@ -116,6 +122,23 @@
 	})
 }
 
+// TestAwaitFreshAfterAFreeze guards against an instance that refuses all requests with a key as it wakes
+// from a long freeze, because its rules have been stale for long. No heartbeat has failed meanwhile, and
+// the next one confirms them.
+func TestAwaitFreshAfterAFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		var frozen atomic.Int64
+		a, stop := startAgentWithClock(func() time.Duration { return time.Since(start) + time.Duration(frozen.Load()) }, leader{})
+		defer stop()
+		require.True(t, a.AwaitFresh(t.Context(), time.Second, 300*time.Millisecond))
+		time.Sleep(time.Second)
+		frozen.Store(int64(20 * time.Second))
+		require.False(t, a.Fresh())
+		require.True(t, a.AwaitFresh(t.Context(), time.Second, 300*time.Millisecond))
+	})
+}
+
 // TestAwaitTables: an instance whose rules are confirmed before it has the tables waits
 // for them too. The tables of a replica may be older than the leader's: a server that
 // has left is not in use again, as the instance serves only once it has the rows up to a
--- a/internal/daemon/membership/heartbeat.go
+++ b/internal/daemon/membership/heartbeat.go
@@ -125,6 +125,7 @@
 	a.mu.Lock()
 	first := a.lastError == ""
 	a.lastError = err.Error()
+	a.recordUnconfirmed()
 	a.mu.Unlock()
 	if first {
 		a.cfg.Logger.WithError(err).Warn("member: heartbeat to the control group failed")
@@ -172,6 +173,8 @@
 	if ok {
 		a.everConfirmed = true
 		a.confirm(sent)
+	} else {
+		a.recordUnconfirmed()
 	}
 	if ok && !resp.GetTablesBehind() {
 		a.ownership.Renew(sent, time.Duration(resp.GetLeaseMs())*time.Millisecond)
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -120,6 +120,10 @@
 	freshUntil time.Duration
 	// confirmed is closed and replaced each time the rules are confirmed.
 	confirmed chan struct{}
+	// failing is true if a heartbeat has ended without a confirmation since the last one;
+	// failingSince is when the first such heartbeat ended.
+	failing      bool
+	failingSince time.Duration
 	// everConfirmed is set once the leader has confirmed a rule version, everCurrent
 	// once the tables included every row up to the leader's index.
 	everConfirmed bool
@@ -212,9 +216,10 @@
 }
 
 // AwaitFresh waits until the rules are fresh, for timeout at most, and reports
-// whether they are. It returns at once if they have been stale for longer than
-// maxStale, as there is then no reason to expect a confirmation soon.
-func (a *Agent) AwaitFresh(ctx context.Context, maxStale, timeout time.Duration) bool {
+// whether they are. It returns at once if they are stale and heartbeats have failed to confirm them
+// for longer than maxFailing, as there is then no reason to expect a confirmation soon. While a process
+// is frozen no heartbeat fails, so that it waits right after the process wakes.
+func (a *Agent) AwaitFresh(ctx context.Context, maxFailing, timeout time.Duration) bool {
 	if a.Fresh() {
 		return true
 	}
@@ -222,10 +227,10 @@
 	defer timer.Stop()
 	for {
 		a.mu.Lock()
-		staleFor := a.cfg.Now() - max(a.freshUntil, a.createdAt)
+		failingFor := a.failingFor()
 		confirmed := a.confirmed
 		a.mu.Unlock()
-		if staleFor > maxStale {
+		if failingFor > maxFailing {
 			return a.Fresh()
 		}
 		select {
@@ -241,10 +246,28 @@
 	}
 }
 
+// failingFor returns for how long heartbeats have failed to confirm the rules, counted from when the
+// last confirmation expired at the earliest. The caller holds mu.
+func (a *Agent) failingFor() time.Duration {
+	if !a.failing {
+		return 0
+	}
+	return a.cfg.Now() - max(a.freshUntil, a.createdAt, a.failingSince)
+}
+
+// recordUnconfirmed records that a heartbeat has ended without a confirmation of the rules. The caller
+// holds mu.
+func (a *Agent) recordUnconfirmed() {
+	if !a.failing {
+		a.failing, a.failingSince = true, a.cfg.Now()
+	}
+}
+
 // confirm records that the rules were current at the time sent, at which the
 // heartbeat or query that confirmed them was sent. The caller holds mu.
 func (a *Agent) confirm(sent time.Duration) {
 	a.freshUntil = max(a.freshUntil, sent+a.cfg.FreshFor)
+	a.failing = false
 	close(a.confirmed)
 	a.confirmed = make(chan struct{})
 }
