Nobody holds the empty key

Cause: the key of a request without one is the empty string, and its digest was looked up like any other.

Change: a request without a key belongs to no account.

Measured: TestNobodyHoldsTheEmptyKey got a 200 on the code before, and passes.

--- a/internal/daemon/ingress/account_test.go
+++ b/internal/daemon/ingress/account_test.go
@@ -223,3 +223,16 @@
 		require.Equal(t, 1, h.sent())
 	}
 }
+
+// TestNobodyHoldsTheEmptyKey guards against an account whose list of keys has an empty one: callers
+// without a key were taken for it, so that its routes were open.
+func TestNobodyHoldsTheEmptyKey(t *testing.T) {
+	k := newKeyEnv(t, 4, respondOK)
+	k.changeRules(keysBefore, accountRule("acme", "", "kept"))
+	resp, _, err := k.do("/read/x", "Key", "")
+	require.NoError(t, err)
+	require.Equal(t, fault.UnknownKey, resp.Header.Get("Kind"))
+	require.Equal(t, http.StatusOK, k.status("/open/x", "Key", ""))
+	require.Equal(t, http.StatusOK, k.status("/read/x", "Key", "kept"))
+	require.Equal(t, []string{"", "acme"}, k.told())
+}
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -367,8 +367,7 @@
 	if c.hasKey() && !c.rulesFresh {
 		return unconfirmedRulesFault()
 	}
-	name, ok := rules.AccountByKeyDigest[ruleset.KeyDigest(c.req.APIKey)]
-	if ok {
+	if name := c.holder(rules); name != "" {
 		c.account = name
 		c.setUrgency(rules.Accounts[name])
 		return nil
@@ -379,6 +378,15 @@
 	return nil
 }
 
+// holder returns the account to which the caller's key belongs; empty if to none. Nobody holds the
+// empty key, whatever the rules list: it is that of callers who send none.
+func (c *call) holder(rules *ruleset.Rules) string {
+	if !c.hasKey() {
+		return ""
+	}
+	return rules.AccountByKeyDigest[ruleset.KeyDigest(c.req.APIKey)]
+}
+
 // confirmAccount checks, right before the request is sent, that the caller's key still belongs to the
 // account by which the request was admitted. The request may have waited since, and the process may
 // have been frozen meanwhile. It returns the refusal if not.
@@ -391,7 +399,7 @@
 	}
 	// Read after Fresh, as in readRules.
 	v := c.h.Membership.View()
-	if v.RuleVersion == c.ruleVersion || v.Rules.AccountByKeyDigest[ruleset.KeyDigest(c.req.APIKey)] == c.account {
+	if v.RuleVersion == c.ruleVersion || c.holder(v.Rules) == c.account {
 		return nil
 	}
 	return staleRulesFault("the caller's key was taken away or moved to another account while the request waited")
