--- a/internal/daemon/router/call.go
+++ b/internal/daemon/router/call.go
@@ -394,7 +394,8 @@
 // dispatchClaimed dispatches a call whose key this router has claimed, and records
 // the outcome.
 func (r *Router) dispatchClaimed(ctx context.Context, p checkedCall, s *pb.BackendServer, outcome *pb.SettleKey) (*pb.CallResponse, error) {
-	if ctx.Err() != nil || !r.mayDispatch(s.GetName()) {
+	withdrawn := r.confirmAccount(p.service.Name, p.account.Name)
+	if ctx.Err() != nil || withdrawn != nil || !r.mayDispatch(s.GetName()) {
 		outcome.Outcome = pb.Outcome_OUTCOME_NOT_RUN
 		r.recordOutcome(outcome)
 		return nil, fault.New(fault.KeyNotRun, p.req.GetKey(), "the claim was granted too late to dispatch the call; retry with a new key")
--- a/internal/daemon/router/dispatch.go
+++ b/internal/daemon/router/dispatch.go
@@ -64,7 +64,8 @@
 
 // admit enqueues a request at a server and waits until it may be dispatched. It
 // checks the router's lease before the request is enqueued, and again after the wait,
-// because a process that was frozen in between may have lost its ownership.
+// because a process that was frozen in between may have lost its ownership. After the wait it checks the
+// rules again too, as the account may have been withdrawn.
 func (r *Router) admit(ctx context.Context, s *pb.BackendServer, req routing.Request, svc ruleset.Service, acc ruleset.Account) (release func(), err error) {
 	if !r.mayDispatch(s.GetName()) {
 		return nil, fault.New(fault.NotOwner, "", "this router does not own "+s.GetName())
@@ -91,6 +92,10 @@
 		permit.Release()
 		return nil, fault.New(fault.NotOwner, "", "the ownership of "+s.GetName()+" ended while the request waited")
 	}
+	if err := r.confirmAccount(svc.Name, acc.Name); err != nil {
+		permit.Release()
+		return nil, err
+	}
 	return permit.Release, nil
 }
 
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -191,6 +191,24 @@
 	}, nil
 }
 
+// confirmAccount returns a fault unless the rules are confirmed to be in force and still define the
+// service and the client account of a request that has waited: the process may have been frozen
+// meanwhile. The fault is always that the rules are stale; that the account is unknown would state that
+// no earlier attempt with the same request key has run.
+func (r *Router) confirmAccount(service, account string) error {
+	_, err := r.lookupRules(service, account)
+	if err == nil {
+		return nil
+	}
+	return &fault.Fault{
+		Kind:       fault.RulesStale,
+		Subject:    account,
+		Advice:     "the rules do not allow the request any more, or could not be confirmed, after it had waited",
+		RetryAfter: membership.DefaultHeartbeatInterval,
+		Cause:      err,
+	}
+}
+
 // checkGenerate validates a request and returns its rules and its priority class.
 func (r *Router) checkGenerate(req *pb.GenerateRequest) (ruleContext, int, error) {
 	c, err := r.lookupRules(req.GetService(), req.GetClientAccount())
