What is kept of a server ends with its incarnation

Cause: what a server says of itself holds for one start of it, and nothing kept track of starts. An announcement ended only if the list showed the server as leaving and then as ready, or with another address or time of joining. What instances pass on to one another had no age. Each thing kept by the name of a server had a rule of its own for its end, or none.

Change: package incarnation decides what shows a new start, from the list, the answers, the health check and the engine's own time of start, and recognises late evidence by time. The scheduler keeps one record for each incarnation and replaces it as a whole. An announcement that nothing confirms is asked for, at a bounded rate. Reports and decisions between instances carry the ages of what they say; what was read after a freeze counts from its begin. The control group gives a server that is ready again after leaving another time of joining. The placer's own copies of pauses and departures are gone, its schedulers have them.

--- a/internal/check/entryfleet/pushback_test.go
+++ b/internal/check/entryfleet/pushback_test.go
@@ -58,6 +58,8 @@
 	refusals map[string][]refusal
 	// announced holds when it first announced to an instance that it leaves.
 	announced map[string]time.Time
+	// healthChecks counts the requests for its health, which are no requests of callers.
+	healthChecks int
 }
 
 func newPausingServer(t *testing.T, id, service string, pause time.Duration) *pausingServer {
@@ -85,6 +87,10 @@
 		io.WriteString(w, `{"epoch":1,"nextToken":0,"held":[]}`)
 		return
 	}
+	if r.URL.Path == "/health" {
+		s.serveHealth(w)
+		return
+	}
 	id := r.Header.Get("X-Attempt-Id")
 	instance, _, _ := strings.Cut(id, "-")
 	w.Header().Set("X-Attempt-Id", id)
@@ -107,6 +113,18 @@
 	io.WriteString(w, "served")
 }
 
+// serveHealth answers a health check: with 200, unless the server leaves.
+func (s *pausingServer) serveHealth(w http.ResponseWriter) {
+	s.mu.Lock()
+	s.healthChecks++
+	s.mu.Unlock()
+	w.Header().Set("X-Instance-Id", s.id)
+	if s.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // note records the arrival of a request and reports whether it is refused.
 func (s *pausingServer) note(instance string) bool {
 	s.mu.Lock()
--- a/internal/control/manager/partiallist_test.go
+++ b/internal/control/manager/partiallist_test.go
@@ -88,35 +88,67 @@
 	})
 }
 
+// runManager runs a manager over a list, with a control group of one replica, until stop is called.
+func runManager(t *testing.T, list *partialList) (r *replica.Replica, stop func()) {
+	t.Helper()
+	started := time.Now()
+	r, stopReplica, err := replica.Start(replica.Config{
+		Now:  func() time.Duration { return time.Since(started) },
+		Name: "r0",
+		Peers: map[string]string{
+			"r0": "r0",
+		},
+		Storage: &memorydisk.Disk{},
+		Stored:  (&memorydisk.Disk{}).Contents(),
+		Logger:  discardLogger(),
+	})
+	require.NoError(t, err)
+	_, stopManager := manager.Start(manager.Config{
+		Replica:          r,
+		Platform:         list,
+		Logger:           discardLogger(),
+		WithoutOwnership: true,
+	})
+	return r, func() {
+		stopManager()
+		stopReplica()
+	}
+}
+
+// TestServerThatIsReadyAgainHasJoinedAgain guards against instances that don't find out that a server has
+// restarted, as they have not read the list while it showed the server as leaving.
+func TestServerThatIsReadyAgainHasJoinedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &partialList{}
+		list.set(false, listed("a", false), listed("b", false))
+		r, stop := runManager(t, list)
+		defer stop()
+		time.Sleep(20 * time.Second)
+		joined := r.Ledger.Server("a").GetJoinedMs()
+		others := r.Ledger.Server("b").GetJoinedMs()
+		list.set(false, listed("a", true), listed("b", false))
+		time.Sleep(10 * time.Second)
+		require.True(t, r.Ledger.Server("a").GetLeaving())
+		require.Equal(t, joined, r.Ledger.Server("a").GetJoinedMs())
+		list.set(false, listed("a", false), listed("b", false))
+		time.Sleep(10 * time.Second)
+		require.False(t, r.Ledger.Server("a").GetLeaving())
+		require.Greater(t, r.Ledger.Server("a").GetJoinedMs(), joined)
+		require.Equal(t, others, r.Ledger.Server("b").GetJoinedMs())
+	})
+}
+
 // TestVersionFollowsTheList: a server is listed with another version of its software under the
 // same name, and then no longer. The row of the server must follow, as streams go on by it, and
 // must tell since when the server is gone.
 func TestVersionFollowsTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		started := time.Now()
-		r, stop, err := replica.Start(replica.Config{
-			Now:  func() time.Duration { return time.Since(started) },
-			Name: "r0",
-			Peers: map[string]string{
-				"r0": "r0",
-			},
-			Storage: &memorydisk.Disk{},
-			Stored:  (&memorydisk.Disk{}).Contents(),
-			Logger:  discardLogger(),
-		})
-		require.NoError(t, err)
-		defer stop()
 		list := &partialList{}
 		a, b := listed("a", false), listed("b", false)
 		a.Version = "v1"
 		list.set(false, a, b)
-		_, stopManager := manager.Start(manager.Config{
-			Replica:          r,
-			Platform:         list,
-			Logger:           discardLogger(),
-			WithoutOwnership: true,
-		})
-		defer stopManager()
+		r, stop := runManager(t, list)
+		defer stop()
 		time.Sleep(20 * time.Second)
 		require.Equal(t, "v1", r.Ledger.Server("a").GetVersion())
 		newer := listed("a", false)
--- a/internal/control/manager/platform.go
+++ b/internal/control/manager/platform.go
@@ -159,12 +159,13 @@
 }
 
 // updatedRow returns the new row for a listed server, or nil if nothing changed.
-// A server that is new or was gone gets the current time as its time of joining. The
-// caller holds mu.
+// A server that is new, was gone, or is ready again after it was leaving, gets the current time as its
+// time of joining, and always a later one than before: instances that have not read it in between
+// recognise a new incarnation by it. The caller holds mu.
 func (m *Manager) updatedRow(now time.Duration, old *pb.BackendServer, s *pb.ListedServer) *pb.BackendServer {
 	joined := old.GetJoinedMs()
-	if old == nil || old.GetGone() {
-		joined = time.Now().UnixMilli()
+	if old == nil || old.GetGone() || old.GetLeaving() && !s.GetLeaving() {
+		joined = max(time.Now().UnixMilli(), joined+1)
 	}
 	row := &pb.BackendServer{
 		Name:          s.GetName(),
--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -120,6 +120,8 @@
 	return info
 }
 
+func (testDialect) ParseHealth(int, http.Header) edge.Health { return edge.Health{} }
+
 func (testDialect) WriteError(w http.ResponseWriter, f *fault.Fault) {
 	w.Header().Set("Kind", f.Kind)
 	if f.RetryAfter > 0 {
--- a/internal/daemon/ingress/exchange.go
+++ b/internal/daemon/ingress/exchange.go
@@ -154,12 +154,22 @@
 		WorkPercent: a.info.WorkPercent,
 		RetryAfter:  a.info.RetryAfter,
 		Leaving:     a.info.Leaving,
+		Opened:      a.opened(),
 		ColdFor:     a.info.ColdFor,
 		Limit:       a.info.Limit,
 		Brittle:     a.brittle(),
 	}
 }
 
+// opened returns when the connection was opened on which the server has run the request and has not
+// announced that it leaves; zero if it has not run it, or has announced that.
+func (a *attempt) opened() time.Duration {
+	if a.info.Execution != edge.Ran || !a.info.Signed || a.info.Leaving {
+		return 0
+	}
+	return a.resp.Opened()
+}
+
 // brittle returns what the response says of whether its server is brittle.
 func (a *attempt) brittle() brittle.Statement {
 	return brittle.Statement{
@@ -258,6 +268,7 @@
 		Event:    c.attributedEvent(event),
 		Elapsed:  c.h.Now() - a.sent,
 		Answered: relayed > 0,
+		Opened:   a.opened(),
 		Brittle:  a.brittle(),
 	})
 	if result == ended && !c.mustAbort {
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -32,6 +32,7 @@
 	pushbacks        metric.Int64Counter
 	abandoned        metric.Int64Counter
 	crashes          metric.Int64Counter
+	restarts         metric.Int64Counter
 	retries          metric.Int64Counter
 	unreadable       metric.Int64Counter
 	hedges           metric.Int64Counter
@@ -107,6 +108,7 @@
 	m.placements = b.counter("camphorspoke.placements", "Requests granted a server, by whether the server was over its load limit and by who decided.")
 	m.pushbacks = b.counter("camphorspoke.pushbacks", "Refusals with which a server asked for a pause, and grants withdrawn because of one, a departure, an evacuation or a limit, by service and event.")
 	m.abandoned = b.counter("camphorspoke.attempts.abandoned", "Attempts that did not answer their request, by service, result and what became of the connection.")
+	m.restarts = b.counter("camphorspoke.server.restarts", "New incarnations of listed servers, by service.")
 	m.crashes = b.counter("camphorspoke.crashed.requests", "Requests that were in flight at a server which went down, by service.")
 	m.retries = b.counter("camphorspoke.retries", "Retries by service.")
 	m.unreadable = b.counter("camphorspoke.unreadable.headers", "Headers of servers of which a value cannot be read, by header.")
@@ -349,6 +351,14 @@
 	m.crashes.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc)))
 }
 
+// ServerRestart counts a new incarnation of a server.
+func (m *Meters) ServerRestart(ctx context.Context, svc string) {
+	if m == nil {
+		return
+	}
+	m.restarts.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc)))
+}
+
 // ConnectionClosed counts a connection of a client that was closed at a limit.
 func (m *Meters) ConnectionClosed(ctx context.Context, reason string) {
 	if m == nil {
--- a/internal/daemon/placer/enginequeries.go
+++ b/internal/daemon/placer/enginequeries.go
@@ -117,13 +117,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), engineQueryTimeout)
 	defer cancel()
-	cached, err := d.cfg.CacheReader.CachedParts(ctx, e.address)
+	cache, err := d.cfg.CacheReader.ReadCache(ctx, e.address)
 	if err != nil {
 		d.cfg.Logger.WithError(err).WithField("server", e.name).Warn("placer: cannot read the cached prefixes of an engine")
 		return 0
 	}
-	parts := make([]prefixcache.Part, len(cached))
-	for i, p := range cached {
+	d.recordBirth(service, e.name, e.address, cache.BornMs)
+	parts := make([]prefixcache.Part, len(cache.Parts))
+	for i, p := range cache.Parts {
 		parts[i] = prefixcache.Part(p)
 	}
 	d.adopt(service, e.name, scheduler.Request{
--- a/internal/daemon/placer/grant.go
+++ b/internal/daemon/placer/grant.go
@@ -40,6 +40,8 @@
 	// hasPrompt is true if the request has a prompt, whose reading the schedulers
 	// account for.
 	hasPrompt bool
+	// joinedMs is the time of joining of the server, as in the view of this instance.
+	joinedMs int64
 	// localID identifies the request at the instance's own schedulers, remoteID at
 	// the decider at the other end of stream. A zero localID or a nil stream means
 	// that the request is not registered there.
@@ -51,8 +53,11 @@
 // Report passes the progress or the outcome of the request to the schedulers that
 // account for it.
 func (g *Grant) Report(r scheduler.Report) {
-	g.p.recordPause(g.Server, r.RetryAfter)
-	g.p.recordDeparture(g.Server, r.Leaving)
+	if r.Leaving && r.LeavingAt == 0 {
+		// It has not arrived before its request was sent.
+		r.LeavingAt = max(g.p.schedulers.receivedAt(), g.sentAt)
+	}
+	r.JoinedMs = g.joinedMs
 	begun := g.begunStream(r.Event)
 	if begun.stream != 0 {
 		g.p.schedulers.recordStream(g.service, begun.stream, begun.version, g.stream == nil && !g.Alone)
@@ -65,7 +70,7 @@
 		g.p.schedulers.report(g.service, g.localID, r)
 	}
 	if g.stream != nil {
-		g.stream.report(g.remoteID, r, begun)
+		g.stream.report(g.p.cfg.Now(), g.remoteID, r, begun)
 	}
 	if r.Event == scheduler.Down && !r.Answered {
 		g.noteCrash()
--- a/internal/daemon/placer/hedge.go
+++ b/internal/daemon/placer/hedge.go
@@ -86,7 +86,7 @@
 	if g.stream != nil {
 		p.schedulers.recordLimit(g.service, g.Server, d.Limit)
 	}
-	u := p.unavailable(g.Server)
+	u := p.unavailable(g.service, g.Server)
 	u.limit = p.unreportedLimit(g)
 	u.otherVersion = version != "" && g.Version != version
 	if u.any() {
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// report reports an event of a request, and the stream that begins with it.
-func (s *clientStream) report(id uint64, r scheduler.Report, begun begunStream) {
+// report reports an event of a request at a time, and the stream that begins with it.
+func (s *clientStream) report(now time.Duration, id uint64, r scheduler.Report, begun begunStream) {
 	s.send(&pb.PlaceRequest{
 		Id: id,
 		Report: &pb.PlaceReport{
@@ -140,6 +140,9 @@
 
 			BrittleRefusals: r.Brittle.Refusals,
 			BrittleKnown:    r.Brittle.Known,
+			ConnectionAgeMs: ageMilliseconds(now, r.Opened),
+			LeavingAgeMs:    ageMilliseconds(now, r.LeavingAt),
+			JoinedMs:        r.JoinedMs,
 		},
 	})
 }
@@ -150,6 +153,14 @@
 	return uint32((min(d, pushback.MaxPause) + time.Millisecond - 1).Milliseconds())
 }
 
+// ageMilliseconds returns the time since at in milliseconds, rounded up, at least one; zero if at is.
+func ageMilliseconds(now, at time.Duration) uint32 {
+	if at == 0 {
+		return 0
+	}
+	return max(ceilMilliseconds(max(now-at, 0)), 1)
+}
+
 // fromLimit returns the message for a statement; nil if it says nothing.
 func fromLimit(st serverlimit.Statement) *pb.ServerLimit {
 	if !st.Known {
@@ -230,7 +241,7 @@
 		s.mu.Lock()
 		delete(s.pending, id)
 		s.mu.Unlock()
-		s.report(id, scheduler.Report{
+		s.report(p.cfg.Now(), id, scheduler.Report{
 			Event: scheduler.Cancelled,
 		}, begunStream{})
 	}
@@ -266,6 +277,7 @@
 				Reuse:            m.GetReuse(),
 				Quarantine:       m.GetQuarantine(),
 				Limit:            toLimit(m.GetLimit()),
+				ServedAgo:        time.Duration(m.GetServedAgoMs()) * time.Millisecond,
 			}, true
 		case <-timer.C:
 			withdraw()
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -30,9 +30,7 @@
 	"camphorspoke/internal/base/lateness"
 	"camphorspoke/internal/edge"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
-	"camphorspoke/internal/routing/departure"
 	"camphorspoke/internal/routing/prefixcache"
-	"camphorspoke/internal/routing/pushback"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/routing/view"
 )
@@ -109,6 +107,11 @@
 	// CacheReader queries engines for the prefixes that they have cached; nil if the
 	// engines do not support it.
 	CacheReader edge.CacheReader
+	// CheckHealth asks a server of a service, on a new connection, how it is. It returns false if the server
+	// does not answer. It may be nil.
+	CheckHealth func(service, address string) (edge.Health, bool)
+	// OnRestart is called for each new incarnation of a server of a service; it may be nil.
+	OnRestart func(service string)
 	// Record records a change of a quarantine for all instances; it may be nil.
 	Record func(ctx context.Context, q *pb.Quarantine) error
 	Logger logrus.FieldLogger
@@ -131,10 +134,6 @@
 	streams map[string]*clientStream
 	// skipped holds the deciders that did not answer, by instance name.
 	skipped map[string]skip
-	// pauses holds the servers that have asked this instance to send them nothing.
-	pauses pushback.Tracker
-	// departures holds the servers that have announced to this instance that they leave.
-	departures departure.Tracker
 	// lateness is how late this process is run.
 	lateness lateness.Tracker
 	// nextStreamFlush is when the records of streams are sent next. Only the ticker uses it.
@@ -187,7 +186,9 @@
 				p.schedulers.restartShares()
 			}
 			last = now
+			p.schedulers.recordTick(now)
 			p.schedulers.tick()
+			p.schedulers.checkHealth()
 			p.flushStandbys()
 			p.flushStreams()
 		}
@@ -217,7 +218,6 @@
 	order := deciderOrder(v)
 	p.mu.Lock()
 	p.view, p.order = v, order
-	p.departures.Update(p.listing)
 	p.mu.Unlock()
 	p.schedulers.update(v, order)
 	for name := range v.Rules.Services {
@@ -255,7 +255,7 @@
 		if err := p.decide(ctx, g, req); err != nil {
 			return nil, err
 		}
-		u := p.unavailable(g.Server)
+		u := p.unavailable(service, g.Server)
 		u.otherVersion = req.Version != "" && g.Version != req.Version
 		if withdrawnForLimit == 0 && n < maxPlacements-1 {
 			// Once at most, so that a disagreement on a limit refuses no request.
@@ -301,6 +301,7 @@
 			isDecider = true
 			break
 		}
+		asked := p.cfg.Now()
 		d, answered := p.decideRemotely(ctx, g, i, req)
 		req.Counted = true
 		if !answered {
@@ -318,6 +319,9 @@
 		}
 		if p.completeGrant(g, d, i.GetName()) {
 			p.schedulers.recordLimit(g.service, d.Server, d.Limit)
+			if d.ServedAgo > 0 {
+				p.schedulers.recordServing(g.service, d.Server, g.Address, asked-d.ServedAgo)
+			}
 			g.localID = p.schedulers.adopt(g.service, d.Server, req, true)
 			return nil
 		}
@@ -363,6 +367,7 @@
 		return false
 	}
 	g.Decision, g.Address, g.Version, g.Decider = d, s.GetAddress(), s.GetVersion(), decider
+	g.joinedMs = s.GetJoinedMs()
 	g.sentAt = p.cfg.Now()
 	g.FetchAddress = ""
 	if from := p.view.Servers[d.FetchFrom]; from != nil && !from.GetGone() {
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -50,7 +51,23 @@
 	ignoresVersions atomic.Bool
 	// streams counts the placement streams that other instances have opened.
 	streams atomic.Int32
-	stop    func()
+	// now is the clock of the instance. frozenFor is added to it, as after a freeze.
+	now       func() time.Duration
+	frozenFor atomic.Int64
+	// serving makes all servers answer its health checks that they serve; healthChecks counts these.
+	serving      atomic.Bool
+	healthChecks atomic.Int32
+	stop         func()
+}
+
+// checkHealth asks a server for its health; they all know their names by their addresses.
+func (i *instance) checkHealth(_, address string) (edge.Health, bool) {
+	i.healthChecks.Add(1)
+	name, _, _ := strings.Cut(address, ":")
+	return edge.Health{
+		Server: name,
+		Serves: i.serving.Load(),
+	}, true
 }
 
 func (i *instance) Place(s grpc.BidiStreamingServer[pb.PlaceRequest, pb.PlaceResponse]) error {
@@ -92,12 +109,14 @@
 	queries atomic.Int32
 }
 
-func (c *caches) CachedParts(_ context.Context, address string) ([]edge.Part, error) {
+func (c *caches) ReadCache(_ context.Context, address string) (edge.Cache, error) {
 	c.queries.Add(1)
 	if address == "e2:1" {
-		return []edge.Part{{ID: 1, Tokens: 2500}, {ID: 100, Tokens: 6000}}, nil
+		return edge.Cache{
+			Parts: []edge.Part{{ID: 1, Tokens: 2500}, {ID: 100, Tokens: 6000}},
+		}, nil
 	}
-	return nil, fault.New(fault.Unreachable, address, "down")
+	return edge.Cache{}, fault.New(fault.Unreachable, address, "down")
 }
 
 // newFleet starts n instances whose views list all instances and three engines. It also
@@ -144,9 +163,10 @@
 		require.NoError(t, err)
 		peers, closePeers := peer.New(nil)
 		in := &instance{}
+		in.now = func() time.Duration { return clock.Now() + time.Duration(in.frozenFor.Load()) }
 		var stopPlacer func()
 		in.placer, stopPlacer = placer.New(placer.Config{
-			Now:         clock.Now,
+			Now:         in.now,
 			LoadBound:   2,
 			RetryWindow: 10 * time.Second,
 			RetryRatio:  0.2,
@@ -155,6 +175,7 @@
 			Peers:       peers,
 			Versions:    peers,
 			CacheReader: c,
+			CheckHealth: in.checkHealth,
 			Record:      record,
 			Logger:      log,
 
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -74,6 +74,10 @@
 	// are remembered.
 	streams         map[string]*streamRecords
 	streamRetention time.Duration
+	// freezes finds out when this process was not run, and healthAt is when servers are next asked for
+	// their health.
+	freezes  freezes
+	healthAt time.Duration
 	// changes holds the changes of quarantines that are not recorded yet.
 	changes chan *pb.Quarantine
 	// entitled reports whether this instance is one of the deciders of a service by its own
@@ -106,6 +110,7 @@
 		d.updateCold(name, s)
 		d.logLimits(name, s)
 		d.logBrittle(name, s)
+		d.logIncarnations(name, s)
 		for _, account := range s.TakeSurges() {
 			d.cfg.Logger.WithField("account", account).WithField("service", name).
 				Info("placer: an account sends far more requests than it usually does; they wait behind those of others")
@@ -267,7 +272,7 @@
 		}
 		list := lists[name]
 		slices.SortFunc(list, func(a, b scheduler.Server) int { return strings.Compare(a.Name, b.Name) })
-		s.SetServers(list)
+		s.SetServers(d.cfg.Now(), list)
 		d.updateCold(name, s)
 		s.SetQuarantines(d.cfg.Now(), quarantines(v.Quarantines[name]))
 		d.recordChanges(name, s)
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -150,6 +150,7 @@
 		Reuse:               d.Reuse,
 		Quarantine:          d.Quarantine,
 		Limit:               fromLimit(d.Limit),
+		ServedAgoMs:         ceilMilliseconds(d.ServedAgo),
 	})
 }
 
@@ -191,6 +192,9 @@
 		Limit:       toLimit(r.GetLimit()),
 		OtherServer: r.GetOtherServer(),
 		Brittle:     toBrittle(r),
+		LeavingAt:   s.schedulers.leavingAt(r),
+		Opened:      s.schedulers.openedAt(r),
+		JoinedMs:    r.GetJoinedMs(),
 	})
 }
 
--- a/internal/daemon/placer/unavailable.go
+++ b/internal/daemon/placer/unavailable.go
@@ -1,17 +1,15 @@
 package placer
 
-// This file defines how an instance records what servers have announced of themselves: that it
-// is to send them nothing for a while, or that they leave, and how it gives back a grant of a
-// decider that has not received that or a limit of the server. This and the evacuations in the
-// instance's view hold whoever decides, as they are looked at between the decision and the
-// send.
+// This file defines how an instance gives back a grant of a decider that has not received what the
+// server has announced: that this instance is to send it nothing for a while, that it leaves, or its
+// limit. This and the evacuations in the instance's view hold whoever decides, as they are looked at
+// between the decision and the send.
 
 import (
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"camphorspoke/internal/routing/departure"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/routing/serverlimit"
 )
@@ -20,50 +18,16 @@
 // An instance that has sent the server nothing for longer does not know whether it still holds.
 const maxReportedAge = 30 * time.Second
 
-// recordPause records that a server asked this instance to send it nothing for a while.
-func (p *Placer) recordPause(server string, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pauses.Record(p.cfg.Now(), server, pause)
-}
-
-// recordDeparture records that a server announced to this instance that it leaves.
-func (p *Placer) recordDeparture(server string, leaving bool) {
-	if !leaving {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	listing, listed := p.listing(server)
-	if listed && p.departures.Announce(server, listing) {
-		p.cfg.Logger.WithField("server", server).Info("placer: a server announced that it leaves; it gets no more requests")
-	}
-}
-
-// listing returns what the view shows of a server. The caller holds mu.
-func (p *Placer) listing(server string) (departure.Listing, bool) {
-	s := p.view.Servers[server]
-	if s == nil || s.GetGone() {
-		return departure.Listing{}, false
-	}
-	return departure.Listing{
-		Address:  s.GetAddress(),
-		JoinedMs: s.GetJoinedMs(),
-		Leaving:  s.GetLeaving(),
-	}, true
-}
-
 // unavailability is why a server must not get a request of this instance.
 type unavailability struct {
 	// pauseLeft is how much is left of the time for which the server has asked this
 	// instance to send it nothing.
 	pauseLeft time.Duration
-	// leaving is true if the server has announced that it leaves, or this instance has it as
-	// leaving. A decider that is cut off from the control group may not have received either.
-	leaving bool
+	// leaving is true if the server has announced that it leaves, last at leavingSince, or this instance
+	// has it as leaving. A decider that is cut off from the control group may not have received
+	// either.
+	leaving      bool
+	leavingSince time.Duration
 	// drained is true if this instance has the server as drained by an operator.
 	drained bool
 	// evacuated is true if this instance has the failure domain of the server as
@@ -81,18 +45,36 @@
 	return u.otherVersion || u.pauseLeft > 0 || u.leaving || u.drained || u.evacuated || u.limit.Named
 }
 
-// unavailable returns why this instance must not send a request to a server; the zero
-// value if it may.
-func (p *Placer) unavailable(server string) unavailability {
+// unavailable returns why this instance must not send a request to a server of a service; the zero value
+// if it may.
+func (p *Placer) unavailable(service, server string) unavailability {
+	u := p.schedulers.announced(service, server)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.view.Servers[server]
+	if s.GetLeaving() && !u.leaving {
+		u.leaving, u.leavingSince = true, p.cfg.Now()
+	}
+	u.drained = s.GetDrained()
+	u.evacuated = p.view.IsEvacuated(s)
+	u.domain = s.GetFailureDomain()
+	return u
+}
+
+// announced returns what a server has announced of itself, to this instance or to those for which it
+// decides.
+func (d *Schedulers) announced(service, server string) unavailability {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[service]
+	if s == nil {
+		return unavailability{}
+	}
+	since, leaving := s.LeavingSince(server)
 	return unavailability{
-		pauseLeft: p.pauses.Left(p.cfg.Now(), server),
-		leaving:   p.departures.Leaving(server) || s.GetLeaving(),
-		drained:   s.GetDrained(),
-		evacuated: p.view.IsEvacuated(s),
-		domain:    s.GetFailureDomain(),
+		pauseLeft:    s.PauseLeft(d.cfg.Now(), server, d.cfg.Instance),
+		leaving:      leaving,
+		leavingSince: since,
 	}
 }
 
@@ -131,7 +113,7 @@
 }
 
 // withdraw gives back a grant whose server must not get a request of this instance. It
-// reports a pause, a departure or a limit to the schedulers, which do not know of it: another
+// reports a pause, an announcement to leave or a limit to the schedulers, which do not know of it: another
 // decider may have granted the request that the server answered. An evacuation reaches
 // them with their own view.
 func (p *Placer) withdraw(g *Grant, u unavailability) {
@@ -149,6 +131,7 @@
 		Event:      scheduler.Cancelled,
 		RetryAfter: u.pauseLeft,
 		Leaving:    u.leaving,
+		LeavingAt:  u.leavingSince,
 		Limit:      u.limit,
 	})
 }
--- a/internal/daemon/server/entryisolation.go
+++ b/internal/daemon/server/entryisolation.go
@@ -8,6 +8,7 @@
 
 	"camphorspoke/internal/daemon/metrics"
 	"camphorspoke/internal/daemon/reachability"
+	"camphorspoke/internal/edge"
 	"camphorspoke/internal/edge/backend"
 	"camphorspoke/internal/routing/forwarding"
 	"camphorspoke/internal/routing/isolation"
@@ -61,6 +62,20 @@
 	return out
 }
 
+// checkHealth asks a backend server of a service how it is; false if it does not answer, or the service
+// has no health check.
+func (e *entry) checkHealth(service, address string) (edge.Health, bool) {
+	path := healthPath(e.instance.agent.View(), service)
+	if path == "" {
+		return edge.Health{}, false
+	}
+	a, answered := e.pool.Ask(address, path)
+	if !answered {
+		return edge.Health{}, false
+	}
+	return e.instance.adapters.Dialect.ParseHealth(a.Status, a.Header), true
+}
+
 // healthPath returns the path of the health check of a service; empty if it has none or is unknown.
 func healthPath(v *view.View, service string) string {
 	if v.Rules == nil {
--- a/internal/edge/backend/exchange.go
+++ b/internal/edge/backend/exchange.go
@@ -84,6 +84,9 @@
 // Reused reports whether the response came over a reused connection.
 func (r *Response) Reused() bool { return r.conn.reused }
 
+// Opened returns when, by Pool.Now, the attempt to open the connection was begun.
+func (r *Response) Opened() time.Duration { return r.conn.begun }
+
 // Number returns the number of the request on its connection, counted from 1.
 func (r *Response) Number() int { return r.number }
 
--- a/internal/edge/backend/outcome.go
+++ b/internal/edge/backend/outcome.go
@@ -73,11 +73,25 @@
 // status. The connection is kept for the next request. path is that of the health check; if it is
 // empty the probe is "OPTIONS *", which runs nothing.
 func (p *Pool) Probe(address, path string) bool {
+	_, answered := p.Ask(address, path)
+	return answered
+}
+
+// Answer is the answer of a server to a probe.
+type Answer struct {
+	// Status is zero if the answer can't be read.
+	Status int
+	Header http.Header
+}
+
+// Ask sends the server at address a probe on a new connection, as Probe does, and returns the answer;
+// false if it does not answer.
+func (p *Pool) Ask(address, path string) (a Answer, answered bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
 	defer cancel()
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return false
+		return Answer{}, false
 	}
 	req := &Request{
 		Method:   http.MethodGet,
@@ -92,9 +106,12 @@
 	defer cancel()
 	resp, err := p.exchange(ctx, c, req)
 	if err != nil {
-		return c.answered
+		return Answer{}, c.answered
 	}
 	_, _ = io.CopyN(io.Discard, resp, maxProbeBody)
 	resp.Keep()
-	return true
+	return Answer{
+		Status: resp.Status,
+		Header: resp.Header,
+	}, true
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -179,6 +179,16 @@
 	Limit serverlimit.Statement
 }
 
+// Health is what a backend server says when it is asked how it is.
+type Health struct {
+	// Server is the name of the server that answers; empty if it does not say.
+	Server string
+	// Serves is true if the server takes requests and does not announce that it leaves.
+	Serves bool
+	// Leaving is true if it announces that it leaves.
+	Leaving bool
+}
+
 // Dialect encodes and decodes the metadata of HTTP requests and responses in the
 // format of the platform's callers and backend servers.
 type Dialect interface {
@@ -193,6 +203,8 @@
 	SetPeerHeaders(h http.Header, p PeerForwarding)
 	// ParseResponse decodes the metadata of a backend server's response.
 	ParseResponse(status int, h http.Header) ResponseInfo
+	// ParseHealth decodes the answer of a backend server that was asked for its health.
+	ParseHealth(status int, h http.Header) Health
 	// WriteError writes an error response to the caller.
 	WriteError(w http.ResponseWriter, f *fault.Fault)
 }
@@ -242,7 +254,14 @@
 
 // CacheReader reads the content of an engine's prefix cache.
 type CacheReader interface {
-	// CachedParts returns the prompt parts that the engine at address has cached.
-	// The query slightly delays the engine's work.
-	CachedParts(ctx context.Context, address string) ([]Part, error)
+	// ReadCache returns what the engine at address has cached. The query slightly delays the
+	// engine's work.
+	ReadCache(ctx context.Context, address string) (Cache, error)
+}
+
+// Cache is the content of an engine's prefix cache.
+type Cache struct {
+	Parts []Part
+	// BornMs is when the engine was started, in Unix milliseconds; zero if it does not say.
+	BornMs int64
 }
--- a/internal/routing/hedge/replay_test.go
+++ b/internal/routing/hedge/replay_test.go
@@ -252,7 +252,7 @@
 			Accepting: true,
 		})
 	}
-	r.scheduler.SetServers(servers)
+	r.scheduler.SetServers(0, servers)
 	gap := time.Second / time.Duration(l.perSecond)
 	for at := time.Duration(0); at < replaySpan; at += time.Duration((0.5 + r.rng.Float64()) * float64(gap)) {
 		r.at(at, r.arrive)
--- a/internal/routing/scheduler/adopt.go
+++ b/internal/routing/scheduler/adopt.go
@@ -25,7 +25,7 @@
 			Fingerprint: req.Fingerprint,
 		},
 		grantedAt: now,
-		listing:   sv.listing,
+		listing:   sv.incarnation.Listing(),
 	}
 	s.granted[req.ID] = g
 	s.holdMemory(g)
--- a/internal/routing/scheduler/brittle_test.go
+++ b/internal/routing/scheduler/brittle_test.go
@@ -103,7 +103,7 @@
 			}
 		}
 	}
-	f.decider.SetServers(list)
+	f.decider.SetServers(0, list)
 }
 
 func (f *brittleFleet) after(d time.Duration, action func()) {
--- a/internal/routing/scheduler/cold.go
+++ b/internal/routing/scheduler/cold.go
@@ -107,11 +107,11 @@
 	s.cold.changed = true
 }
 
-// recordColdListing takes from the list whether a server becomes cold. Those of the first
-// list that is not empty are not new.
-func (s *Scheduler) recordColdListing(sv *server, l Server) {
+// recordColdListing takes from the list whether a server becomes cold: it was not known, its failure
+// domain is no longer evacuated, or the list announces it. Those of the first list that is not empty
+// are not new.
+func (s *Scheduler) recordColdListing(sv *server, l Server, known bool) {
 	c := &sv.cold
-	known := sv.listed && sv.listing.SameIncarnation(l.departureListing())
 	if s.hasListed && !known {
 		c.pending = max(c.pending, s.svc.ColdTime)
 	}
--- a/internal/routing/scheduler/cold_test.go
+++ b/internal/routing/scheduler/cold_test.go
@@ -79,7 +79,7 @@
 }
 
 func (c *coldService) list(servers []scheduler.Server) {
-	c.SetServers(servers)
+	c.SetServers(0, servers)
 	c.UpdateCold(c.now)
 }
 
--- a/internal/routing/scheduler/evacuations_test.go
+++ b/internal/routing/scheduler/evacuations_test.go
@@ -39,7 +39,7 @@
 		RetryRatio:      1,
 		RetrySlack:      1000,
 	})
-	s.SetServers(domainServers())
+	s.SetServers(0, domainServers())
 	return s
 }
 
@@ -56,9 +56,9 @@
 		_, ok := s.Schedule(0, scheduler.Request{ID: id, Parts: prompt(id, id), MaxWait: time.Second})
 		require.False(t, ok)
 	}
-	s.SetServers(domainServers("a"))
+	s.SetServers(0, domainServers("a"))
 	require.Empty(t, s.Tick(time.Millisecond), "the servers of the other domain may have room soon")
-	s.SetServers(domainServers("a", "b"))
+	s.SetServers(0, domainServers("a", "b"))
 	refused := s.Tick(2 * time.Millisecond)
 	require.Len(t, refused, 3)
 	for _, d := range refused {
@@ -83,7 +83,7 @@
 	}
 	_, ok := s.Schedule(0, scheduler.Request{ID: 5, Parts: prompt(5, 5), MaxWait: time.Second})
 	require.False(t, ok)
-	s.SetServers(domainServers("a"))
+	s.SetServers(0, domainServers("a"))
 	require.Empty(t, reportDone(s, time.Millisecond, at["a0"]))
 	granted := reportDone(s, 2*time.Millisecond, at["b1"])
 	require.Len(t, granted, 1)
@@ -100,7 +100,7 @@
 	reportStarted(s, 0, 1)
 	reportDone(s, time.Millisecond, 1)
 	domain := first.Server[:1]
-	s.SetServers(domainServers(domain))
+	s.SetServers(0, domainServers(domain))
 	d, ok := s.Schedule(time.Second, scheduler.Request{ID: 2, Parts: prompt(1, 1), MaxWait: time.Second})
 	require.True(t, ok)
 	require.NotEqual(t, domain, d.Server[:1])
@@ -115,7 +115,7 @@
 	for i := range servers {
 		servers[i].FailureDomain = "a"
 	}
-	s.SetServers(servers)
+	s.SetServers(0, servers)
 	d, ok := s.Schedule(0, scheduler.Request{ID: 1, Parts: prompt(1, 1), MaxWait: time.Second, ExcludedDomains: []string{"a"}})
 	require.True(t, ok)
 	require.Equal(t, scheduler.NoServer, d.Refusal)
@@ -143,7 +143,7 @@
 					domains = append(domains, d)
 				}
 			}
-			s.SetServers(domainServers(domains...))
+			s.SetServers(0, domainServers(domains...))
 		}
 		check := func(ds ...scheduler.Decision) {
 			for _, d := range ds {
--- a/internal/routing/scheduler/explain_test.go
+++ b/internal/routing/scheduler/explain_test.go
@@ -79,7 +79,7 @@
 			Accepting: i > 0,
 		})
 	}
-	s.SetServers(servers)
+	s.SetServers(0, servers)
 	now := time.Second
 	others := func(i int) (out []string) {
 		for j := range 5 {
--- a/internal/routing/scheduler/fetch_test.go
+++ b/internal/routing/scheduler/fetch_test.go
@@ -30,7 +30,7 @@
 			Accepting:     true,
 		})
 	}
-	s.SetServers(servers)
+	s.SetServers(0, servers)
 	return s, servers
 }
 
@@ -45,7 +45,7 @@
 	for i := range servers {
 		servers[i].Accepting = servers[i].Name != first.Server
 	}
-	s.SetServers(servers)
+	s.SetServers(0, servers)
 	next, _ := s.Schedule(time.Second, scheduler.Request{ID: 2, Parts: prompt(100, 1002), MaxWait: time.Second})
 	require.NotEqual(t, first.Server, next.Server)
 	require.Equal(t, first.Server, next.FetchFrom)
@@ -69,7 +69,7 @@
 		for i := range servers {
 			servers[i].Accepting = name != "" && servers[i].Name == name
 		}
-		s.SetServers(servers)
+		s.SetServers(0, servers)
 	}
 	acceptingOnly("b")
 	d, _ := s.Schedule(0, scheduler.Request{ID: 1, Parts: prompt(100, 1001), MaxWait: time.Second})
--- a/internal/routing/scheduler/hedge_test.go
+++ b/internal/routing/scheduler/hedge_test.go
@@ -87,7 +87,7 @@
 		"the instance is alone":  {ended: 20, request: func(r *scheduler.Request) { r.Alone = true }},
 		"all others have failed": {ended: 20, request: func(r *scheduler.Request) { r.Tried = []string{"e1", "e2", "e0"} }},
 		"others do not accept": {ended: 20, prepare: func(_ *testing.T, s *scheduler.Scheduler) {
-			s.SetServers([]scheduler.Server{{Name: "e0", Accepting: true}, {Name: "e1"}, {Name: "e2"}})
+			s.SetServers(0, []scheduler.Server{{Name: "e0", Accepting: true}, {Name: "e1"}, {Name: "e2"}})
 		}},
 		"others are ejected": {ended: 20, prepare: func(t *testing.T, s *scheduler.Scheduler) {
 			for id, tried := range [][]string{{"e0", "e1"}, {"e0", "e2"}} {
--- a/internal/routing/scheduler/limitedfleet_test.go
+++ b/internal/routing/scheduler/limitedfleet_test.go
@@ -86,7 +86,7 @@
 	}
 	for i := range instances {
 		f.instances = append(f.instances, scheduler.New(f.svc))
-		f.instances[i].SetServers(f.servers)
+		f.instances[i].SetServers(0, f.servers)
 		f.setRank(i, i, instances)
 		f.instances[i].Tick(0)
 	}
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -60,7 +60,7 @@
 		server:     sv,
 		request:    req,
 		grantedAt:  now,
-		listing:    sv.listing,
+		listing:    sv.incarnation.Listing(),
 		missTokens: promptTokens(req) - cached,
 	}
 	s.granted[req.ID] = g
@@ -85,6 +85,9 @@
 		PromptTokens:     promptTokens(req),
 		Limit:            sv.serverLimit.Statement(now),
 	}
+	if at, known := sv.incarnation.ServedAt(); known {
+		d.ServedAgo = max(now-at, time.Millisecond)
+	}
 	if len(req.Parts) > 0 {
 		g.beginRead()
 		sv.cache.Use(req.Parts)
--- a/internal/routing/scheduler/replaced_test.go
+++ b/internal/routing/scheduler/replaced_test.go
@@ -45,7 +45,7 @@
 			JoinedMs:  joinedMs,
 		})
 	}
-	s.scheduler.SetServers(list)
+	s.scheduler.SetServers(0, list)
 }
 
 func (s *replacedService) place(tried ...string) (scheduler.Decision, uint64) {
--- a/internal/routing/scheduler/requestcrash_test.go
+++ b/internal/routing/scheduler/requestcrash_test.go
@@ -68,7 +68,7 @@
 			})
 		}
 	}
-	f.s.SetServers(out)
+	f.s.SetServers(0, out)
 }
 
 // crash ends a server with all requests there.
--- a/internal/routing/scheduler/requestcrashdeciders_test.go
+++ b/internal/routing/scheduler/requestcrashdeciders_test.go
@@ -70,7 +70,7 @@
 			Accepting: true,
 		})
 	}
-	s.SetServers(servers)
+	s.SetServers(0, servers)
 	return s
 }
 
@@ -269,7 +269,7 @@
 		before = append(before, q.FailedTrials)
 	}
 	d.now += 20 * time.Second
-	d.schedulers[0].SetServers(nil) // all servers are down when the trial is due
+	d.schedulers[0].SetServers(0, nil) // all servers are down when the trial is due
 	require.False(t, d.send(0, scheduler.Down))
 	d.now += 2 * time.Minute
 	require.False(t, d.send(0, scheduler.Down))
--- a/internal/routing/scheduler/requestcrashinnocent_test.go
+++ b/internal/routing/scheduler/requestcrashinnocent_test.go
@@ -61,7 +61,7 @@
 				})
 			}
 		}
-		s.SetServers(out)
+		s.SetServers(0, out)
 	}
 	id, crashes := uint64(0), 0
 	var lastCrash time.Duration
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -53,7 +53,7 @@
 	"camphorspoke/internal/routing/brittle"
 	"camphorspoke/internal/routing/calibration"
 	"camphorspoke/internal/routing/crashsuspect"
-	"camphorspoke/internal/routing/departure"
+	"camphorspoke/internal/routing/incarnation"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/quarantine"
 	"camphorspoke/internal/routing/retrybudget"
@@ -107,8 +107,12 @@
 	// memoryBlocks is true if a queued request was not granted for that reason when the queue
 	// was processed last. Requests that need less are then granted ahead of the queue.
 	memoryBlocks bool
-	// departures holds the servers that have announced that they leave.
-	departures departure.Tracker
+	// leaving is the number of listed servers that have announced that they leave. departures holds those
+	// that have done so since the last TakeDepartures, restarts the new incarnations since the last
+	// TakeRestarts.
+	leaving    int
+	departures []string
+	restarts   []Restart
 	// evacuated holds the evacuated failure domains of the listed servers.
 	evacuated map[string]bool
 	// pausedUntil is the end of the last pause that a server has asked for.
@@ -139,7 +143,7 @@
 	request   Request
 	grantedAt time.Duration
 	// listing identifies the incarnation of the server at the time of the grant.
-	listing departure.Listing
+	listing incarnation.Listing
 	// missTokens are the prompt tokens that were not cached at the time of the grant.
 	missTokens int
 	// startedAt is when the response began, if started is true.
@@ -191,9 +195,8 @@
 
 // SetServers replaces the list of servers. A server that is no longer listed stops
 // accepting requests, and is dropped by the first call at which no requests run there.
-func (s *Scheduler) SetServers(list []Server) {
+func (s *Scheduler) SetServers(now time.Duration, list []Server) {
 	listed := make(map[string]bool)
-	s.updateDepartures(list)
 	s.updateEvacuated(list)
 	var servers []*server
 	for _, l := range list {
@@ -204,14 +207,22 @@
 			s.servers[l.Name] = sv
 			s.inheritLimit(sv, l)
 		}
-		s.recordColdListing(sv, l)
-		s.recordLimitListing(sv, l)
-		sv.applyListing(l)
-		sv.accepting = sv.accepting && !s.departures.Leaving(l.Name)
+		known := sv.listed
+		evidence := sv.incarnation.List(now, l.incarnationListing())
+		sv.applyEntry(l)
+		if evidence != incarnation.None {
+			sv = s.replace(now, sv, evidence)
+		}
+		s.recordColdListing(sv, l, known)
+		sv.serverLimit.shares = &s.limitShares
 		sv.setService(s.svc)
 		servers = append(servers, sv)
 	}
 	s.listedServers = servers
+	for _, sv := range servers {
+		sv.accepting = sv.entry.Accepting && !sv.incarnation.Leaving()
+	}
+	s.countLeaving()
 	for name, sv := range s.servers {
 		if listed[name] {
 			continue
@@ -321,8 +332,9 @@
 		s.dequeue(id)
 		return nil
 	}
-	s.recordPause(now, g.server, g.request.Instance, r.RetryAfter)
-	s.recordDeparture(g.server, r)
+	r = s.withoutOutdated(g, r)
+	s.recordIncarnation(now, g, r)
+	s.recordPause(now, s.present(g), g.request.Instance, r.RetryAfter)
 	s.recordColdReport(now, g, r)
 	s.recordLimitReport(now, g, r)
 	s.recordBrittle(now, g, r)
--- a/internal/routing/scheduler/scheduler_test.go
+++ b/internal/routing/scheduler/scheduler_test.go
@@ -39,7 +39,7 @@
 			Accepting: true,
 		})
 	}
-	s.SetServers(servers)
+	s.SetServers(0, servers)
 	return servers
 }
 
@@ -224,13 +224,13 @@
 func TestClosedServersGetNothing(t *testing.T) {
 	s, servers := newEngineScheduler(2)
 	servers[0].Accepting = false
-	s.SetServers(servers)
+	s.SetServers(0, servers)
 	for id := uint64(1); id <= 8; id++ {
 		d, ok := s.Schedule(0, scheduler.Request{ID: id, Parts: prompt(id, 100+id), MaxWait: time.Second})
 		require.True(t, ok)
 		require.Equal(t, "e1", d.Server)
 	}
-	s.SetServers(nil)
+	s.SetServers(0, nil)
 	d, ok := s.Schedule(0, scheduler.Request{ID: 99, MaxWait: time.Second})
 	require.True(t, ok)
 	require.Equal(t, scheduler.NoServer, d.Refusal)
@@ -327,7 +327,7 @@
 			case 3:
 				i := rapid.IntRange(0, n-1).Draw(rt, "server")
 				servers[i].Accepting = !servers[i].Accepting
-				s.SetServers(servers)
+				s.SetServers(0, servers)
 			}
 			recordQueued(s.Tick(now))
 			for w, deadline := range deadlines {
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"camphorspoke/internal/routing/brittle"
-	"camphorspoke/internal/routing/departure"
+	"camphorspoke/internal/routing/incarnation"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/pushback"
 	"camphorspoke/internal/routing/ratelimit"
@@ -75,9 +75,11 @@
 	// version is the version of the server's software.
 	version   string
 	accepting bool
-	// listed is true while the server is listed, and listing identifies its incarnation.
-	listed  bool
-	listing departure.Listing
+	// listed is true while the server is listed, and entry is what the list has shown last.
+	listed bool
+	entry  Server
+	// incarnation holds what is known of the incarnation that this record is of.
+	incarnation incarnation.State
 	// candidateRound is the last round in which the server became a candidate.
 	candidateRound uint64
 	// running is the number of granted requests that have not ended.
@@ -143,13 +145,10 @@
 	}
 }
 
-func (sv *server) applyListing(l Server) {
-	if sv.replacedUntil > 0 && !sv.listing.SameIncarnation(l.departureListing()) {
-		sv.otherAnswers, sv.replacedUntil, sv.unresponsive = 0, 0, false
-	}
-	sv.listed = true
-	sv.accepting, sv.domain, sv.listedSlots, sv.version = l.Accepting, l.FailureDomain, l.Slots, l.Version
-	sv.listing = l.departureListing()
+// applyEntry takes over what the list shows of the server.
+func (sv *server) applyEntry(l Server) {
+	sv.listed, sv.entry = true, l
+	sv.domain, sv.listedSlots, sv.version = l.FailureDomain, l.Slots, l.Version
 }
 
 func (sv *server) setService(svc Service) {
--- a/internal/routing/scheduler/serverlimit.go
+++ b/internal/routing/scheduler/serverlimit.go
@@ -98,7 +98,7 @@
 // recordLimitReport takes from a report what the server says of its limit. That of an earlier
 // incarnation says nothing of this one.
 func (s *Scheduler) recordLimitReport(now time.Duration, g *grant, r Report) {
-	if g.listing.SameIncarnation(g.server.listing) {
+	if g.listing.Same(g.server.incarnation.Listing()) {
 		s.observeLimit(now, g.server, g.grantedAt, r.Limit)
 	}
 }
@@ -111,20 +111,11 @@
 	}
 }
 
-// recordLimitListing keeps the limit of a server of which the list shows another incarnation
-// until that one answers: its process may have lived on.
-func (s *Scheduler) recordLimitListing(sv *server, l Server) {
-	sv.serverLimit.shares = &s.limitShares
-	if !sv.listing.SameIncarnation(l.departureListing()) {
-		sv.serverLimit.Limit = sv.serverLimit.Limit.Unconfirmed()
-	}
-}
-
 // inheritLimit gives a server that is new in the list the limit and the grants of the one that
 // was listed at its address before under another name.
 func (s *Scheduler) inheritLimit(sv *server, l Server) {
 	for _, o := range s.listedServers {
-		if l.Address != "" && o.listing.Address == l.Address && o.name != l.Name {
+		if l.Address != "" && o.entry.Address == l.Address && o.name != l.Name {
 			sv.serverLimit.Limit, sv.grants = o.serverLimit.Limit.Unconfirmed(), o.grants.Clone()
 			return
 		}
--- a/internal/routing/scheduler/serverlimit_test.go
+++ b/internal/routing/scheduler/serverlimit_test.go
@@ -114,7 +114,7 @@
 				f.limits[f.servers[i].Name] = 2
 			}
 			for _, s := range f.instances {
-				s.SetServers(f.servers)
+				s.SetServers(0, f.servers)
 			}
 			for len(f.running) > 0 {
 				f.step()
--- a/internal/routing/scheduler/serverlimitwait_test.go
+++ b/internal/routing/scheduler/serverlimitwait_test.go
@@ -64,13 +64,13 @@
 			f.servers[0].Address = "e0:1"
 			f.svc.Slots = 100
 			f.setRank(0, 0, 1)
-			f.instances[0].SetServers(f.servers)
+			f.instances[0].SetServers(0, f.servers)
 			f.run(10, time.Second)
 			f.limits["e0"], f.limits[name] = 8, 8
 			f.run(60, 6*time.Second)
 			require.Equal(t, 1, f.instances[0].LimitedServers())
 			f.servers[0].Name, f.servers[0].JoinedMs = name, 2
-			f.instances[0].SetServers(f.servers)
+			f.instances[0].SetServers(0, f.servers)
 			from := f.now
 			for range 200 {
 				f.request(0, scheduler.Request{Tried: []string{"e1"}})
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"camphorspoke/internal/routing/brittle"
+	"camphorspoke/internal/routing/incarnation"
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/serverlimit"
 )
@@ -177,6 +178,18 @@
 	RereadTokens int
 	// Limit is what the server has stated of its limit, as far as the scheduler has received it.
 	Limit serverlimit.Statement
+	// ServedAgo is how long ago, at least, the latest connection was opened on which the server has answered
+	// without announcing that it leaves; zero if unknown.
+	ServedAgo time.Duration
+}
+
+// incarnationListing returns what identifies the incarnation of the server.
+func (l Server) incarnationListing() incarnation.Listing {
+	return incarnation.Listing{
+		Address:  l.Address,
+		JoinedMs: l.JoinedMs,
+		Leaving:  l.Leaving,
+	}
 }
 
 // Event is the kind of event that a Report gives for a granted request.
@@ -220,8 +233,15 @@
 	// RetryAfter is for how long the server has asked the instance that reports to send
 	// it nothing; zero if it has not.
 	RetryAfter time.Duration
-	// Leaving is true if the server announced that it leaves.
-	Leaving bool
+	// Leaving is true if the server announced that it leaves. LeavingAt is when this was received; if zero,
+	// when it was reported.
+	Leaving   bool
+	LeavingAt time.Duration
+	// Opened is when the connection was opened on which the server has run the request and has not
+	// announced that it leaves; zero if unknown.
+	Opened time.Duration
+	// JoinedMs is the time of joining of the server as the instance has it that reports; zero if unknown.
+	JoinedMs int64
 	// ColdFor is for how long the server announced to stay cold; zero if it did not.
 	ColdFor time.Duration
 	// Limit is what the response says of the limit of its server.
