A stop ends whatever the peers of connections do

With an operator's connection that hung, the end could take 2 s.

Cause: a gRPC server that stops waits for the connections whose first bytes it awaits, 120 s each, and closes only those that it has accepted as such. The operators' server gave its calls 2 s, more than the 0.7 s that the end of an entry instance has.

Change: the listeners of both gRPC servers keep track of their connections, which are closed with the calls in progress. The first bytes have to come within 5 s in service too.

--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -271,10 +271,14 @@
 }
 
 // serveGRPC serves s until the instance is cleaned up, which waits up to
-// grpcStopTimeout for calls in progress.
+// callsTimeout for calls in progress and then closes all connections: whatever their peers do, the
+// server stops.
 func (in *instance) serveGRPC(s *grpc.Server, l net.Listener) {
+	tracked := &link.TrackedListener{
+		Listener: l,
+	}
 	go func() {
-		if err := s.Serve(l); err != nil {
+		if err := s.Serve(tracked); err != nil {
 			in.serveErrors <- fault.Wrap(fault.Internal, l.Addr().String(), err)
 		}
 	}()
@@ -286,16 +290,17 @@
 		}()
 		select {
 		case <-stopped:
-		case <-time.After(in.grpcStopTimeout()):
+		case <-time.After(in.callsTimeout()):
+			tracked.CloseConnections()
 			s.Stop()
 		}
 	})
 }
 
-// grpcStopTimeout returns how long calls from other instances may take to finish. It
+// callsTimeout returns how long calls from other instances and operators may take to finish. It
 // is short on an entry instance, which has to stop within a fixed time and whose
 // peers retry elsewhere.
-func (in *instance) grpcStopTimeout() time.Duration {
+func (in *instance) callsTimeout() time.Duration {
 	if in.entry != nil {
 		return entryStopTimeout
 	}
@@ -417,7 +422,7 @@
 		}
 	}()
 	in.onCleanUp(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), in.callsTimeout())
 		defer cancel()
 		if s.Shutdown(ctx) != nil {
 			s.Close()
--- a/internal/edge/link/link.go
+++ b/internal/edge/link/link.go
@@ -40,6 +40,8 @@
 	maxRedialDelay = 400 * time.Millisecond
 	// connectTimeout is the minimum time gRPC allows a connection attempt.
 	connectTimeout = 700 * time.Millisecond
+	// handshakeTimeout is how long a gRPC server waits for the first bytes of a connection.
+	handshakeTimeout = 5 * time.Second
 	// dialTimeout and keepAliveInterval are those of http.DefaultTransport.
 	dialTimeout       = 30 * time.Second
 	keepAliveInterval = 30 * time.Second
@@ -153,5 +155,6 @@
 	return grpc.NewServer(append([]grpc.ServerOption{
 		grpc.ReadBufferSize(grpcBufferBytes),
 		grpc.WriteBufferSize(grpcBufferBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
 	}, opts...)...)
 }
