A stream holds events of one version also after a crash

Cause: the version of a server was that of the last list, whatever had happened to the server since. A stream went on at it by that version, and one that began there was recorded with it.

Change: the version of a server is unknown from when it has gone down until a list that was read after its first answer, by more than the lag of the list, names it. The control group says in its answers to heartbeats when the list was read whole. While the version is unknown, no stream goes on there, and one that begins there is recorded as of unknown version until the list names that of the process behind its connection, which proves that it is still the same one. Crashes are told to the instances that decide next, also those of streams. A decider that was frozen leaves streams that go on to the next one until the list has been read since. Requests that need no version find the server as before.

--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -96,6 +96,10 @@
 	// listPartial is set while a part of the list can't be read; it too is used by
 	// platformLoop only.
 	listPartial bool
+	// listReadAt is when the last read of the whole list was begun whose changes are committed, and
+	// listReadTerm the term in which it was.
+	listReadAt   time.Duration
+	listReadTerm uint64
 
 	mu     sync.Mutex
 	term   uint64 // the term to which the tables below belong
@@ -232,6 +236,8 @@
 
 		Term:  m.term,
 		Loads: m.otherLoads(now, h, row.Loads),
+
+		ListAgeMs: m.listAge(now),
 	}
 	if changes.Len() > maxHeartbeatRows {
 		resp.Index, resp.Servers, resp.Instances, resp.Whole = req.GetSeenIndex(), nil, nil, false
--- a/internal/control/manager/partiallist_test.go
+++ b/internal/control/manager/partiallist_test.go
@@ -89,7 +89,7 @@
 }
 
 // runManager runs a manager over a list, with a control group of one replica, until stop is called.
-func runManager(t *testing.T, list *partialList) (r *replica.Replica, stop func()) {
+func runManager(t *testing.T, list *partialList) (r *replica.Replica, m *manager.Manager, stop func()) {
 	t.Helper()
 	started := time.Now()
 	r, stopReplica, err := replica.Start(replica.Config{
@@ -103,25 +103,53 @@
 		Logger:  discardLogger(),
 	})
 	require.NoError(t, err)
-	_, stopManager := manager.Start(manager.Config{
+	m, stopManager := manager.Start(manager.Config{
 		Replica:          r,
 		Platform:         list,
 		Logger:           discardLogger(),
 		WithoutOwnership: true,
 	})
-	return r, func() {
+	return r, m, func() {
 		stopManager()
 		stopReplica()
 	}
 }
 
+// TestHeartbeatsSayHowOldTheListIs guards against instances that take a version for known by a list that was
+// not read: one that can't be read in part says nothing of the servers in it.
+func TestHeartbeatsSayHowOldTheListIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &partialList{}
+		list.set(false, listed("a", false))
+		_, m, stop := runManager(t, list)
+		defer stop()
+		age := func() time.Duration {
+			resp, err := m.Heartbeat(t.Context(), &pb.HeartbeatRequest{
+				Instance:    "e1",
+				Incarnation: 1,
+			})
+			require.NoError(t, err)
+			return time.Duration(resp.GetListAgeMs()) * time.Millisecond
+		}
+		time.Sleep(20 * time.Second)
+		require.NotZero(t, age())
+		require.Less(t, age(), 5*time.Second)
+		list.set(true)
+		time.Sleep(20 * time.Second)
+		require.Greater(t, age(), 15*time.Second)
+		list.set(false, listed("a", false), listed("b", false))
+		time.Sleep(10 * time.Second)
+		require.Less(t, age(), 5*time.Second)
+	})
+}
+
 // TestServerThatIsReadyAgainHasJoinedAgain guards against instances that don't find out that a server has
 // restarted, as they have not read the list while it showed the server as leaving.
 func TestServerThatIsReadyAgainHasJoinedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		list := &partialList{}
 		list.set(false, listed("a", false), listed("b", false))
-		r, stop := runManager(t, list)
+		r, _, stop := runManager(t, list)
 		defer stop()
 		time.Sleep(20 * time.Second)
 		joined := r.Ledger.Server("a").GetJoinedMs()
@@ -147,7 +175,7 @@
 		a, b := listed("a", false), listed("b", false)
 		a.Version = "v1"
 		list.set(false, a, b)
-		r, stop := runManager(t, list)
+		r, _, stop := runManager(t, list)
 		defer stop()
 		time.Sleep(20 * time.Second)
 		require.Equal(t, "v1", r.Ledger.Server("a").GetVersion())
--- a/internal/control/manager/platform.go
+++ b/internal/control/manager/platform.go
@@ -65,6 +65,7 @@
 func (m *Manager) syncServers(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	begun := m.cfg.Replica.Now()
 	listed, err := m.cfg.Platform.List(ctx)
 	partial := fault.KindOf(err) == fault.PartialList
 	m.recordPartialList(partial)
@@ -79,6 +80,7 @@
 	}
 	rows, missing := m.listChanges(listed, partial)
 	if len(rows) == 0 {
+		m.recordListRead(begun, partial)
 		return missing
 	}
 	for _, r := range rows {
@@ -92,13 +94,15 @@
 			"version": r.GetVersion(),
 		}).Info("control: a backend server changed in the platform's list")
 	}
-	m.proposeAndLog(ctx, &pb.Command{
+	if m.proposeAndLog(ctx, &pb.Command{
 		Kind: &pb.Command_UpdateServers{
 			UpdateServers: &pb.UpdateServers{
 				Servers: rows,
 			},
 		},
-	})
+	}) {
+		m.recordListRead(begun, partial)
+	}
 	return true
 }
 
@@ -250,12 +254,34 @@
 
 // proposeAndLog proposes c and only logs a failure: the loops that call it
 // propose again what is still due.
-func (m *Manager) proposeAndLog(ctx context.Context, c *pb.Command) {
+func (m *Manager) proposeAndLog(ctx context.Context, c *pb.Command) (committed bool) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	if _, err := m.cfg.Replica.Propose(ctx, c); err != nil {
+	_, err := m.cfg.Replica.Propose(ctx, c)
+	if err != nil {
 		m.cfg.Logger.WithError(err).Warn("control: proposing a command failed; it may still be committed")
 	}
+	return err == nil
+}
+
+// recordListRead records that all of the list was read, from a time on, and that the rows show it. A partial
+// list does not count.
+func (m *Manager) recordListRead(begun time.Duration, partial bool) {
+	if partial {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listReadAt, m.listReadTerm = begun, m.term
+}
+
+// listAge returns how long ago the last read of the whole list was begun by this leader in its term, in
+// milliseconds, at least one; zero if there was none. The caller holds mu.
+func (m *Manager) listAge(now time.Duration) uint32 {
+	if m.listReadAt == 0 || m.listReadTerm != m.term {
+		return 0
+	}
+	return uint32(max((now - m.listReadAt + time.Millisecond - 1).Milliseconds(), 1))
 }
 
 // orderLoop sends the open orders to their engines. A new leader sends them
--- a/internal/daemon/ingress/attempts.go
+++ b/internal/daemon/ingress/attempts.go
@@ -140,7 +140,7 @@
 
 // mayRetry reports whether the request may be sent again.
 func (c *call) mayRetry(result exchangeResult, unreachable int) bool {
-	if c.ctx.Err() != nil || !c.repeatAllowed() {
+	if c.ctx.Err() != nil || !c.repeatAllowed() || c.versionUnknown {
 		return false
 	}
 	switch result {
--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -229,7 +229,7 @@
 // caller has disconnected.
 func (c *call) writeEvents(resp *backend.Response, b []byte) bool {
 	if c.grant != nil {
-		c.version = c.grant.Version
+		c.version, c.versionUnknown = c.grant.Version, !c.grant.ConfirmVersion(resp.Opened())
 	}
 	c.sendHeader(resp)
 	if _, err := c.w.Write(b); err != nil {
--- a/internal/daemon/ingress/env_test.go
+++ b/internal/daemon/ingress/env_test.go
@@ -312,7 +312,12 @@
 }
 
 func (e *testEnv) backend(name string, respond responder) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return e.backendAt("127.0.0.1:0", name, respond)
+}
+
+// backendAt is like backend, at an address.
+func (e *testEnv) backendAt(address, name string, respond responder) string {
+	l, err := net.Listen("tcp", address)
 	require.NoError(e.t, err)
 	e.t.Cleanup(func() { l.Close() })
 	go func() {
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -170,8 +170,10 @@
 	// stream identifies a stream that its caller may take up again; zero for other requests.
 	stream uint64
 	// version is the version of the server's software that began the stream; empty until its
-	// first event, or if it is unknown. The stream goes on at this version only.
-	version string
+	// first event, or if servers have none. The stream goes on at this version only, and nowhere while
+	// versionUnknown is true.
+	version        string
+	versionUnknown bool
 	// headerSent is true once the response header was written to the caller.
 	headerSent bool
 	// status is the status code that was relayed, zero if none was.
--- a/internal/daemon/ingress/streamversion_test.go
+++ b/internal/daemon/ingress/streamversion_test.go
@@ -40,17 +40,19 @@
 func newVersionEnv(t *testing.T, attempts int, versions ...string) *testEnv {
 	t.Helper()
 	e := &testEnv{
-		t:           t,
-		slots:       4,
-		versions:    versions,
-		retryWindow: 10 * time.Second,
-		retryRatio:  1,
-		retrySlack:  1000,
+		t: t,
 	}
 	var addresses []string
 	for i, version := range versions {
 		addresses = append(addresses, e.backend(fmt.Sprintf("b%d", i), versionedStream(version)))
 	}
+	return e.startVersions(attempts, versions, addresses)
+}
+
+// startVersions starts the instance of newVersionEnv, whose list shows the given versions at the addresses.
+func (e *testEnv) startVersions(attempts int, versions, addresses []string) *testEnv {
+	e.slots, e.versions = 4, versions
+	e.retryWindow, e.retryRatio, e.retrySlack = 10*time.Second, 1, 1000
 	rules := strings.Replace(ruleTextWithKey(), "kind=stream to=s timeout=2s attempts=2 resume=yes", fmt.Sprintf("kind=stream to=s timeout=2s attempts=%d resume=yes", attempts), 1)
 	return e.start(rules, addresses)
 }
@@ -106,6 +108,44 @@
 	require.GreaterOrEqual(t, complete, 15, "two servers of each version are up, so that nearly all streams can go on")
 }
 
+// TestStreamBegunAtAServerThatIsBackIsNotMixed guards against a stream with events of two versions after a
+// server has gone down and is back with another one, which the list does not show yet: neither does a
+// stream of the version in the list go on there, nor one that begins there elsewhere. Requests find the
+// server at once.
+func TestStreamBegunAtAServerThatIsBackIsNotMixed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	back := l.Addr().String()
+	require.NoError(t, l.Close())
+	e := &testEnv{
+		t: t,
+	}
+	e.startVersions(3, []string{"v1", "v1", "v1"}, []string{back, e.backend("b1", versionedStream("v1")), e.backend("b2", versionedStream("v1"))})
+	take := func(n int) string {
+		first := fmt.Sprintf("first%d", n)
+		_, body, err := e.do("/chat/", "Id", first)
+		if err == nil {
+			return body
+		}
+		last := strings.Count(body, "id: ")
+		_, more, _ := e.do("/chat/", "Resumes", first, "Last", fmt.Sprint(last))
+		return body + more
+	}
+	for n := range 10 {
+		require.Equal(t, []string{"v1"}, versionsIn(take(n)))
+	}
+	e.backendAt(back, "back", versionedStream("v2"))
+	begun := make(map[string]int)
+	for n := range 40 {
+		versions := versionsIn(take(100 + n))
+		require.Len(t, versions, 1)
+		begun[versions[0]]++
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.NotZero(t, begun["v1"])
+	require.NotZero(t, begun["v2"], "the server is back")
+}
+
 // TestStreamOfUnknownVersionIsRefused: a caller takes up a stream that no instance remembers. While
 // servers of two versions serve it is refused as not run and reaches no server; while all have
 // one version it goes on, as a restart of all instances must not cost each stream.
--- a/internal/daemon/membership/await_test.go
+++ b/internal/daemon/membership/await_test.go
@@ -31,6 +31,8 @@
 	availableFrom time.Time
 	// tablesFrom is when the replicas begin to serve the tables.
 	tablesFrom time.Time
+	// listAgeMs is how old the list is at each heartbeat.
+	listAgeMs uint32
 }
 
 func (l leader) Heartbeat(_ context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
@@ -44,7 +46,8 @@
 		}, nil
 	}
 	resp := &pb.HeartbeatResponse{
-		Index: 2,
+		Index:     2,
+		ListAgeMs: l.listAgeMs,
 	}
 	if !l.tablesFrom.IsZero() {
 		resp.Servers = []*pb.BackendServer{{
@@ -158,3 +161,24 @@
 		require.Less(t, time.Since(start), 450*time.Millisecond)
 	})
 }
+
+// TestListReadAt: the age of the list counts from when the heartbeat was sent, as its answer may have been
+// under way for as long. Without an age it is unknown.
+func TestListReadAt(t *testing.T) {
+	for _, age := range []uint32{0, 700} {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			a, stop := startAgent(start, leader{
+				listAgeMs: age,
+			})
+			defer stop()
+			time.Sleep(10 * time.Second)
+			if age == 0 {
+				require.Zero(t, a.ListReadAt())
+				return
+			}
+			require.LessOrEqual(t, a.ListReadAt(), time.Since(start)-answerTime-700*time.Millisecond)
+			require.Greater(t, a.ListReadAt(), time.Since(start)-3*time.Second)
+		})
+	}
+}
--- a/internal/daemon/membership/heartbeat.go
+++ b/internal/daemon/membership/heartbeat.go
@@ -88,6 +88,7 @@
 		return false
 	}
 	next := a.changeView(func() (old, next *view.View) { return a.applyHeartbeat(sent, req, resp) })
+	a.recordListAge(sent, resp)
 	if a.cfg.OnControlAddresses != nil {
 		a.cfg.OnControlAddresses(resp.GetControlAddresses())
 	}
@@ -106,6 +107,25 @@
 	return true
 }
 
+// recordListAge records how old the list is that the view shows by now. The answer to a heartbeat that
+// was sent at a time may have been under way for as long as the heartbeat, so its age counts from then.
+func (a *Agent) recordListAge(sent time.Duration, resp *pb.HeartbeatResponse) {
+	if resp.GetTablesBehind() || resp.GetListAgeMs() == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.listReadAt = max(a.listReadAt, sent-time.Duration(resp.GetListAgeMs())*time.Millisecond)
+}
+
+// ListReadAt returns a time by which the platform's list was read whole that the view shows; zero if
+// unknown.
+func (a *Agent) ListReadAt() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.listReadAt
+}
+
 // changeView calls apply, which returns the view before and after it, and then
 // OnViewChange if the view has changed. Views change one at a time, so that
 // OnViewChange is called in their order.
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -120,6 +120,8 @@
 	freshUntil time.Duration
 	// confirmed is closed and replaced each time the rules are confirmed.
 	confirmed chan struct{}
+	// listReadAt is a time by which the platform's list was read that the view shows; zero if unknown.
+	listReadAt time.Duration
 	// failing is true if a heartbeat has ended without a confirmation since the last one;
 	// failingSince is when the first such heartbeat ended.
 	failing      bool
--- a/internal/daemon/placer/crashes.go
+++ b/internal/daemon/placer/crashes.go
@@ -13,9 +13,14 @@
 const notedDeciders = 3
 
 // noteCrash tells the other instances that may decide for the service that the server of the grant
-// has crashed.
-func (g *Grant) noteCrash() {
-	if g.fingerprint == 0 {
+// has crashed: its version is unknown from now on, and the request may be the cause if its caller has
+// had no answer.
+func (g *Grant) noteCrash(answered bool) {
+	fingerprint := g.fingerprint
+	if answered {
+		fingerprint = 0
+	}
+	if fingerprint == 0 && g.Version == "" {
 		return
 	}
 	p := g.p
@@ -30,7 +35,7 @@
 			Crash: &pb.PlaceCrash{
 				Service:       g.service,
 				BackendServer: g.Server,
-				Fingerprint:   g.fingerprint,
+				Fingerprint:   fingerprint,
 				SentAgoMs:     uint32((p.cfg.Now() - g.sentAt).Milliseconds()),
 			},
 		})
--- a/internal/daemon/placer/grant.go
+++ b/internal/daemon/placer/grant.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/routing/streamversion"
 )
 
 // Grant is the permission to send one request to a backend server.
@@ -14,6 +15,9 @@
 	Address string
 	// Version is the version of the server's software; empty if the platform states none.
 	Version string
+	// VersionUnknown is true if the server may have started anew since the list showed Version; see
+	// ConfirmVersion.
+	VersionUnknown bool
 	// Stream identifies the stream of the request, if its caller may take it up again; zero for
 	// other requests. It is recorded with Version when the server begins its response.
 	Stream uint64
@@ -72,8 +76,8 @@
 	if g.stream != nil {
 		g.stream.report(g.p.cfg.Now(), g.remoteID, r, begun)
 	}
-	if r.Event == scheduler.Down && !r.Answered {
-		g.noteCrash()
+	if r.Event == scheduler.Down {
+		g.noteCrash(r.Answered)
 	}
 }
 
@@ -83,14 +87,18 @@
 	version string
 }
 
-// begunStream returns the stream that begins with an event, if its version is known.
+// begunStream returns the stream that begins with an event, if servers have versions.
 func (g *Grant) begunStream(e scheduler.Event) begunStream {
 	if e != scheduler.Started || g.Stream == 0 || g.Version == "" {
 		return begunStream{}
 	}
+	version := g.Version
+	if g.VersionUnknown {
+		version = streamversion.Unknown
+	}
 	return begunStream{
 		stream:  g.Stream,
-		version: g.Version,
+		version: version,
 	}
 }
 
--- a/internal/daemon/placer/hedge.go
+++ b/internal/daemon/placer/hedge.go
@@ -88,7 +88,7 @@
 	}
 	u := p.unavailable(g.service, g.Server)
 	u.limit = p.unreportedLimit(g)
-	u.otherVersion = version != "" && g.Version != version
+	u.otherVersion = p.hasOtherVersion(g, version)
 	if u.any() {
 		p.withdraw(g, u)
 		return hedgeFault(g.service, "the chosen backend server has asked for a pause, named a limit, leaves, is evacuated or has another version")
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -107,6 +107,9 @@
 	// CacheReader queries engines for the prefixes that they have cached; nil if the
 	// engines do not support it.
 	CacheReader edge.CacheReader
+	// ListReadAt returns a time by which the platform's list was read that the last view shows, zero if
+	// unknown; it may be nil.
+	ListReadAt func() time.Duration
 	// CheckHealth asks a server of a service, on a new connection, how it is. It returns false if the server
 	// does not answer. It may be nil.
 	CheckHealth func(service, address string) (edge.Health, bool)
@@ -187,6 +190,7 @@
 			}
 			last = now
 			p.schedulers.recordTick(now)
+			p.schedulers.recordListRead()
 			p.schedulers.tick()
 			p.schedulers.checkHealth()
 			p.flushStandbys()
@@ -256,13 +260,15 @@
 			return nil, err
 		}
 		u := p.unavailable(service, g.Server)
-		u.otherVersion = req.Version != "" && g.Version != req.Version
+		u.otherVersion = p.hasOtherVersion(g, req.Version)
 		if withdrawnForLimit == 0 && n < maxPlacements-1 {
 			// Once at most, so that a disagreement on a limit refuses no request.
 			u.limit = p.unreportedLimit(g)
 		}
 		if !u.any() {
 			g.Waited = p.cfg.Now() - start
+			// What a request is bound to is known; what it begins need not be, by an outdated view.
+			g.VersionUnknown = g.VersionUnknown || req.Version == "" && g.Version != "" && !p.schedulers.viewIsCurrent()
 			return g, nil
 		}
 		if u.limit.Named {
@@ -368,6 +374,7 @@
 	}
 	g.Decision, g.Address, g.Version, g.Decider = d, s.GetAddress(), s.GetVersion(), decider
 	g.joinedMs = s.GetJoinedMs()
+	g.VersionUnknown = s.GetVersion() != "" && (d.VersionUnknown || !p.schedulers.versionKnown(g.service, d.Server))
 	g.sentAt = p.cfg.Now()
 	g.FetchAddress = ""
 	if from := p.view.Servers[d.FetchFrom]; from != nil && !from.GetGone() {
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -54,6 +54,8 @@
 	// now is the clock of the instance. frozenFor is added to it, as after a freeze.
 	now       func() time.Duration
 	frozenFor atomic.Int64
+	// listReadAt is a time by which the list was read, on the clock of the instance.
+	listReadAt atomic.Int64
 	// serving makes all servers answer its health checks that they serve; healthChecks counts these.
 	serving      atomic.Bool
 	healthChecks atomic.Int32
@@ -175,6 +177,7 @@
 			Peers:       peers,
 			Versions:    peers,
 			CacheReader: c,
+			ListReadAt:  func() time.Duration { return time.Duration(in.listReadAt.Load()) },
 			CheckHealth: in.checkHealth,
 			Record:      record,
 			Logger:      log,
--- a/internal/daemon/placer/refusal.go
+++ b/internal/daemon/placer/refusal.go
@@ -15,6 +15,13 @@
 	switch d.Refusal {
 	case scheduler.NoServer, "":
 		kind = fault.NoEngine
+	case scheduler.VersionUnknown:
+		return &fault.Fault{
+			Kind:       fault.StreamVersionUnknown,
+			Subject:    service,
+			Advice:     "servers of the version that began the stream may have started anew with another one",
+			RetryAfter: d.RetryAfter,
+		}
 	case scheduler.RetryBudget:
 		kind = fault.RetryBudget
 	case scheduler.TooLarge:
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -78,6 +78,8 @@
 	// their health.
 	freezes  freezes
 	healthAt time.Duration
+	// listReadAt is a time by which the list was read that was applied last; zero if unknown.
+	listReadAt time.Duration
 	// changes holds the changes of quarantines that are not recorded yet.
 	changes chan *pb.Quarantine
 	// entitled reports whether this instance is one of the deciders of a service by its own
@@ -292,7 +294,8 @@
 	d.nextID++
 	req.ID = d.nextID
 	s := d.services[service]
-	if s == nil {
+	if s == nil || req.Version != "" && !d.missedNothing() {
+		// Another instance may know.
 		answer(scheduler.Decision{
 			ID:      req.ID,
 			Refusal: scheduler.NoServer,
--- a/internal/daemon/placer/streams.go
+++ b/internal/daemon/placer/streams.go
@@ -156,14 +156,19 @@
 // states that the view of this instance was confirmed lately.
 func (p *Placer) StreamVersion(ctx context.Context, service string, stream uint64, viewConfirmed bool) (version string, known bool) {
 	if stream != 0 {
-		if version, known = p.schedulers.StreamVersion(service, stream); known {
+		if version, known = p.schedulers.StreamVersion(service, stream); known && version != streamversion.Unknown {
 			return version, true
 		}
+		// The version may have been found out since, elsewhere.
+		begunUnknown := known
 		if version, known = p.queryVersion(ctx, service, stream); known {
-			return version, true
+			return version, version != streamversion.Unknown
+		}
+		if begunUnknown {
+			return "", false
 		}
 	}
-	if !viewConfirmed {
+	if !viewConfirmed || !p.schedulers.versionsKnown(service) {
 		return "", false
 	}
 	since := time.Now().Add(-p.schedulers.retention())
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -270,6 +270,7 @@
 		Unresponsive: in.agent.Unresponsive,
 		Leader:       in.agent.Leader,
 		CacheReader:  in.adapters.CacheReader,
+		ListReadAt:   in.agent.ListReadAt,
 		CheckHealth:  e.checkHealth,
 		OnRestart:    func(service string) { e.meters.ServerRestart(context.Background(), service) },
 		Record:       in.recordQuarantine,
--- a/internal/routing/incarnation/incarnation.go
+++ b/internal/routing/incarnation/incarnation.go
@@ -9,7 +9,7 @@
 //     connection that was opened after the announcement had come, is of a new incarnation.
 //   - The list shows another time of joining, or a server as ready that it showed as leaving. The list
 //     lags, so that this may be about an earlier start than the announcement is, if that is newer than
-//     listLag: the server is then asked.
+//     ListLag: the server is then asked.
 //   - The server itself states another time of its start, in what is read of its cache. When it was
 //     started between two reads is unknown, so that an announcement is not ended by it either: the
 //     server is asked.
@@ -25,9 +25,10 @@
 
 import "time"
 
+// ListLag is how long the list may lag behind the servers.
+const ListLag = 2 * time.Second
+
 const (
-	// listLag is how long the list may lag behind what a server says of itself.
-	listLag = 2 * time.Second
 	// confirmAfter is the age at which an announcement is confirmed with the server if the list does
 	// not show it: the list usually does earlier, and a server that leaves takes some 3 s for that.
 	confirmAfter = 4 * time.Second
@@ -110,10 +111,10 @@
 	}
 }
 
-// endListed ends the incarnation by the list. An announcement within listLag may be that of the new one.
+// endListed ends the incarnation by the list. An announcement within ListLag may be that of the new one.
 func (s *State) endListed(now time.Duration) {
 	s.bornMs = 0
-	if s.announcedAt <= now-listLag {
+	if s.announcedAt <= now-ListLag {
 		s.announced = false
 	}
 	s.askNow(now)
--- a/internal/routing/scheduler/evacuations.go
+++ b/internal/routing/scheduler/evacuations.go
@@ -13,8 +13,10 @@
 	return sv.accepting && sv.hasVersion(req) && !slices.Contains(req.Tried, sv.name) && !slices.Contains(req.ExcludedDomains, sv.domain)
 }
 
-// hasVersion reports whether the server has the version that req is bound to.
-func (sv *server) hasVersion(req Request) bool { return req.Version == "" || sv.version == req.Version }
+// hasVersion reports whether the server is known to have the version that req is bound to.
+func (sv *server) hasVersion(req Request) bool {
+	return req.Version == "" || sv.version == req.Version && !sv.doubt.doubted
+}
 
 // restricted reports whether some accepting server is ruled out for req, so that a
 // decision on req implies nothing for other requests. Excluded domains whose servers are
@@ -51,7 +53,7 @@
 		if acceptingForAll && (!s.restricted(w.request) || s.anyAccepting(w.request)) {
 			return false
 		}
-		out = append(out, refuse(w.request, NoServer, noServerRetryAfter))
+		out = append(out, s.refuseUnplaced(w.request))
 		return true
 	})
 	return out
--- a/internal/routing/scheduler/incarnations.go
+++ b/internal/routing/scheduler/incarnations.go
@@ -191,6 +191,13 @@
 	next.serverLimit.Limit = old.serverLimit.Limit.Unconfirmed()
 	next.grants = old.grants.Clone()
 	next.window.Reset(now)
+	if e == incarnation.Answered || e == incarnation.BornAgain {
+		// The list has not shown it yet.
+		s.doubtVersion(now, next)
+		next.doubt.back, next.doubt.backAt = true, now
+	} else {
+		delete(s.doubted, next.name)
+	}
 	if e == incarnation.JoinedAgain {
 		next.pauses = old.pauses
 	}
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -84,6 +84,7 @@
 		FetchedTokens:    fetched,
 		PromptTokens:     promptTokens(req),
 		Limit:            sv.serverLimit.Statement(now),
+		VersionUnknown:   sv.doubt.doubted,
 	}
 	if at, known := sv.incarnation.ServedAt(); known {
 		d.ServedAgo = max(now-at, time.Millisecond)
--- a/internal/routing/scheduler/scheduler.go
+++ b/internal/routing/scheduler/scheduler.go
@@ -113,6 +113,8 @@
 	leaving    int
 	departures []string
 	restarts   []Restart
+	// doubted holds the servers whose versions are unknown; see VersionKnown.
+	doubted map[string]bool
 	// evacuated holds the evacuated failure domains of the listed servers.
 	evacuated map[string]bool
 	// pausedUntil is the end of the last pause that a server has asked for.
@@ -284,7 +286,7 @@
 		}
 	}
 	if !s.anyAccepting(req) {
-		d := refuse(req, NoServer, noServerRetryAfter)
+		d := s.refuseUnplaced(req)
 		return nil, &d
 	}
 	if s.allReplaced(now, req) {
@@ -336,6 +338,7 @@
 	s.recordIncarnation(now, g, r)
 	s.recordPause(now, s.present(g), g.request.Instance, r.RetryAfter)
 	s.recordColdReport(now, g, r)
+	s.recordVersionReport(now, g, r)
 	s.recordLimitReport(now, g, r)
 	s.recordBrittle(now, g, r)
 	s.recordSpeed(now, g, r)
--- a/internal/routing/scheduler/server.go
+++ b/internal/routing/scheduler/server.go
@@ -78,6 +78,8 @@
 	// listed is true while the server is listed, and entry is what the list has shown last.
 	listed bool
 	entry  Server
+	// doubt holds whether version may be that of an earlier incarnation.
+	doubt versionDoubt
 	// incarnation holds what is known of the incarnation that this record is of.
 	incarnation incarnation.State
 	// candidateRound is the last round in which the server became a candidate.
--- a/internal/routing/scheduler/suspects.go
+++ b/internal/routing/scheduler/suspects.go
@@ -200,9 +200,12 @@
 	}
 }
 
-// NoteCrash records a request that was in flight at a server when it crashed, as reported to another
-// decider. sentAt is when it was sent.
+// NoteCrash records that a server has crashed, as reported to another decider, and the request that was in
+// flight there, unless its fingerprint is zero. sentAt is when it was sent.
 func (s *Scheduler) NoteCrash(now time.Duration, server string, sentAt time.Duration, fingerprint uint64) {
+	if sv := s.servers[server]; sv != nil {
+		s.doubtVersion(now, sv)
+	}
 	if fingerprint != 0 && !s.quarantine.CoversRequest(fingerprint) {
 		s.suspects.Noted(now, server, sentAt, fingerprint)
 	}
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -129,9 +129,12 @@
 
 // The reasons for a refusal.
 const (
-	NoServer    = "noServer"
-	Overloaded  = "overloaded"
-	RetryBudget = "retryBudget"
+	NoServer = "noServer"
+	// VersionUnknown means that servers of the version that a request is bound to may have started
+	// anew with another one.
+	VersionUnknown = "versionUnknown"
+	Overloaded     = "overloaded"
+	RetryBudget    = "retryBudget"
 	// Hedge means that no hedge is sent: the budget is spent, the service is loaded, or no
 	// other server is suited.
 	Hedge = "hedge"
@@ -178,6 +181,8 @@
 	RereadTokens int
 	// Limit is what the server has stated of its limit, as far as the scheduler has received it.
 	Limit serverlimit.Statement
+	// VersionUnknown is true if the server may have started anew since the list showed its version.
+	VersionUnknown bool
 	// ServedAgo is how long ago, at least, the latest connection was opened on which the server has answered
 	// without announcing that it leaves; zero if unknown.
 	ServedAgo time.Duration
--- a/internal/routing/streamversion/streamversion.go
+++ b/internal/routing/streamversion/streamversion.go
@@ -13,6 +13,10 @@
 	"time"
 )
 
+// Unknown is recorded for a stream that was begun by a server whose version was not known then. It is no
+// version that a list can name.
+const Unknown = "\x00"
+
 const (
 	// defaultRetention is used if Tracker.Retention is zero.
 	defaultRetention = 30 * time.Second
