Tests of losses during a repair wait for a leader before they take followers

TestAcknowledgedChangeOutlivesLossesAfterLostDisks/one ended once with an index out of range: there was no leader at the moment, and the test indexed an empty list of followers. The leader and the followers were also read one after the other, so that a change of the leader between two reads gave a follower for the leader.

Change: the tests of this file wait for a leader that lists all voters, and take both from one status of it. What they check is as before.

--- a/internal/control/replica/repairlosses_test.go
+++ b/internal/control/replica/repairlosses_test.go
@@ -52,10 +52,25 @@
 	return out
 }
 
-// followers returns the addresses of the voters that do not lead.
-func (g *seedGroup) followers() []string {
-	leader := g.leaderAddress()
-	return slices.DeleteFunc(g.voterAddresses(), func(a string) bool { return a == leader })
+// roles waits for a leader that lists all voters, and returns its address and those of the others, of one
+// status. Without a leader there are none, as after a change of it.
+func (g *seedGroup) roles() (leader string, followers []string) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool {
+		l := g.leader()
+		if l == nil {
+			return false
+		}
+		status := l.Status()
+		leader, followers = status.LeaderAddress, nil
+		for _, m := range status.Members {
+			if !m.GetLearner() && m.GetAddress() != leader {
+				followers = append(followers, m.GetAddress())
+			}
+		}
+		return leader != "" && len(followers) == g.voters-1
+	}, 20*time.Second, time.Millisecond)
+	return leader, followers
 }
 
 func (g *seedGroup) leaderAddress() string {
@@ -90,7 +105,8 @@
 	t.Parallel()
 	g := newRepairGroup(t)
 	g.propose(1)
-	silent, other := g.followers()[0], g.followers()[1]
+	_, followers := g.roles()
+	silent, other := followers[0], followers[1]
 	before := g.voterAddresses()
 	g.stop(silent)
 	require.Eventually(t, func() bool {
@@ -98,7 +114,7 @@
 		return now != nil && !slices.Equal(now, before)
 	}, 20*time.Second, time.Millisecond)
 	g.propose(2)
-	g.losePower(g.leaderAddress(), other)
+	g.losePower(g.waitForLeader().Status().LeaderAddress, other)
 	g.waitForRevision(2)
 }
 
@@ -112,8 +128,8 @@
 			t.Parallel()
 			g := newRepairGroup(t)
 			g.propose(1)
-			lost, leader := g.followers()[:count], g.leaderAddress()
-			other := g.followers()[3]
+			leader, followers := g.roles()
+			lost, other := followers[:count], followers[3]
 			for _, address := range lost {
 				g.loseDisk(address)
 				g.start(address, false)
