The soak's servers say in their health checks that they leave

The users' pages have 200 only while a server is not leaving, and the word in all answers of one that leaves. The check is as before.

Change: the stand-in answers health checks with a 503, and the word, while it leaves; with a 503 while it drains.

--- a/internal/check/soak/runner.go
+++ b/internal/check/soak/runner.go
@@ -107,7 +107,7 @@
 func (b *backend) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	serverID := b.id()
 	if req.URL.Path == "/health" {
-		w.Header().Set(wireformat.ServerNameHeader, serverID)
+		b.serveHealth(w, serverID)
 		return
 	}
 	if strings.HasPrefix(req.URL.Path, wireformat.EnginePathPrefix) {
@@ -168,6 +168,18 @@
 	io.WriteString(w, responseBody(id))
 }
 
+// serveHealth answers a health check: with 200 while the server does not leave. One that announces that it
+// leaves says so in all its responses.
+func (b *backend) serveHealth(w http.ResponseWriter, serverID string) {
+	w.Header().Set(wireformat.ServerNameHeader, serverID)
+	if b.leaving.Load() {
+		w.Header().Set(wireformat.LeavingHeader, "1")
+	}
+	if b.leaving.Load() || b.draining.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // fail fails a request that was executed. A refusal does not state that it was not.
 func (b *backend) fail(w http.ResponseWriter, req *http.Request, id string) {
 	if isStream(req) && rand.IntN(2) == 0 {
