--- a/internal/control/replica/repairlosses_test.go
+++ b/internal/control/replica/repairlosses_test.go
@@ -73,13 +73,6 @@
 	return leader, followers
 }
 
-func (g *seedGroup) leaderAddress() string {
-	if l := g.leader(); l != nil {
-		return l.Status().LeaderAddress
-	}
-	return ""
-}
-
 // losePower ends all replicas at the same time, some of them with their disks, and starts all
 // again.
 func (g *seedGroup) losePower(disks ...string) {
