A list that was not compared confirms no version; listed departures end in time

A leader whose leadership is not confirmed at the moment compares no list, and still said in heartbeats that it had read it: versions could count as known by rows that were not changed. It does not say so any more.

What an instance passes on as leaving by its view alone counted as announced at that moment, and again with each decision that it withdrew. When the list then showed the server as ready, within 2 s of the last, the server had to be asked. It counts as announced by the lag of the list earlier now, so that the list ends it.

Measured: the tests of manager and placer pass.

--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -96,14 +96,14 @@
 	// listPartial is set while a part of the list can't be read; it too is used by
 	// platformLoop only.
 	listPartial bool
+
+	mu sync.Mutex
 	// listReadAt is when the last read of the whole list was begun whose changes are committed, and
 	// listReadTerm the term in which it was.
 	listReadAt   time.Duration
 	listReadTerm uint64
-
-	mu     sync.Mutex
-	term   uint64 // the term to which the tables below belong
-	leases lease.Table
+	term         uint64 // the term to which the tables below belong
+	leases       lease.Table
 	// pending holds the servers whose reassignment has been decided but is not
 	// known to be committed.
 	pending map[string]bool
--- a/internal/control/manager/platform.go
+++ b/internal/control/manager/platform.go
@@ -78,9 +78,11 @@
 		m.listFailed = false
 		m.cfg.Logger.Info("control: the platform's server list can be read again")
 	}
-	rows, missing := m.listChanges(listed, partial)
+	rows, missing, compared := m.listChanges(listed, partial)
 	if len(rows) == 0 {
-		m.recordListRead(begun, partial)
+		if compared && !partial {
+			m.recordListRead(begun)
+		}
 		return missing
 	}
 	for _, r := range rows {
@@ -100,8 +102,8 @@
 				Servers: rows,
 			},
 		},
-	}) {
-		m.recordListRead(begun, partial)
+	}) && !partial {
+		m.recordListRead(begun)
 	}
 	return true
 }
@@ -120,13 +122,14 @@
 
 // listChanges returns the new rows of the servers for which the list, or the part of it
 // that could be read, differs from the ledger. It marks a server gone once it has been
-// missing long enough, and reports whether any has been missing for less.
-func (m *Manager) listChanges(listed []*pb.ListedServer, partial bool) (rows []*pb.BackendServer, missing bool) {
+// missing long enough, and reports whether any has been missing for less, and whether the list was
+// compared: a leader that is not confirmed compares none.
+func (m *Manager) listChanges(listed []*pb.ListedServer, partial bool) (rows []*pb.BackendServer, missing, compared bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.cfg.Replica.Now()
 	if !m.checkLeadership(now) {
-		return nil, false
+		return nil, false, false
 	}
 	goneAfter := goneAfterMissing
 	if partial {
@@ -159,7 +162,7 @@
 			rows = append(rows, row)
 		}
 	}
-	return rows, missing
+	return rows, missing, true
 }
 
 // updatedRow returns the new row for a listed server, or nil if nothing changed.
@@ -264,12 +267,8 @@
 	return err == nil
 }
 
-// recordListRead records that all of the list was read, from a time on, and that the rows show it. A partial
-// list does not count.
-func (m *Manager) recordListRead(begun time.Duration, partial bool) {
-	if partial {
-		return
-	}
+// recordListRead records that all of the list was read, from a time on, and that the rows show it.
+func (m *Manager) recordListRead(begun time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listReadAt, m.listReadTerm = begun, m.term
--- a/internal/daemon/placer/unavailable.go
+++ b/internal/daemon/placer/unavailable.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"camphorspoke/internal/routing/incarnation"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/routing/serverlimit"
 )
@@ -53,7 +54,8 @@
 	defer p.mu.Unlock()
 	s := p.view.Servers[server]
 	if s.GetLeaving() && !u.leaving {
-		u.leaving, u.leavingSince = true, p.cfg.Now()
+		// The list shows it somewhat late, and the server may be back soon after the list does.
+		u.leaving, u.leavingSince = true, p.cfg.Now()-incarnation.ListLag
 	}
 	u.drained = s.GetDrained()
 	u.evacuated = p.view.IsEvacuated(s)
