--- a/internal/daemon/placer/incarnations_test.go
+++ b/internal/daemon/placer/incarnations_test.go
@@ -55,9 +55,9 @@
 	require.Zero(t, requester.healthChecks.Load(), "it learns it from the decider")
 }
 
-// TestWordReadAfterAFreezeCountsFromItsBegin guards against an instance that wakes from a freeze and
+// TestAnnouncementReadAfterAFreezeCountsFromItsBegin guards against an instance that wakes from a freeze and
 // passes on, as new, that a server leaves, which said so before it started anew.
-func TestWordReadAfterAFreezeCountsFromItsBegin(t *testing.T) {
+func TestAnnouncementReadAfterAFreezeCountsFromItsBegin(t *testing.T) {
 	for name, frozen := range map[string]bool{"frozen": true, "not frozen": false} {
 		t.Run(name, func(t *testing.T) {
 			fleet, order := newFleet(t, 3, nil)
--- a/internal/routing/incarnation/incarnation.go
+++ b/internal/routing/incarnation/incarnation.go
@@ -5,7 +5,7 @@
 // evidence of a new one, the strongest first:
 //
 //   - The platform's list shows the name at another address.
-//   - A server that has announced that it leaves says so in all its answers. One without that word, on a
+//   - A server that has announced that it leaves says so in all its answers. One that does not, on a
 //     connection that was opened after the announcement had come, is of a new incarnation.
 //   - The list shows another time of joining, or a server as ready that it showed as leaving. The list
 //     lags, so that this may be about an earlier start than the announcement is, if that is newer than
--- a/internal/routing/incarnation/incarnation_test.go
+++ b/internal/routing/incarnation/incarnation_test.go
@@ -18,12 +18,12 @@
 
 // step is something that is heard of a server at a time, with the evidence that it has to give.
 type step struct {
-	at       time.Duration
-	list     *incarnation.Listing
-	word     bool
-	opened   time.Duration
-	bornMs   int64
-	evidence incarnation.Evidence
+	at        time.Duration
+	list      *incarnation.Listing
+	announced bool
+	opened    time.Duration
+	bornMs    int64
+	evidence  incarnation.Evidence
 }
 
 // TestEvidence guards against an announcement that holds for the incarnation after, or one that an older
@@ -35,24 +35,24 @@
 		// asked is true if the server has to be asked at the end.
 		asked bool
 	}{
-		"still listed as ready":            {steps: []step{{at: 10, word: true}, {at: 11, list: &ready}, {at: 12, list: &ready}}, leaving: true},
-		"listed as leaving":                {steps: []step{{at: 10, word: true}, {at: 11, list: &draining}, {at: 30, list: &draining}}, leaving: true},
-		"ready again":                      {steps: []step{{at: 10, word: true}, {at: 11, list: &draining}, {at: 15, list: &ready, evidence: incarnation.ReadyAgain}}},
-		"ready and joined again":           {steps: []step{{at: 10, word: true}, {at: 11, list: &draining}, {at: 15, list: &rejoined, evidence: incarnation.ReadyAgain}}},
-		"joined again":                     {steps: []step{{at: 10, word: true}, {at: 15, list: &rejoined, evidence: incarnation.JoinedAgain}}},
-		"at another address":               {steps: []step{{at: 10, word: true}, {at: 11, list: &moved, evidence: incarnation.NewAddress}}},
-		"listed a second time":             {steps: []step{{at: 10, list: &ready}}},
-		"answer on a connection of before": {steps: []step{{at: 10, word: true}, {at: 14, opened: 9}}, leaving: true, asked: true},
-		"answer on a later connection":     {steps: []step{{at: 10, word: true}, {at: 14, opened: 13, evidence: incarnation.Answered}}},
-		"late word of the one before":      {steps: []step{{at: 14, opened: 13}, {at: 13, word: true}}},
-		"leaves again after that":          {steps: []step{{at: 10, word: true}, {at: 14, opened: 13, evidence: incarnation.Answered}, {at: 15, word: true}}, leaving: true},
+		"still listed as ready":               {steps: []step{{at: 10, announced: true}, {at: 11, list: &ready}, {at: 12, list: &ready}}, leaving: true},
+		"listed as leaving":                   {steps: []step{{at: 10, announced: true}, {at: 11, list: &draining}, {at: 30, list: &draining}}, leaving: true},
+		"ready again":                         {steps: []step{{at: 10, announced: true}, {at: 11, list: &draining}, {at: 15, list: &ready, evidence: incarnation.ReadyAgain}}},
+		"ready and joined again":              {steps: []step{{at: 10, announced: true}, {at: 11, list: &draining}, {at: 15, list: &rejoined, evidence: incarnation.ReadyAgain}}},
+		"joined again":                        {steps: []step{{at: 10, announced: true}, {at: 15, list: &rejoined, evidence: incarnation.JoinedAgain}}},
+		"at another address":                  {steps: []step{{at: 10, announced: true}, {at: 11, list: &moved, evidence: incarnation.NewAddress}}},
+		"listed a second time":                {steps: []step{{at: 10, list: &ready}}},
+		"answer on a connection of before":    {steps: []step{{at: 10, announced: true}, {at: 14, opened: 9}}, leaving: true, asked: true},
+		"answer on a later connection":        {steps: []step{{at: 10, announced: true}, {at: 14, opened: 13, evidence: incarnation.Answered}}},
+		"late announcement of the one before": {steps: []step{{at: 14, opened: 13}, {at: 13, announced: true}}},
+		"leaves again after that":             {steps: []step{{at: 10, announced: true}, {at: 14, opened: 13, evidence: incarnation.Answered}, {at: 15, announced: true}}, leaving: true},
 		// The list shows the first restart only after the second incarnation has announced that it leaves.
-		"leaves twice within the lag": {steps: []step{{at: 10, word: true}, {at: 13, opened: 12, evidence: incarnation.Answered}, {at: 14, word: true}, {at: 14, list: &draining}, {at: 15, list: &ready, evidence: incarnation.ReadyAgain}}, leaving: true, asked: true},
-		"joined within the lag":       {steps: []step{{at: 14, word: true}, {at: 15, list: &rejoined, evidence: incarnation.JoinedAgain}}, leaving: true, asked: true},
-		"first time of start":         {steps: []step{{at: 10, word: true}, {at: 11, bornMs: 5}}, leaving: true},
-		"another time of start":       {steps: []step{{at: 9, bornMs: 5}, {at: 10, word: true}, {at: 11, bornMs: 6, evidence: incarnation.BornAgain}}, leaving: true, asked: true},
+		"leaves twice within the lag": {steps: []step{{at: 10, announced: true}, {at: 13, opened: 12, evidence: incarnation.Answered}, {at: 14, announced: true}, {at: 14, list: &draining}, {at: 15, list: &ready, evidence: incarnation.ReadyAgain}}, leaving: true, asked: true},
+		"joined within the lag":       {steps: []step{{at: 14, announced: true}, {at: 15, list: &rejoined, evidence: incarnation.JoinedAgain}}, leaving: true, asked: true},
+		"first time of start":         {steps: []step{{at: 10, announced: true}, {at: 11, bornMs: 5}}, leaving: true},
+		"another time of start":       {steps: []step{{at: 9, bornMs: 5}, {at: 10, announced: true}, {at: 11, bornMs: 6, evidence: incarnation.BornAgain}}, leaving: true, asked: true},
 		"an earlier time of start":    {steps: []step{{at: 9, bornMs: 5}, {at: 10, bornMs: 4}}},
-		"nothing confirms it":         {steps: []step{{at: 10, word: true}, {at: 14, list: &ready}}, leaving: true, asked: true},
+		"nothing confirms it":         {steps: []step{{at: 10, announced: true}, {at: 14, list: &ready}}, leaving: true, asked: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var s incarnation.State
@@ -65,7 +65,7 @@
 				switch {
 				case step.list != nil:
 					e = s.List(now, *step.list)
-				case step.word:
+				case step.announced:
 					s.Announce(now)
 				case step.opened > 0:
 					e = s.Answer(step.opened * time.Second)
--- a/internal/routing/scheduler/incarnations_test.go
+++ b/internal/routing/scheduler/incarnations_test.go
@@ -174,9 +174,9 @@
 	require.Zero(t, s.RunningAt("a"))
 }
 
-// TestWordOfAnEndedIncarnationIsIgnored guards against instances that were frozen, or that have an old
+// TestAnnouncementOfAnEndedIncarnationIsIgnored guards against instances that were frozen, or that have an old
 // view, and take servers out for all others with what an ended incarnation has said.
-func TestWordOfAnEndedIncarnationIsIgnored(t *testing.T) {
+func TestAnnouncementOfAnEndedIncarnationIsIgnored(t *testing.T) {
 	for name, c := range map[string]struct {
 		report  scheduler.Report
 		leaving bool
@@ -205,7 +205,7 @@
 	}
 }
 
-// TestUnconfirmedAnnouncementIsAsked: nothing shows that a server leaves but its word. It is asked, but
+// TestUnconfirmedAnnouncementIsAsked: nothing shows that a server leaves but its announcement. It is asked, but
 // not while it has asked the instance for a pause.
 func TestUnconfirmedAnnouncementIsAsked(t *testing.T) {
 	s := newRestartService(t)
