--- a/internal/daemon/placer/incarnations_test.go
+++ b/internal/daemon/placer/incarnations_test.go
@@ -3,6 +3,7 @@
 // This file tests what instances tell one another of servers that leave and start anew.
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,10 +33,10 @@
 		Event:   scheduler.Done,
 		Leaving: true,
 	})
-	unique := uint64(2000)
+	// Never may return while its last call is still in progress.
+	var unique atomic.Uint64
 	serves := func() bool {
-		unique++
-		g, err := placeAtE0(t, requester.placer, unique)
+		g, err := placeAtE0(t, requester.placer, 2000+unique.Add(1))
 		if err != nil {
 			return false
 		}
