--- a/internal/daemon/ingress/outcome.go
+++ b/internal/daemon/ingress/outcome.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -41,6 +42,9 @@
 	if c.req.Resumes != "" {
 		fields["resumes"], fields["boundTo"] = c.req.Resumes, c.version
 	}
+	if c.stream != 0 {
+		fields["stream"] = strconv.FormatUint(c.stream, 16)
+	}
 	if g := c.grant; g != nil {
 		fields["server"], fields["version"], fields["decider"] = g.Server, g.Version, g.Decider
 		fields["waitedMs"] = g.Waited.Milliseconds()
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -33,6 +33,7 @@
 	abandoned        metric.Int64Counter
 	crashes          metric.Int64Counter
 	restarts         metric.Int64Counter
+	replacedRecords  metric.Int64Counter
 	retries          metric.Int64Counter
 	unreadable       metric.Int64Counter
 	hedges           metric.Int64Counter
@@ -108,6 +109,7 @@
 	m.placements = b.counter("camphorspoke.placements", "Requests granted a server, by whether the server was over its load limit and by who decided.")
 	m.pushbacks = b.counter("camphorspoke.pushbacks", "Refusals with which a server asked for a pause, and grants withdrawn because of one, a departure, an evacuation or a limit, by service and event.")
 	m.abandoned = b.counter("camphorspoke.attempts.abandoned", "Attempts that did not answer their request, by service, result and what became of the connection.")
+	m.replacedRecords = b.counter("camphorspoke.stream.replacedRecords", "Records of streams that have replaced one of another version, by service.")
 	m.restarts = b.counter("camphorspoke.server.restarts", "New incarnations of listed servers, by service.")
 	m.crashes = b.counter("camphorspoke.crashed.requests", "Requests that were in flight at a server which went down, by service.")
 	m.retries = b.counter("camphorspoke.retries", "Retries by service.")
@@ -225,6 +227,14 @@
 	VersionGone    = "gone"
 )
 
+// StreamRecordReplaced records a stream whose recorded version was replaced by another one.
+func (m *Meters) StreamRecordReplaced(ctx context.Context, svc string) {
+	if m == nil {
+		return
+	}
+	m.replacedRecords.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc)))
+}
+
 // StreamTakenUp records a stream that its caller takes up again.
 func (m *Meters) StreamTakenUp(ctx context.Context, svc, result string) {
 	if m == nil {
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -115,6 +115,8 @@
 	CheckHealth func(service, address string) (edge.Health, bool)
 	// OnRestart is called for each new incarnation of a server of a service; it may be nil.
 	OnRestart func(service string)
+	// OnReplacedRecord is called when a record of a stream replaces one of another version; it may be nil.
+	OnReplacedRecord func(service string)
 	// Record records a change of a quarantine for all instances; it may be nil.
 	Record func(ctx context.Context, q *pb.Quarantine) error
 	Logger logrus.FieldLogger
--- a/internal/daemon/placer/streams.go
+++ b/internal/daemon/placer/streams.go
@@ -16,8 +16,11 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing/streamversion"
 	"camphorspoke/internal/routing/view"
@@ -60,6 +63,13 @@
 // recordStream records that a server of the given version has begun a stream. With forward, the
 // record is also sent to the holders.
 func (d *Schedulers) recordStream(service string, stream uint64, version string, forward bool) {
+	if replaced, ok := d.applyRecord(service, stream, version, forward); ok {
+		d.noteReplacedRecord(service, stream, replaced, version)
+	}
+}
+
+// applyRecord is recordStream, and returns the version of the record that is replaced, if it was another.
+func (d *Schedulers) applyRecord(service string, stream uint64, version string, forward bool) (replaced string, isReplaced bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.streams[service]
@@ -68,17 +78,34 @@
 		d.streams[service] = r
 	}
 	r.tracker.Retention = d.streamRetention
-	r.tracker.Record(d.cfg.Now(), stream, version)
+	replaced, isReplaced = r.tracker.Record(d.cfg.Now(), stream, version)
 	if !forward || r.unsentCount >= maxUnsentStreams {
-		return
+		return replaced, isReplaced
 	}
 	if r.unsent == nil {
 		r.unsent = make(map[string][]uint64)
 	}
 	r.unsent[version] = append(r.unsent[version], stream)
 	r.unsentCount++
+	return replaced, isReplaced
 }
 
+// noteReplacedRecord logs and counts a record of a stream that replaces one of another version.
+func (d *Schedulers) noteReplacedRecord(service string, stream uint64, replaced, version string) {
+	d.cfg.Logger.WithFields(logrus.Fields{
+		"service":  service,
+		"stream":   formatStream(stream),
+		"replaced": replaced,
+		"version":  version,
+	}).Warn("placer: a stream has records of two versions")
+	if d.cfg.OnReplacedRecord != nil {
+		d.cfg.OnReplacedRecord(service)
+	}
+}
+
+// formatStream returns the ID of a stream as the log shows it.
+func formatStream(stream uint64) string { return strconv.FormatUint(stream, 16) }
+
 // StreamVersion returns the version that began a stream, or false if this instance has no record.
 func (d *Schedulers) StreamVersion(service string, stream uint64) (string, bool) {
 	d.mu.Lock()
@@ -155,45 +182,68 @@
 // known of any server, or false if it must not go on because that is not certain. viewConfirmed
 // states that the view of this instance was confirmed lately.
 func (p *Placer) StreamVersion(ctx context.Context, service string, stream uint64, viewConfirmed bool) (version string, known bool) {
+	version, source, known := p.findVersion(ctx, service, stream, viewConfirmed)
+	p.cfg.Logger.WithFields(logrus.Fields{
+		"service": service,
+		"stream":  formatStream(stream),
+		"version": version,
+		"known":   known,
+		"source":  source,
+	}).Info("placer: a stream is taken up")
+	return version, known
+}
+
+// listSource is the source of a version that all servers of a service have; that of a recorded one is the
+// instance that has the record.
+const listSource = "list"
+
+// findVersion is StreamVersion, and returns where the version is from.
+func (p *Placer) findVersion(ctx context.Context, service string, stream uint64, viewConfirmed bool) (version, source string, known bool) {
 	if stream != 0 {
 		if version, known = p.schedulers.StreamVersion(service, stream); known && version != streamversion.Unknown {
-			return version, true
+			return version, p.cfg.Instance, true
 		}
 		// The version may have been found out since, elsewhere.
 		begunUnknown := known
-		if version, known = p.queryVersion(ctx, service, stream); known {
-			return version, version != streamversion.Unknown
+		if version, source, known = p.queryVersion(ctx, service, stream); known {
+			return version, source, version != streamversion.Unknown
 		}
 		if begunUnknown {
-			return "", false
+			return "", p.cfg.Instance, false
 		}
 	}
 	if !viewConfirmed || !p.schedulers.versionsKnown(service) {
-		return "", false
+		return "", "", false
 	}
 	since := time.Now().Add(-p.schedulers.retention())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return onlyVersion(p.view, service, since)
+	version, known = onlyVersion(p.view, service, since)
+	return version, listSource, known
 }
 
 // queryVersion asks other instances which version began a stream, one after the other without
-// waiting for the answers, and returns the first record.
-func (p *Placer) queryVersion(ctx context.Context, service string, stream uint64) (string, bool) {
+// waiting for the answers, and returns the first record and the instance that has it.
+func (p *Placer) queryVersion(ctx context.Context, service string, stream uint64) (version, source string, known bool) {
 	instances := p.nextInstances(service, queriedHolders)
 	if p.cfg.Versions == nil || len(instances) == 0 {
-		return "", false
+		return "", "", false
 	}
 	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
 	defer cancel()
 	type answer struct {
 		version string
+		source  string
 		known   bool
 	}
 	answers := make(chan answer, len(instances))
 	ask := func(i *pb.Instance) {
 		version, known, err := p.cfg.Versions.StreamVersion(ctx, i.GetPeerAddress(), service, stream)
-		answers <- answer{version: version, known: known && err == nil}
+		answers <- answer{
+			version: version,
+			source:  i.GetName(),
+			known:   known && err == nil,
+		}
 	}
 	next := time.NewTicker(queryStagger)
 	defer next.Stop()
@@ -203,7 +253,7 @@
 		select {
 		case a := <-answers:
 			if a.known {
-				return a.version, true
+				return a.version, a.source, true
 			}
 			answered++
 			if asked < len(instances) {
@@ -216,10 +266,10 @@
 				asked++
 			}
 		case <-ctx.Done():
-			return "", false
+			return "", "", false
 		}
 	}
-	return "", false
+	return "", "", false
 }
 
 // onlyVersion returns the version of all servers of a service, those included that were listed
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -275,6 +275,8 @@
 		OnRestart:    func(service string) { e.meters.ServerRestart(context.Background(), service) },
 		Record:       in.recordQuarantine,
 		Logger:       in.log,
+
+		OnReplacedRecord: func(service string) { e.meters.StreamRecordReplaced(context.Background(), service) },
 	})
 	in.onCleanUp(stopPlacer)
 	l, err := in.listen(in.cfg.PeerListen)
--- a/internal/routing/streamversion/streamversion.go
+++ b/internal/routing/streamversion/streamversion.go
@@ -41,17 +41,19 @@
 }
 
 // Record records that the stream of a key was begun by a version. The last record of a key
-// holds: an attempt of which the caller got nothing may be followed by one at another version.
-func (t *Tracker) Record(now time.Duration, key uint64, version string) {
-	t.expire(now)
+// holds: an attempt of which the caller got nothing may be followed by one at another version. It
+// returns the version that was recorded before, if it was a known one and another.
+func (t *Tracker) Record(now time.Duration, key uint64, version string) (replaced string, isReplaced bool) {
+	before, known := t.Version(now, key)
 	i := t.index(version)
 	if len(t.recent) >= maxRecords || i >= maxVersions {
-		return
+		return "", false
 	}
 	if t.recent == nil {
 		t.recent = make(map[uint64]uint16)
 	}
 	t.recent[key] = uint16(i)
+	return before, known && before != Unknown && before != version
 }
 
 // Version returns the version that began the stream of a key, or false if there is no record.
