--- a/internal/check/guarantee/guarantee.go
+++ b/internal/check/guarantee/guarantee.go
@@ -55,6 +55,9 @@
 	// Content identifies the requests that are the same but for their IDs. It is set for
 	// requests that crash the backend servers that execute them, and empty for others.
 	Content string
+	// Stream identifies the attempts of a stream that its caller takes up again. It is the ID
+	// of the first of them, and empty for others.
+	Stream string
 }
 
 // WholeSent returns when the whole request was sent.
@@ -111,7 +114,9 @@
 	// executionEnds holds, by request, when its latest execution ended.
 	executionEnds map[string]time.Time
 	// crashers holds, by content, the requests that crash servers.
-	crashers   map[string]*crasher
+	crashers map[string]*crasher
+	// streams holds, by name, the streams that their callers take up again.
+	streams    map[string]*stream
 	acked      uint64
 	ackedAt    map[uint64]time.Time
 	violations []string
@@ -137,6 +142,7 @@
 	c.traffic = make(map[string]*traffic)
 	c.arrivals = make(map[string]int)
 	c.crashers = make(map[string]*crasher)
+	c.streams = make(map[string]*stream)
 }
 
 // lock locks the checker, initialises it if needed, and returns the function that
@@ -162,6 +168,9 @@
 func (c *Checker) Sent(a Attempt) {
 	defer c.lock()()
 	c.attempts[a.ID] = a
+	if a.Stream != "" {
+		c.recordStreamAttempt(a)
+	}
 	t := c.trafficOf(a.Service)
 	t.sent = append(t.sent, a.Sent)
 }
