The soak plays servers of two versions with streams that are taken up

With Versions set, eight servers of two software versions serve side by side, as the list shows them. One in three executions of a stream is reset after the head of its response and before its first event, and callers leave half of the attempts after 1 to 6 events and take the stream up at once at another daemon. Without it nothing changes.

--- a/cmd/camphor-soak/main.go
+++ b/cmd/camphor-soak/main.go
@@ -33,6 +33,7 @@
 	evacuate := fs.Bool("evacuate", false, "evacuate failure domains")
 	rename := fs.Bool("rename", false, "let backend servers become other incarnations at their addresses, and repeat refusals late")
 	crash := fs.Bool("crash", false, "send requests that crash the backend servers which execute them, again and again")
+	versions := fs.Bool("versions", false, "let backend servers of two software versions serve side by side, and take streams up again elsewhere")
 	killRouters := fs.Bool("kill-routers", false, "kill daemons that are no control replicas, one after the other")
 	killFirst := fs.Bool("kill-first-start", true, "kill a seed while the control group forms")
 	grace := fs.Duration("grace", 4*time.Second, "grace period of planned stops")
@@ -59,6 +60,7 @@
 					Evacuate:      *evacuate,
 					RenameServers: *rename,
 					CrashServers:  *crash,
+					Versions:      *versions,
 					KillRouters:   *killRouters,
 					Grace:         *grace,
 
--- a/internal/check/soak/operator.go
+++ b/internal/check/soak/operator.go
@@ -112,6 +112,9 @@
 	route("read", "/read/", "safe", "app", 2, requestTimeout)
 	route("chat", "/chat/", "stream", "llm", 2, requestTimeout)
 	route("long", longPrefix, "stream", "llm", 2, chatTimeout)
+	if o.s.cfg.Versions {
+		route("versions", versionsPrefix, "stream", versionedService, 3, streamTimeout)
+	}
 	for i := range o.changeCount % 40 {
 		route(fmt.Sprintf("extra-%d", i), fmt.Sprintf("/extra-%d/", i), "safe", "app", 1, requestTimeout)
 	}
--- a/internal/check/soak/proxy.go
+++ b/internal/check/soak/proxy.go
@@ -4,9 +4,11 @@
 // backend server.
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"camphorspoke/internal/base/fault"
@@ -35,6 +37,9 @@
 	// listener is replaced by refuse; mu guards it.
 	listener net.Listener
 	mode     atomic.Int32
+	// passesResets is true if a connection that the server resets is reset at the other end
+	// also.
+	passesResets atomic.Bool
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -109,6 +114,9 @@
 			}
 		}
 		if err != nil {
+			if p.passesResets.Load() && errors.Is(err, syscall.ECONNRESET) {
+				closeWithReset(dst)
+			}
 			return // closed or reset; the deferred function closes the other connection
 		}
 	}
@@ -119,11 +127,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // after an error the connection is closed without a reset
-		}
-		c.Close()
+		closeWithReset(c)
+	}
+}
+
+// closeWithReset closes a connection with a TCP reset.
+func closeWithReset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // after an error the connection is closed without a reset
 	}
+	c.Close()
 }
 
 // refuse breaks all connections and refuses others for a time. serve accepts them again.
