--- a/internal/check/soak/soak_test.go
+++ b/internal/check/soak/soak_test.go
@@ -138,6 +138,22 @@
 	})
 }
 
+// TestStreamsHoldEventsOfOneVersion: servers of two software versions serve side by side and break
+// off streams before their first events, so that daemons send the requests to others, while callers
+// leave streams and take them up at once at other daemons. It fails while a stream can be bound to
+// the version of a server that brought none of its events.
+func TestStreamsHoldEventsOfOneVersion(t *testing.T) {
+	t.Parallel()
+	run(t, soak.Config{
+		Seed:          1,
+		FaultDuration: 10 * time.Second,
+		Daemons:       5,
+		Callers:       4,
+		NoFaults:      true,
+		Versions:      true,
+	})
+}
+
 // run runs a soak with four daemons or more and requires that it violates no guarantee.
 func run(t *testing.T, cfg soak.Config) {
 	cfg.Bin = binDir
