--- a/internal/check/soak/soak.go
+++ b/internal/check/soak/soak.go
@@ -6,8 +6,9 @@
 // is deleted, or its log ends in a torn record; proxies delay, drop or reset the
 // traffic to backend servers, or drop only the responses; backend servers fail
 // some requests, ask for a pause, are replaced, or become another incarnation at the same
-// address and repeat refusals late, or crash under requests that come again; the platform's
-// list is unavailable; failure domains are evacuated.
+// address and repeat refusals late, or crash under requests that come again, or break off
+// streams while two versions of their software serve side by side; the platform's list is
+// unavailable; failure domains are evacuated.
 // Sequences of faults run concurrently and overlap. A seed determines which faults are
 // injected and in which order, not how the processes interleave.
 package soak
