--- a/internal/daemon/ingress/deliver.go
+++ b/internal/daemon/ingress/deliver.go
@@ -228,8 +228,9 @@
 // writeEvents writes events to the caller and flushes them. It returns false if the
 // caller has disconnected.
 func (c *call) writeEvents(resp *backend.Response, b []byte) bool {
-	if c.grant != nil {
-		c.version, c.versionUnknown = c.grant.Version, !c.grant.ConfirmVersion(resp.Opened())
+	if c.grant != nil && len(b) > 0 {
+		known := c.grant.RecordEvent(resp.Opened())
+		c.version, c.versionUnknown = c.grant.Version, !known
 	}
 	c.sendHeader(resp)
 	if _, err := c.w.Write(b); err != nil {
--- a/internal/daemon/ingress/forward.go
+++ b/internal/daemon/ingress/forward.go
@@ -187,6 +187,8 @@
 // is one.
 func (c *call) forwardTo(i forwarding.Instance) (result exchangeResult, answered bool) {
 	c.forwardedTo = i.Name
+	// What is relayed from now on is not of the server of an earlier attempt.
+	c.grant = nil
 	resp, err := c.h.Forwarding.Pool.Send(c.ctx, i.Address, c.peerRequest())
 	if err != nil {
 		c.lastErr = err
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -33,7 +33,7 @@
 	abandoned        metric.Int64Counter
 	crashes          metric.Int64Counter
 	restarts         metric.Int64Counter
-	replacedRecords  metric.Int64Counter
+	recordConflicts  metric.Int64Counter
 	retries          metric.Int64Counter
 	unreadable       metric.Int64Counter
 	hedges           metric.Int64Counter
@@ -109,7 +109,7 @@
 	m.placements = b.counter("camphorspoke.placements", "Requests granted a server, by whether the server was over its load limit and by who decided.")
 	m.pushbacks = b.counter("camphorspoke.pushbacks", "Refusals with which a server asked for a pause, and grants withdrawn because of one, a departure, an evacuation or a limit, by service and event.")
 	m.abandoned = b.counter("camphorspoke.attempts.abandoned", "Attempts that did not answer their request, by service, result and what became of the connection.")
-	m.replacedRecords = b.counter("camphorspoke.stream.replacedRecords", "Records of streams that have replaced one of another version, by service.")
+	m.recordConflicts = b.counter("camphorspoke.stream.recordConflicts", "Streams that two versions are recorded to have begun, by service.")
 	m.restarts = b.counter("camphorspoke.server.restarts", "New incarnations of listed servers, by service.")
 	m.crashes = b.counter("camphorspoke.crashed.requests", "Requests that were in flight at a server which went down, by service.")
 	m.retries = b.counter("camphorspoke.retries", "Retries by service.")
@@ -227,12 +227,12 @@
 	VersionGone    = "gone"
 )
 
-// StreamRecordReplaced records a stream whose recorded version was replaced by another one.
-func (m *Meters) StreamRecordReplaced(ctx context.Context, svc string) {
+// StreamRecordConflict records a stream that two versions are recorded to have begun.
+func (m *Meters) StreamRecordConflict(ctx context.Context, svc string) {
 	if m == nil {
 		return
 	}
-	m.replacedRecords.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc)))
+	m.recordConflicts.Add(ctx, 1, metric.WithAttributes(serviceAttribute(svc)))
 }
 
 // StreamTakenUp records a stream that its caller takes up again.
--- a/internal/daemon/placer/grant.go
+++ b/internal/daemon/placer/grant.go
@@ -19,7 +19,7 @@
 	// ConfirmVersion.
 	VersionUnknown bool
 	// Stream identifies the stream of the request, if its caller may take it up again; zero for
-	// other requests. It is recorded with Version when the server begins its response.
+	// other requests. It is recorded by RecordEvent.
 	Stream uint64
 	// FetchAddress is the engine from which the chosen server should fetch the cached
 	// prefix that it lacks; empty if no engine has more of the prompt cached.
@@ -52,6 +52,8 @@
 	localID  uint64
 	remoteID uint64
 	stream   *clientStream
+	// recorded is what was recorded of the stream of the request.
+	recorded streamversion.Record
 }
 
 // Report passes the progress or the outcome of the request to the schedulers that
@@ -62,11 +64,7 @@
 		r.LeavingAt = max(g.p.schedulers.receivedAt(), g.sentAt)
 	}
 	r.JoinedMs = g.joinedMs
-	begun := g.begunStream(r.Event)
-	if begun.stream != 0 {
-		g.p.schedulers.recordStream(g.service, begun.stream, begun.version, g.stream == nil && !g.Alone)
-	}
-	if r.Event == scheduler.Started && begun.stream == 0 && !r.HasLoad && !g.hasPrompt && r.RetryAfter == 0 && !r.Leaving && r.ColdFor == 0 && !g.changesLimit(r) {
+	if r.Event == scheduler.Started && !r.HasLoad && !g.hasPrompt && r.RetryAfter == 0 && !r.Leaving && r.ColdFor == 0 && !g.changesLimit(r) {
 		// The start of such a request changes nothing that the schedulers know.
 		return
 	}
@@ -74,34 +72,19 @@
 		g.p.schedulers.report(g.service, g.localID, r)
 	}
 	if g.stream != nil {
-		g.stream.report(g.p.cfg.Now(), g.remoteID, r, begun)
+		g.stream.report(g.p.cfg.Now(), g.remoteID, r, begunStream{})
 	}
 	if r.Event == scheduler.Down {
 		g.noteCrash(r.Answered)
 	}
 }
 
-// begunStream is a stream that a server of a version has begun; the zero value is none.
+// begunStream is a stream that has begun, and the version that has begun it; the zero value is none.
 type begunStream struct {
 	stream  uint64
 	version string
 }
 
-// begunStream returns the stream that begins with an event, if servers have versions.
-func (g *Grant) begunStream(e scheduler.Event) begunStream {
-	if e != scheduler.Started || g.Stream == 0 || g.Version == "" {
-		return begunStream{}
-	}
-	version := g.Version
-	if g.VersionUnknown {
-		version = streamversion.Unknown
-	}
-	return begunStream{
-		stream:  g.Stream,
-		version: version,
-	}
-}
-
 // changesLimit reports whether a report names a limit of the server, or states that there is
 // none while the decider or this instance knows of one.
 func (g *Grant) changesLimit(r scheduler.Report) bool {
--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -137,6 +137,7 @@
 			OtherServer:  r.OtherServer,
 			Stream:       begun.stream,
 			Version:      begun.version,
+			Begun:        begun.stream != 0,
 
 			BrittleRefusals: r.Brittle.Refusals,
 			BrittleKnown:    r.Brittle.Known,
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -96,8 +96,8 @@
 	Peers    StreamOpener
 	// Explainer asks other instances what they would decide; it may be nil.
 	Explainer Explainer
-	// Versions asks other instances which version began a stream; it may be nil.
-	Versions VersionReader
+	// Records asks other instances which version began a stream; it may be nil.
+	Records RecordReader
 	// AnswerTimeout is how long to wait for the decider's first response; zero is 60 ms.
 	AnswerTimeout time.Duration
 	// Unresponsive reports whether an instance has not answered recently.
@@ -115,8 +115,8 @@
 	CheckHealth func(service, address string) (edge.Health, bool)
 	// OnRestart is called for each new incarnation of a server of a service; it may be nil.
 	OnRestart func(service string)
-	// OnReplacedRecord is called when a record of a stream replaces one of another version; it may be nil.
-	OnReplacedRecord func(service string)
+	// OnRecordConflict is called when two versions are recorded to have begun a stream; it may be nil.
+	OnRecordConflict func(service string)
 	// Record records a change of a quarantine for all instances; it may be nil.
 	Record func(ctx context.Context, q *pb.Quarantine) error
 	Logger logrus.FieldLogger
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -29,6 +29,7 @@
 	"camphorspoke/internal/routing/prefixcache"
 	"camphorspoke/internal/routing/rendezvous"
 	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/routing/streamversion"
 	"camphorspoke/internal/routing/view"
 	"camphorspoke/internal/rules/parse"
 )
@@ -49,6 +50,8 @@
 	ignoresLimits atomic.Bool
 	// ignoresVersions makes it decide like a build that does not read the version of a request.
 	ignoresVersions atomic.Bool
+	// record is what it answers when it is asked for the record of a stream; nil for its own records.
+	record atomic.Pointer[streamversion.Record]
 	// streams counts the placement streams that other instances have opened.
 	streams atomic.Int32
 	// now is the clock of the instance. frozenFor is added to it, as after a freeze.
@@ -175,7 +178,7 @@
 			RetrySlack:  5,
 			Instance:    name,
 			Peers:       peers,
-			Versions:    peers,
+			Records:     peers,
 			CacheReader: c,
 			ListReadAt:  func() time.Duration { return time.Duration(in.listReadAt.Load()) },
 			CheckHealth: in.checkHealth,
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -8,6 +8,7 @@
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/routing/streamversion"
 )
 
 // serverStream is the serving side of the placement stream of one other instance.
@@ -175,7 +176,10 @@
 		return
 	}
 	if r.GetStream() != 0 {
-		s.schedulers.recordStream(ref.service, r.GetStream(), r.GetVersion(), true)
+		s.schedulers.recordStream(ref.service, r.GetStream(), streamversion.Record{
+			Version: r.GetVersion(),
+			Begun:   r.GetBegun(),
+		}, true)
 	}
 	s.schedulers.report(ref.service, ref.id, scheduler.Report{
 		Event:   scheduler.Event(r.GetEvent()),
--- a/internal/daemon/placer/streams.go
+++ b/internal/daemon/placer/streams.go
@@ -4,12 +4,16 @@
 // that its caller may take up again. What two versions write does not fit together, so that a
 // stream goes on only at the version that began it.
 //
-// The instance that relays a stream records it, and so does the decider, which sends what it
-// records to the next instances in its order. An instance to which a caller comes back asks
-// these. So a record is lost only with all of them, and no instance holds the streams of the
+// The instance that relays a stream records it before its first event, and so does the decider, which
+// sends what it records to the next instances in its order. An instance to which a caller comes back
+// asks these. So a record is lost only with all of them, and no instance holds the streams of the
 // fleet but those which decide or would next. If nobody has a record, the stream goes on only if
 // no other version has served lately; else it is refused.
 //
+// A stream has its first event once, so that there is one version to record, and the order in which
+// records arrive does not matter. Builds that know no Record.Begun record a stream when a server
+// answers: their records count only if all instances that answer have the same.
+//
 // Load pattern: thousands of streams a second begin, and few are taken up again, except when a
 // large part of the instances stops at once.
 
@@ -38,6 +42,10 @@
 	// and versionTimeout the time after which a stream counts as unknown.
 	queryStagger   = 15 * time.Millisecond
 	versionTimeout = 250 * time.Millisecond
+	// queryRounds is how often the instances are asked, as the record of a stream that has just begun
+	// may be on its way to them, and queryPause the pause between.
+	queryRounds = 2
+	queryPause  = 30 * time.Millisecond
 	// flushStreamsInterval is the time between two messages to each holder.
 	flushStreamsInterval = 100 * time.Millisecond
 	// maxUnsentStreams limits the records that are kept for the next message to the holders.
@@ -46,30 +54,37 @@
 	retentionMargin = 5 * time.Second
 )
 
-// VersionReader asks another instance which version began a stream.
-type VersionReader interface {
-	// StreamVersion returns the version, or false if that instance has no record.
-	StreamVersion(ctx context.Context, address, service string, stream uint64) (version string, known bool, err error)
+// RecordReader asks another instance which version began a stream.
+type RecordReader interface {
+	// StreamRecord returns the record, or false if that instance has none.
+	StreamRecord(ctx context.Context, address, service string, stream uint64) (record streamversion.Record, known bool, err error)
 }
 
 // streamRecords holds the streams that this instance has recorded for one service.
 type streamRecords struct {
 	tracker streamversion.Tracker
-	// unsent holds the records for the holders by version, and unsentCount their number.
-	unsent      map[string][]uint64
-	unsentCount int
+	// unsent holds the records for the holders, one for each stream.
+	unsent map[uint64]streamversion.Record
 }
 
-// recordStream records that a server of the given version has begun a stream. With forward, the
-// record is also sent to the holders.
-func (d *Schedulers) recordStream(service string, stream uint64, version string, forward bool) {
-	if replaced, ok := d.applyRecord(service, stream, version, forward); ok {
-		d.noteReplacedRecord(service, stream, replaced, version)
+// recordStream records which version began a stream. With forward, the record is also sent to the
+// holders.
+func (d *Schedulers) recordStream(service string, stream uint64, record streamversion.Record, forward bool) {
+	if !d.applyRecord(service, stream, record, forward) {
+		return
+	}
+	d.cfg.Logger.WithFields(logrus.Fields{
+		"service": service,
+		"stream":  formatStream(stream),
+		"version": record.Version,
+	}).Error("placer: another version is recorded to have begun a stream; this one is ignored")
+	if d.cfg.OnRecordConflict != nil {
+		d.cfg.OnRecordConflict(service)
 	}
 }
 
-// applyRecord is recordStream, and returns the version of the record that is replaced, if it was another.
-func (d *Schedulers) applyRecord(service string, stream uint64, version string, forward bool) (replaced string, isReplaced bool) {
+// applyRecord is recordStream, and reports whether another version is recorded to have begun the stream.
+func (d *Schedulers) applyRecord(service string, stream uint64, record streamversion.Record, forward bool) (conflict bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.streams[service]
@@ -78,43 +93,40 @@
 		d.streams[service] = r
 	}
 	r.tracker.Retention = d.streamRetention
-	replaced, isReplaced = r.tracker.Record(d.cfg.Now(), stream, version)
-	if !forward || r.unsentCount >= maxUnsentStreams {
-		return replaced, isReplaced
+	conflict = r.tracker.Record(d.cfg.Now(), stream, record)
+	if forward && !conflict {
+		r.forward(stream, record)
 	}
-	if r.unsent == nil {
-		r.unsent = make(map[string][]uint64)
-	}
-	r.unsent[version] = append(r.unsent[version], stream)
-	r.unsentCount++
-	return replaced, isReplaced
+	return conflict
 }
 
-// noteReplacedRecord logs and counts a record of a stream that replaces one of another version.
-func (d *Schedulers) noteReplacedRecord(service string, stream uint64, replaced, version string) {
-	d.cfg.Logger.WithFields(logrus.Fields{
-		"service":  service,
-		"stream":   formatStream(stream),
-		"replaced": replaced,
-		"version":  version,
-	}).Warn("placer: a stream has records of two versions")
-	if d.cfg.OnReplacedRecord != nil {
-		d.cfg.OnReplacedRecord(service)
+// forward adds a record to the next message to the holders, unless that is full.
+func (r *streamRecords) forward(stream uint64, record streamversion.Record) {
+	if r.unsent == nil {
+		r.unsent = make(map[uint64]streamversion.Record)
 	}
+	before, ok := r.unsent[stream]
+	if !ok && len(r.unsent) >= maxUnsentStreams {
+		return
+	}
+	if ok {
+		record, _ = before.Merge(record)
+	}
+	r.unsent[stream] = record
 }
 
 // formatStream returns the ID of a stream as the log shows it.
 func formatStream(stream uint64) string { return strconv.FormatUint(stream, 16) }
 
-// StreamVersion returns the version that began a stream, or false if this instance has no record.
-func (d *Schedulers) StreamVersion(service string, stream uint64) (string, bool) {
+// StreamRecord returns which version began a stream, or false if this instance has no record.
+func (d *Schedulers) StreamRecord(service string, stream uint64) (streamversion.Record, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.streams[service]
 	if r == nil {
-		return "", false
+		return streamversion.Record{}, false
 	}
-	return r.tracker.Version(d.cfg.Now(), stream)
+	return r.tracker.Lookup(d.cfg.Now(), stream)
 }
 
 // takeUnsentStreams returns the records for the holders of each service, and forgets them.
@@ -123,14 +135,21 @@
 	defer d.mu.Unlock()
 	out := make(map[string][]*pb.BegunStreams)
 	for service, r := range d.streams {
-		for version, streams := range r.unsent {
-			out[service] = append(out[service], &pb.BegunStreams{
-				Service: service,
-				Version: version,
-				Streams: streams,
-			})
+		groups := make(map[streamversion.Record]*pb.BegunStreams)
+		for stream, record := range r.unsent {
+			group := groups[record]
+			if group == nil {
+				group = &pb.BegunStreams{
+					Service: service,
+					Version: record.Version,
+					Begun:   record.Begun,
+				}
+				groups[record] = group
+				out[service] = append(out[service], group)
+			}
+			group.Streams = append(group.Streams, stream)
 		}
-		r.unsent, r.unsentCount = nil, 0
+		r.unsent = nil
 	}
 	return out
 }
@@ -138,8 +157,12 @@
 // receiveStreams records the streams that another instance has announced.
 func (d *Schedulers) receiveStreams(begun []*pb.BegunStreams) {
 	for _, b := range begun {
+		record := streamversion.Record{
+			Version: b.GetVersion(),
+			Begun:   b.GetBegun(),
+		}
 		for _, stream := range b.GetStreams() {
-			d.recordStream(b.GetService(), stream, b.GetVersion(), false)
+			d.recordStream(b.GetService(), stream, record, false)
 		}
 	}
 }
@@ -199,19 +222,29 @@
 
 // findVersion is StreamVersion, and returns where the version is from.
 func (p *Placer) findVersion(ctx context.Context, service string, stream uint64, viewConfirmed bool) (version, source string, known bool) {
-	if stream != 0 {
-		if version, known = p.schedulers.StreamVersion(service, stream); known && version != streamversion.Unknown {
-			return version, p.cfg.Instance, true
+	if stream == 0 {
+		return p.listedOnlyVersion(service, viewConfirmed)
+	}
+	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
+	defer cancel()
+	for round := range queryRounds {
+		if round > 0 {
+			time.Sleep(queryPause)
 		}
-		// The version may have been found out since, elsewhere.
-		begunUnknown := known
-		if version, source, known = p.queryVersion(ctx, service, stream); known {
-			return version, source, version != streamversion.Unknown
+		f := p.findRecord(ctx, service, stream)
+		if f.found {
+			return f.record.Version, f.source, f.agreed && f.record.Version != streamversion.Unknown
 		}
-		if begunUnknown {
-			return "", p.cfg.Instance, false
+		if version, source, known = p.listedOnlyVersion(service, viewConfirmed); known {
+			return version, source, true
 		}
 	}
+	return "", "", false
+}
+
+// listedOnlyVersion returns the version that all servers of a service have had for as long as streams are
+// remembered, or false if that is not certain.
+func (p *Placer) listedOnlyVersion(service string, viewConfirmed bool) (version, source string, known bool) {
 	if !viewConfirmed || !p.schedulers.versionsKnown(service) {
 		return "", "", false
 	}
@@ -222,54 +255,87 @@
 	return version, listSource, known
 }
 
-// queryVersion asks other instances which version began a stream, one after the other without
-// waiting for the answers, and returns the first record and the instance that has it.
-func (p *Placer) queryVersion(ctx context.Context, service string, stream uint64) (version, source string, known bool) {
-	instances := p.nextInstances(service, queriedHolders)
-	if p.cfg.Versions == nil || len(instances) == 0 {
-		return "", "", false
+// foundRecord is what the records of several instances say of one stream.
+type foundRecord struct {
+	record streamversion.Record
+	// source is the instance that has it.
+	source string
+	found  bool
+	// agreed is false if the instances have records of several versions, of which none is known to
+	// have begun the stream.
+	agreed bool
+}
+
+// add adds the record of an instance.
+func (f *foundRecord) add(r streamversion.Record, source string) {
+	if !f.found {
+		*f = foundRecord{
+			record: r,
+			source: source,
+			found:  true,
+			agreed: true,
+		}
+		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
-	defer cancel()
+	merged, _ := f.record.Merge(r)
+	f.agreed = merged.Begun || f.agreed && f.record.Version == r.Version
+	if merged != f.record {
+		f.record, f.source = merged, source
+	}
+}
+
+// findRecord returns what is recorded of a stream here, or at other instances if that is not known here.
+// These are asked one after the other without waiting for the answers.
+func (p *Placer) findRecord(ctx context.Context, service string, stream uint64) foundRecord {
+	var f foundRecord
+	if own, ok := p.schedulers.StreamRecord(service, stream); ok {
+		f.add(own, p.cfg.Instance)
+	}
+	if p.cfg.Records == nil {
+		return f
+	}
+	instances := p.nextInstances(service, queriedHolders)
 	type answer struct {
-		version string
-		source  string
-		known   bool
+		record streamversion.Record
+		source string
+		known  bool
 	}
 	answers := make(chan answer, len(instances))
 	ask := func(i *pb.Instance) {
-		version, known, err := p.cfg.Versions.StreamVersion(ctx, i.GetPeerAddress(), service, stream)
+		record, known, err := p.cfg.Records.StreamRecord(ctx, i.GetPeerAddress(), service, stream)
 		answers <- answer{
-			version: version,
-			source:  i.GetName(),
-			known:   known && err == nil,
+			record: record,
+			source: i.GetName(),
+			known:  known && err == nil,
 		}
 	}
 	next := time.NewTicker(queryStagger)
 	defer next.Stop()
-	asked := 1
-	go ask(instances[0])
-	for answered := 0; answered < len(instances); {
+	asked := 0
+	askNext := func() {
+		if asked < len(instances) {
+			go ask(instances[asked])
+			asked++
+		}
+	}
+	if !f.record.Known() {
+		askNext()
+	}
+	for answered := 0; !f.record.Known() && answered < len(instances); {
 		select {
 		case a := <-answers:
 			if a.known {
-				return a.version, a.source, true
+				f.add(a.record, a.source)
 			}
 			answered++
-			if asked < len(instances) {
-				go ask(instances[asked])
-				asked++
-			}
+			askNext()
 		case <-next.C:
-			if asked < len(instances) {
-				go ask(instances[asked])
-				asked++
-			}
+			askNext()
 		case <-ctx.Done():
-			return "", "", false
+			return f
 		}
 	}
-	return "", "", false
+	return f
 }
 
 // onlyVersion returns the version of all servers of a service, those included that were listed
--- a/internal/daemon/placer/streams_test.go
+++ b/internal/daemon/placer/streams_test.go
@@ -12,15 +12,20 @@
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/routing/streamversion"
 	"camphorspoke/internal/routing/view"
 )
 
 // StreamVersion serves the records of an instance, as peerserver does.
 func (i *instance) StreamVersion(_ context.Context, r *pb.StreamVersionRequest) (*pb.StreamVersionResponse, error) {
-	version, known := i.placer.Schedulers().StreamVersion(r.GetService(), r.GetStream())
+	record, known := i.placer.Schedulers().StreamRecord(r.GetService(), r.GetStream())
+	if override := i.record.Load(); override != nil {
+		record, known = *override, true
+	}
 	return &pb.StreamVersionResponse{
 		Known:   known,
-		Version: version,
+		Version: record.Version,
+		Begun:   record.Begun,
 	}, nil
 }
 
@@ -45,15 +50,13 @@
 	return fleet, order, v
 }
 
-// begin places a stream at an instance, whose server begins its response, and returns its version.
+// begin places a stream at an instance, whose server sends the first event, and returns its version.
 func begin(t *testing.T, in *instance, stream uint64) string {
 	t.Helper()
 	g, err := in.placer.Place(t.Context(), service, newRequest(1, stream))
 	require.NoError(t, err)
 	g.Stream = stream
-	g.Report(scheduler.Report{
-		Event: scheduler.Started,
-	})
+	require.True(t, g.RecordEvent(0))
 	return g.Version
 }
 
@@ -69,7 +72,7 @@
 	}
 	require.Eventually(t, func() bool {
 		for _, holder := range order[1:4] {
-			if _, known := fleet[holder].placer.Schedulers().StreamVersion(service, 20); !known {
+			if _, known := fleet[holder].placer.Schedulers().StreamRecord(service, 20); !known {
 				return false
 			}
 		}
@@ -87,6 +90,63 @@
 	require.False(t, known, "nobody has relayed this stream, and two versions serve")
 }
 
+// TestRunWithoutAnEventDoesNotBindItsStream guards against a stream that goes on at the version of a run
+// which brought no event: a server answers and breaks off, and the stream begins at one of another
+// version, while its caller takes it up at once, at any instance.
+func TestRunWithoutAnEventDoesNotBindItsStream(t *testing.T) {
+	fleet, order, _ := newVersionFleet(t, 5)
+	for stream := uint64(1); stream <= 20; stream++ {
+		g, err := placeOnlyAt(t, fleet[order[4]], "e1", "", 2*stream)
+		require.NoError(t, err)
+		g.Stream = stream
+		g.Report(scheduler.Report{
+			Event: scheduler.Started,
+		})
+		g.Report(scheduler.Report{
+			Event: scheduler.Cancelled,
+		})
+		g, err = placeOnlyAt(t, fleet[order[4]], "e0", "", 2*stream+1)
+		require.NoError(t, err)
+		g.Stream = stream
+		require.True(t, g.RecordEvent(0))
+		for _, in := range fleet {
+			if version, known := in.placer.StreamVersion(t.Context(), service, stream, true); known {
+				require.Equal(t, "v1", version)
+			}
+		}
+		g.Report(scheduler.Report{
+			Event: scheduler.Done,
+		})
+	}
+}
+
+// TestRecordsOfOlderBuilds: instances of a build that records a stream when a server answers have records of
+// two versions, as the run at one brought no event. It guards against believing the first answer, and
+// against refusing streams of which all records are the same.
+func TestRecordsOfOlderBuilds(t *testing.T) {
+	fleet, order, _ := newVersionFleet(t, 4)
+	set := func(i int, version string, begun bool) {
+		fleet[order[i]].record.Store(&streamversion.Record{
+			Version: version,
+			Begun:   begun,
+		})
+	}
+	taker := fleet[order[3]].placer
+	set(0, "v1", false)
+	set(1, "v2", false)
+	_, known := taker.StreamVersion(t.Context(), service, 5, true)
+	require.False(t, known)
+	set(1, "v1", false)
+	version, known := taker.StreamVersion(t.Context(), service, 5, true)
+	require.True(t, known)
+	require.Equal(t, "v1", version)
+	set(0, streamversion.Unknown, true)
+	set(1, "v2", true)
+	version, known = taker.StreamVersion(t.Context(), service, 5, true)
+	require.True(t, known, "one instance knows which version has begun the stream")
+	require.Equal(t, "v2", version)
+}
+
 // TestUnknownStreamWhileVersionsChange: a stream of which there is no record goes on if all servers
 // that were listed lately have one version, and not otherwise: a version that has just gone may
 // have begun it, and an instance whose view is not confirmed does not know the versions.
--- a/internal/daemon/placer/versions.go
+++ b/internal/daemon/placer/versions.go
@@ -8,6 +8,7 @@
 
 	"camphorspoke/internal/routing/incarnation"
 	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/routing/streamversion"
 )
 
 // assumedListAge is how long after a freeze what happened during it counts as known, if it is not known
@@ -78,22 +79,52 @@
 	return d.missedNothing()
 }
 
-// ConfirmVersion finds out the version of the server of a grant of which it was unknown, and records the
-// stream. opened is when the connection was opened on which the server still answers: the list names its
-// version if it was read later than that, by more than its lag. It reports whether the version is known.
-func (g *Grant) ConfirmVersion(opened time.Duration) bool {
-	if !g.VersionUnknown {
-		return true
+// RecordEvent records which version begins the stream of the request, before an event of it is relayed to
+// the caller. A run that brings no event leaves no record, as the stream may then begin at another
+// version; so there is one record of a stream, whoever reads it and when. opened is when the connection
+// was opened on which the server answers. It reports whether the version is known.
+func (g *Grant) RecordEvent(opened time.Duration) bool {
+	if g.VersionUnknown {
+		g.confirmVersion(opened)
 	}
-	version, known := g.p.listedVersion(g, opened)
-	if !known {
-		return false
+	r := streamversion.Record{
+		Version: g.Version,
+		Begun:   true,
+	}
+	if g.VersionUnknown {
+		r.Version = streamversion.Unknown
+	}
+	if g.Stream == 0 || g.Version == "" || r == g.recorded {
+		return !g.VersionUnknown
+	}
+	g.recorded = r
+	g.p.schedulers.recordStream(g.service, g.Stream, r, g.forwardsRecords())
+	if g.stream != nil {
+		g.stream.report(g.p.cfg.Now(), g.remoteID, scheduler.Report{
+			Event: scheduler.Started,
+		}, begunStream{
+			stream:  g.Stream,
+			version: r.Version,
+		})
+	}
+	return !g.VersionUnknown
+}
+
+// forwardsRecords reports whether this instance sends the record of a stream to the holders: as the
+// decider, or as the stream to the decider has ended.
+func (g *Grant) forwardsRecords() bool {
+	if g.stream != nil {
+		return g.stream.ctx.Err() != nil
+	}
+	return !g.Alone
+}
+
+// confirmVersion finds out the version of the server of a grant of which it was unknown: the list names it
+// if it was read later than the connection was opened, by more than its lag.
+func (g *Grant) confirmVersion(opened time.Duration) {
+	if version, known := g.p.listedVersion(g, opened); known {
+		g.Version, g.VersionUnknown = version, false
 	}
-	g.Version, g.VersionUnknown = version, false
-	g.Report(scheduler.Report{
-		Event: scheduler.Started,
-	})
-	return true
 }
 
 // listedVersion returns the version of the server of a grant, if the list that the view shows was read
--- a/internal/daemon/placer/versions_test.go
+++ b/internal/daemon/placer/versions_test.go
@@ -54,10 +54,7 @@
 	require.True(t, begun.VersionUnknown)
 	opened := requester.now()
 	begun.Stream = 77
-	begun.Report(scheduler.Report{
-		Event: scheduler.Started,
-	})
-	require.False(t, begun.ConfirmVersion(opened))
+	require.False(t, begun.RecordEvent(opened))
 	for _, in := range fleet {
 		_, known := in.placer.StreamVersion(t.Context(), service, 77, true)
 		require.False(t, known)
@@ -66,11 +63,11 @@
 	requireRefused(4000)
 
 	requester.listReadAt.Store(int64(opened + 1900*time.Millisecond))
-	require.False(t, begun.ConfirmVersion(opened), "the list may not show the server that is back")
+	require.False(t, begun.RecordEvent(opened), "the list may not show the server that is back")
 	for _, in := range fleet {
 		in.listReadAt.Store(int64(opened + time.Minute))
 	}
-	require.True(t, begun.ConfirmVersion(opened))
+	require.True(t, begun.RecordEvent(opened))
 	require.Equal(t, "v1", begun.Version)
 	require.Eventually(t, func() bool {
 		version, known := other.placer.StreamVersion(t.Context(), service, 77, true)
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -266,7 +266,7 @@
 		Instance:     in.cfg.Instance,
 		Peers:        peers,
 		Explainer:    peers,
-		Versions:     peers,
+		Records:      peers,
 		Unresponsive: in.agent.Unresponsive,
 		Leader:       in.agent.Leader,
 		CacheReader:  in.adapters.CacheReader,
@@ -276,7 +276,7 @@
 		Record:       in.recordQuarantine,
 		Logger:       in.log,
 
-		OnReplacedRecord: func(service string) { e.meters.StreamRecordReplaced(context.Background(), service) },
+		OnRecordConflict: func(service string) { e.meters.StreamRecordConflict(context.Background(), service) },
 	})
 	in.onCleanUp(stopPlacer)
 	l, err := in.listen(in.cfg.PeerListen)
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -18,6 +18,7 @@
 	"camphorspoke/internal/edge/link"
 	"camphorspoke/internal/edge/status"
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/streamversion"
 )
 
 // maxMessage is the largest gRPC message, in bytes, sent or received.
@@ -196,19 +197,22 @@
 	return r.GetJson(), nil
 }
 
-// StreamVersion returns which version of a server's software began a stream, or false if the other
+// StreamRecord returns the record of the version that began a stream, or false if the other
 // instance has no record.
-func (c *Client) StreamVersion(ctx context.Context, address, service string, stream uint64) (version string, known bool, err error) {
+func (c *Client) StreamRecord(ctx context.Context, address, service string, stream uint64) (record streamversion.Record, known bool, err error) {
 	p, err := c.clientFor(address, true)
 	if err != nil {
-		return "", false, err
+		return record, false, err
 	}
 	r, err := p.StreamVersion(ctx, &pb.StreamVersionRequest{
 		Service: service,
 		Stream:  stream,
 	})
 	if err != nil {
-		return "", false, fault.Wrap(fault.Unreachable, address, err)
+		return record, false, fault.Wrap(fault.Unreachable, address, err)
 	}
-	return r.GetVersion(), r.GetKnown(), nil
+	return streamversion.Record{
+		Version: r.GetVersion(),
+		Begun:   r.GetBegun(),
+	}, r.GetKnown(), nil
 }
--- a/internal/edge/peerserver/peerserver.go
+++ b/internal/edge/peerserver/peerserver.go
@@ -103,10 +103,11 @@
 	if s.Schedulers == nil {
 		return &pb.StreamVersionResponse{}, nil
 	}
-	version, known := s.Schedulers.StreamVersion(r.GetService(), r.GetStream())
+	record, known := s.Schedulers.StreamRecord(r.GetService(), r.GetStream())
 	return &pb.StreamVersionResponse{
 		Known:   known,
-		Version: version,
+		Version: record.Version,
+		Begun:   record.Begun,
 	}, nil
 }
 
--- a/internal/routing/streamversion/streamversion.go
+++ b/internal/routing/streamversion/streamversion.go
@@ -27,46 +27,111 @@
 	maxVersions = 256
 )
 
+// Record is what an instance knows of the version that began a stream.
+type Record struct {
+	Version string
+	// Begun is true if an event of the stream came from a server of that version. Otherwise a server
+	// of it has only answered, as builds report that know no Begun, and the stream may begin elsewhere.
+	Begun bool
+}
+
+// Known reports whether the record names the version that began the stream.
+func (r Record) Known() bool { return r.Begun && r.Version != Unknown }
+
+// rank orders the records of one stream by what they know.
+func (r Record) rank() int {
+	switch {
+	case r.Known():
+		return 2
+	case r.Begun:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Merge returns what two records of a stream know together, of which next was received later. A
+// stream begins once, so that the result is the same in either order; only if neither has begun, the
+// later one holds. conflict is true if two versions are recorded to have begun it; the first holds.
+func (r Record) Merge(next Record) (merged Record, conflict bool) {
+	switch {
+	case next.rank() > r.rank():
+		return next, false
+	case next.rank() < r.rank():
+		return r, false
+	case r.Known():
+		return r, next.Version != r.Version
+	default:
+		return next, false
+	}
+}
+
 // Tracker holds the versions of recent streams. The zero Tracker is empty and ready to use. It
 // is not safe for concurrent use.
 type Tracker struct {
 	// Retention is for how long a record is kept at least; twice as long at most. Zero is 30 s.
 	Retention time.Duration
 
-	// versions holds each version once; a record is an index of it.
+	// versions holds each version once; a record refers to it.
 	versions []string
 	// recent holds the records since rotatedAt, older those of the period before.
-	recent, older map[uint64]uint16
+	recent, older map[uint64]entry
 	rotatedAt     time.Duration
 }
 
-// Record records that the stream of a key was begun by a version. The last record of a key
-// holds: an attempt of which the caller got nothing may be followed by one at another version. It
-// returns the version that was recorded before, if it was a known one and another.
-func (t *Tracker) Record(now time.Duration, key uint64, version string) (replaced string, isReplaced bool) {
-	before, known := t.Version(now, key)
-	i := t.index(version)
-	if len(t.recent) >= maxRecords || i >= maxVersions {
-		return "", false
+// entry is a record with the index of its version.
+type entry struct {
+	version uint16
+	begun   bool
+}
+
+// Record adds a record of the stream of a key to what is known of it. conflict is true if another
+// version is recorded to have begun the stream.
+func (t *Tracker) Record(now time.Duration, key uint64, r Record) (conflict bool) {
+	if before, ok := t.Lookup(now, key); ok {
+		r, conflict = before.Merge(r)
+	}
+	i := t.index(r.Version)
+	records := t.recordsFor(key)
+	if records == nil || i >= maxVersions {
+		return conflict
 	}
+	records[key] = entry{
+		version: uint16(i),
+		begun:   r.Begun,
+	}
+	return conflict
+}
+
+// recordsFor returns the map in which the record of a key is stored, nil if there is no room for it. A
+// record that is there already needs no room.
+func (t *Tracker) recordsFor(key uint64) map[uint64]entry {
 	if t.recent == nil {
-		t.recent = make(map[uint64]uint16)
+		t.recent = make(map[uint64]entry)
+	}
+	if _, ok := t.recent[key]; ok || len(t.recent) < maxRecords {
+		return t.recent
+	}
+	if _, ok := t.older[key]; ok {
+		return t.older
 	}
-	t.recent[key] = uint16(i)
-	return before, known && before != Unknown && before != version
+	return nil
 }
 
-// Version returns the version that began the stream of a key, or false if there is no record.
-func (t *Tracker) Version(now time.Duration, key uint64) (string, bool) {
+// Lookup returns the record of the stream of a key, or false if there is none.
+func (t *Tracker) Lookup(now time.Duration, key uint64) (Record, bool) {
 	t.expire(now)
-	i, ok := t.recent[key]
+	e, ok := t.recent[key]
 	if !ok {
-		i, ok = t.older[key]
+		e, ok = t.older[key]
 	}
 	if !ok {
-		return "", false
+		return Record{}, false
 	}
-	return t.versions[i], true
+	return Record{
+		Version: t.versions[e.version],
+		Begun:   e.begun,
+	}, true
 }
 
 // expire drops the records that are older than the retention.
@@ -93,14 +158,15 @@
 func (t *Tracker) dropUnusedVersions() {
 	kept := make(map[uint16]uint16)
 	var versions []string
-	for key, i := range t.older {
-		j, ok := kept[i]
+	for key, e := range t.older {
+		j, ok := kept[e.version]
 		if !ok {
 			j = uint16(len(versions))
-			kept[i] = j
-			versions = append(versions, t.versions[i])
+			kept[e.version] = j
+			versions = append(versions, t.versions[e.version])
 		}
-		t.older[key] = j
+		e.version = j
+		t.older[key] = e
 	}
 	t.versions = versions
 }
--- a/internal/routing/streamversion/streamversion_test.go
+++ b/internal/routing/streamversion/streamversion_test.go
@@ -3,7 +3,6 @@
 // This file tests the records of the versions that began streams.
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -22,27 +21,34 @@
 		tracker := streamversion.Tracker{
 			Retention: retention,
 		}
-		type record struct {
-			version string
-			at      time.Duration
+		type stored struct {
+			record streamversion.Record
+			at     time.Duration
 		}
-		model := make(map[uint64]record)
+		model := make(map[uint64]stored)
 		var now time.Duration
 		key := rapid.Uint64Range(0, 20)
 		t.Repeat(map[string]func(*rapid.T){
 			"record": func(t *rapid.T) {
-				k, version := key.Draw(t, "key"), fmt.Sprintf("v%d", rapid.IntRange(0, 5).Draw(t, "version"))
-				tracker.Record(now, k, version)
-				model[k] = record{version: version, at: now}
+				k, r := key.Draw(t, "key"), drawRecord(t)
+				want := r
+				if before, ok := tracker.Lookup(now, k); ok {
+					want, _ = before.Merge(r)
+				}
+				tracker.Record(now, k, r)
+				model[k] = stored{
+					record: want,
+					at:     now,
+				}
 			},
 			"wait": func(t *rapid.T) {
 				now += time.Duration(rapid.Int64Range(0, int64(12*time.Second)).Draw(t, "wait"))
 			},
 			"": func(t *rapid.T) {
 				for k, want := range model {
-					got, known := tracker.Version(now, k)
+					got, known := tracker.Lookup(now, k)
 					if known {
-						require.Equal(t, want.version, got)
+						require.Equal(t, want.record, got)
 					}
 					if now-want.at < retention {
 						require.True(t, known, "a record is lost before its time")
@@ -55,3 +61,35 @@
 		})
 	})
 }
+
+func drawRecord(t *rapid.T) streamversion.Record {
+	versions := []string{streamversion.Unknown, "v0", "v1", "v2"}
+	return streamversion.Record{
+		Version: rapid.SampledFrom(versions).Draw(t, "version"),
+		Begun:   rapid.Bool().Draw(t, "begun"),
+	}
+}
+
+// TestOrderOfRecordsDoesNotMatter guards against an instance that believes an overtaken record: the records of a
+// stream that one version has begun say the same in any order, also beside those of older builds.
+func TestOrderOfRecordsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(drawRecord), 0, 6).Draw(t, "records")
+		for i := range records {
+			if records[i].Known() {
+				records[i].Version = "v1"
+			}
+		}
+		begun := streamversion.Record{
+			Version: "v1",
+			Begun:   true,
+		}
+		records = rapid.Permutation(append(records, begun)).Draw(t, "order")
+		var tracker streamversion.Tracker
+		for _, r := range records {
+			require.False(t, tracker.Record(0, 1, r))
+		}
+		got, _ := tracker.Lookup(0, 1)
+		require.Equal(t, begun, got)
+	})
+}
