A view that differs from the decider's names no version

Callers see a stream that holds events of two versions. An instance that is cut off from the control group but reaches servers and the decider lists the version that a server had before. The decider knows that it is back with another one, but does not say so: a stream that begins there is recorded as of the old version and goes on there. A stream of the old version that is taken up at that instance is refused by the decider, as no server has its version; the instance takes that for a decider without tables, decides alone by its own view and sends it to the server.

The decider's answer names the version in its list (listed_version; absent from an older build). Where it differs from that in the instance's view, the version of the grant is unknown, and a bound request is withdrawn. A decider that lists servers, but none of the version, refuses with a reason of its own, noVersion, after which no instance decides alone. To an instance of an older build it is an unknown reason, which it passes on as overloaded, not run.

Cost: some ten bytes in each decision of a service that states versions. While a version changes in place, streams that begin there are of unknown version until both views show it.

--- a/internal/daemon/placer/link.go
+++ b/internal/daemon/placer/link.go
@@ -278,6 +278,7 @@
 				Quarantine:       m.GetQuarantine(),
 				Limit:            toLimit(m.GetLimit()),
 				ServedAgo:        time.Duration(m.GetServedAgoMs()) * time.Millisecond,
+				ListedVersion:    m.GetListedVersion(),
 				VersionUnknown:   m.GetVersionUnknown(),
 			}, true
 		case <-timer.C:
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -374,7 +374,9 @@
 	}
 	g.Decision, g.Address, g.Version, g.Decider = d, s.GetAddress(), s.GetVersion(), decider
 	g.joinedMs = s.GetJoinedMs()
-	g.VersionUnknown = s.GetVersion() != "" && (d.VersionUnknown || !p.schedulers.versionKnown(g.service, d.Server))
+	// Where two views differ, either may be the older one.
+	differs := d.ListedVersion != "" && d.ListedVersion != s.GetVersion()
+	g.VersionUnknown = s.GetVersion() != "" && (differs || d.VersionUnknown || !p.schedulers.versionKnown(g.service, d.Server))
 	g.sentAt = p.cfg.Now()
 	g.FetchAddress = ""
 	if from := p.view.Servers[d.FetchFrom]; from != nil && !from.GetGone() {
--- a/internal/daemon/placer/placer_test.go
+++ b/internal/daemon/placer/placer_test.go
@@ -62,6 +62,11 @@
 	stop         func()
 }
 
+// readList records a time by which the list was read, which only rises.
+func (i *instance) readList(at time.Duration) {
+	i.listReadAt.Store(max(i.listReadAt.Load(), int64(at)))
+}
+
 // checkHealth asks a server for its health; they all know their names by their addresses.
 func (i *instance) checkHealth(_, address string) (edge.Health, bool) {
 	i.healthChecks.Add(1)
--- a/internal/daemon/placer/refusal.go
+++ b/internal/daemon/placer/refusal.go
@@ -13,7 +13,7 @@
 func refusalFault(service string, d scheduler.Decision) error {
 	kind := fault.Overloaded
 	switch d.Refusal {
-	case scheduler.NoServer, "":
+	case scheduler.NoServer, scheduler.NoVersion, "":
 		kind = fault.NoEngine
 	case scheduler.VersionUnknown:
 		return &fault.Fault{
--- a/internal/daemon/placer/serve.go
+++ b/internal/daemon/placer/serve.go
@@ -151,6 +151,7 @@
 		Quarantine:          d.Quarantine,
 		Limit:               fromLimit(d.Limit),
 		ServedAgoMs:         ceilMilliseconds(d.ServedAgo),
+		ListedVersion:       d.ListedVersion,
 		VersionUnknown:      d.VersionUnknown,
 	})
 }
--- a/internal/daemon/placer/streams_test.go
+++ b/internal/daemon/placer/streams_test.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
+	"camphorspoke/internal/routing/incarnation"
 	"camphorspoke/internal/routing/scheduler"
 	"camphorspoke/internal/routing/view"
 )
@@ -25,12 +27,31 @@
 }
 
 // newVersionFleet starts n instances that list the engines e0 and e2 of version v1, and e1 of
-// version v2. It also returns the order of the deciders, and the view.
+// version v2. The list was read long enough after their start. It also returns the order of the
+// deciders, and the view.
 func newVersionFleet(t *testing.T, n int) (map[string]*instance, []string, *view.View) {
 	t.Helper()
 	fleet, order, v := startFleet(t, n, 0, nil, nil)
+	for _, in := range fleet {
+		in.readList(in.now() + incarnation.ListLag)
+	}
+	return fleet, order, updateVersions(fleet, v, "v1", "v2", "v1")
+}
+
+// updateVersions lists the engines e0, e1 and e2 with the given versions at all instances, and returns the view.
+func updateVersions(fleet map[string]*instance, v *view.View, versions ...string) *view.View {
+	v = withVersions(v, versions...)
+	for _, in := range fleet {
+		in.placer.Update(v)
+	}
+	return v
+}
+
+// withVersions returns a view that lists the engines e0, e1 and e2 with the given versions.
+func withVersions(v *view.View, versions ...string) *view.View {
 	var servers []*pb.BackendServer
-	for name, version := range map[string]string{"e0": "v1", "e1": "v2", "e2": "v1"} {
+	for i, version := range versions {
+		name := fmt.Sprintf("e%d", i)
 		servers = append(servers, &pb.BackendServer{
 			Name:    name,
 			Service: service,
@@ -38,11 +59,7 @@
 			Version: version,
 		})
 	}
-	v = v.WithTables(2, false, servers, nil)
-	for _, in := range fleet {
-		in.placer.Update(v)
-	}
-	return fleet, order, v
+	return v.WithTables(v.Index+1, false, servers, nil)
 }
 
 // begin places a stream at an instance, whose server begins its response, and returns its version.
--- a/internal/daemon/placer/versions_test.go
+++ b/internal/daemon/placer/versions_test.go
@@ -101,7 +101,7 @@
 	time.Sleep(100 * time.Millisecond)
 	frozen.frozenFor.Store(int64(6 * time.Second))
 	for _, in := range fleet {
-		in.listReadAt.Store(int64(in.now()))
+		in.readList(in.now())
 	}
 	g, err = placeOnlyAt(t, requester, "e0", "v1", 1001)
 	require.NoError(t, err)
--- a/internal/routing/scheduler/place.go
+++ b/internal/routing/scheduler/place.go
@@ -84,6 +84,7 @@
 		FetchedTokens:    fetched,
 		PromptTokens:     promptTokens(req),
 		Limit:            sv.serverLimit.Statement(now),
+		ListedVersion:    sv.version,
 		VersionUnknown:   sv.doubt.doubted,
 	}
 	if at, known := sv.incarnation.ServedAt(); known {
--- a/internal/routing/scheduler/types.go
+++ b/internal/routing/scheduler/types.go
@@ -133,8 +133,10 @@
 	// VersionUnknown means that servers of the version that a request is bound to may have started
 	// anew with another one.
 	VersionUnknown = "versionUnknown"
-	Overloaded     = "overloaded"
-	RetryBudget    = "retryBudget"
+	// NoVersion means that servers are listed, but none of the version that a request is bound to.
+	NoVersion   = "noVersion"
+	Overloaded  = "overloaded"
+	RetryBudget = "retryBudget"
 	// Hedge means that no hedge is sent: the budget is spent, the service is loaded, or no
 	// other server is suited.
 	Hedge = "hedge"
@@ -181,7 +183,9 @@
 	RereadTokens int
 	// Limit is what the server has stated of its limit, as far as the scheduler has received it.
 	Limit serverlimit.Statement
-	// VersionUnknown is true if the server may have started anew since the list showed its version.
+	// ListedVersion is the version of the server in the list; empty if the list states none, or from a decider
+	// of an older build. VersionUnknown is true if the server may have started anew since.
+	ListedVersion  string
 	VersionUnknown bool
 	// ServedAgo is how long ago, at least, the latest connection was opened on which the server has answered
 	// without announcing that it leaves; zero if unknown.
--- a/internal/routing/scheduler/versions.go
+++ b/internal/routing/scheduler/versions.go
@@ -62,13 +62,18 @@
 func (s *Scheduler) VersionsKnown() bool { return len(s.doubted) == 0 }
 
 // refuseUnplaced refuses a request that no server may run. It says so if some only may not because their
-// versions are unknown.
+// versions are unknown, or if servers are listed, but none of the version: an instance whose view differs
+// must not choose one by it.
 func (s *Scheduler) refuseUnplaced(req Request) Decision {
 	reason := NoServer
-	if req.Version != "" && slices.ContainsFunc(s.listedServers, func(sv *server) bool {
+	switch {
+	case req.Version == "" || len(s.listedServers) == 0:
+	case slices.ContainsFunc(s.listedServers, func(sv *server) bool {
 		return sv.accepting && sv.doubt.doubted && sv.version == req.Version && !slices.Contains(req.Tried, sv.name)
-	}) {
+	}):
 		reason = VersionUnknown
+	case !slices.ContainsFunc(s.listedServers, func(sv *server) bool { return sv.version == req.Version }):
+		reason = NoVersion
 	}
 	return refuse(req, reason, noServerRetryAfter)
 }
--- a/internal/routing/scheduler/versions_test.go
+++ b/internal/routing/scheduler/versions_test.go
@@ -129,3 +129,20 @@
 		require.True(t, s.VersionKnown("a"), evidence)
 	}
 }
+
+// TestVersionThatNoServerHas guards against a refusal that reads as if no server were listed: an instance with
+// another view would then choose one by itself.
+func TestVersionThatNoServerHas(t *testing.T) {
+	s := newVersionedService(t)
+	d, _ := s.Schedule(s.now, scheduler.Request{
+		ID:      100,
+		Version: "v3",
+	})
+	require.Equal(t, scheduler.NoVersion, d.Refusal)
+	s.SetServers(s.now, nil)
+	d, _ = s.Schedule(s.now, scheduler.Request{
+		ID:      101,
+		Version: "v3",
+	})
+	require.Equal(t, scheduler.NoServer, d.Refusal)
+}
