An instance that has just started knows no crash before

Callers see a stream that holds events of two versions. A process that has just started counted as having missed nothing. If a server crashed just before and is back with another version that the list does not show yet, a decider that has just started places streams of the version in the list there, and streams that begin there are recorded as of that version, by it and by the instances for which it decides. A decider that has just woken from a freeze did the latter too, and a copy of a request was not looked at.

Before, TestStartedInstanceKnowsNoCrash: "An error is expected but got nil" (a bound stream is placed), and without that line "Should be true" (VersionUnknown of a stream that begins); TestCopyAtAFrozenInstance: "expected: true, actual: false".

A start counts like the end of a freeze: the list has to be read 2 s after it. While one version has served for as long as records are kept, a start is not counted, so that a restart of all instances costs no stream (TestRestartOfAllWhileOneVersionServes, which held before too). A decider that may have missed a crash says that the version of the server is unknown, unless one version serves; streams that begin there are confirmed by their connections. A relay that has just started takes the version from a decider that lists the same one.

Cost, while several versions serve: for some 3 s after the start of a decider, bound streams are placed by the next one, and streams that begin are of unknown version until their first event, if their connection was opened 2 s before the list was read, or until the list is read later. After a start of all instances during an outage of the list no stream goes on until it is read. Remains: an instance that starts between a crash and the list that shows the first server of a second version.

--- a/internal/daemon/placer/hedge.go
+++ b/internal/daemon/placer/hedge.go
@@ -32,6 +32,7 @@
 	if g.stream != nil {
 		g.localID = p.schedulers.adopt(service, d.Server, req, true)
 	}
+	p.doubtBegun(g, req.Version)
 	g.Waited = p.cfg.Now() - start
 	return g, nil
 }
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -224,6 +224,7 @@
 	p.view, p.order = v, order
 	p.mu.Unlock()
 	p.schedulers.update(v, order)
+	p.schedulers.recordListRead()
 	for name := range v.Rules.Services {
 		// Open the stream now, so that the first request does not wait for it.
 		if order := p.deciders(name); len(order) > 0 && order[0].GetName() != p.cfg.Instance {
@@ -267,8 +268,7 @@
 		}
 		if !u.any() {
 			g.Waited = p.cfg.Now() - start
-			// What a request is bound to is known; what it begins need not be, by an outdated view.
-			g.VersionUnknown = g.VersionUnknown || req.Version == "" && g.Version != "" && !p.schedulers.viewIsCurrent()
+			p.doubtBegun(g, req.Version)
 			return g, nil
 		}
 		if u.limit.Named {
--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -78,8 +78,12 @@
 	// their health.
 	freezes  freezes
 	healthAt time.Duration
-	// listReadAt is a time by which the list was read that was applied last; zero if unknown.
+	// startedAt is when this process has started, and listReadAt a time by which the list was read that was
+	// applied last; zero if unknown.
+	startedAt  time.Duration
 	listReadAt time.Duration
+	// oneVersion holds the services of which all servers have had one version, as of the last view.
+	oneVersion map[string]bool
 	// changes holds the changes of quarantines that are not recorded yet.
 	changes chan *pb.Quarantine
 	// entitled reports whether this instance is one of the deciders of a service by its own
@@ -90,6 +94,7 @@
 func newSchedulers(cfg Config) *Schedulers {
 	return &Schedulers{
 		cfg:       cfg,
+		startedAt: cfg.Now(),
 		view:      &view.View{},
 		services:  make(map[string]*scheduler.Scheduler),
 		waiting:   make(map[uint64]func(scheduler.Decision)),
@@ -263,6 +268,7 @@
 	defer d.mu.Unlock()
 	d.engines, d.view, d.order, d.ranks = engines, v, order, ranks
 	d.streamRetention = longestStream(v.Rules)
+	d.oneVersion = servicesOfOneVersion(v, d.streamRetention)
 	for name, rule := range v.Rules.Services {
 		svc := d.settings(name, rule)
 		s := d.services[name]
@@ -294,7 +300,7 @@
 	d.nextID++
 	req.ID = d.nextID
 	s := d.services[service]
-	if s == nil || req.Version != "" && !d.missedNothing() {
+	if s == nil || req.Version != "" && !d.missedNothing(service) {
 		// Another instance may know.
 		answer(scheduler.Decision{
 			ID:      req.ID,
@@ -303,12 +309,12 @@
 		return req.ID, false
 	}
 	req.MayTry, req.Alone = isDecider, !isDecider
-	recorded := answer
-	if isDecider {
-		recorded = func(decision scheduler.Decision) {
+	recorded := func(decision scheduler.Decision) {
+		decision.VersionUnknown = decision.VersionUnknown || d.doubtsDecision(service)
+		if isDecider {
 			d.placed(service, decision.Server, req.Parts)
-			answer(decision)
 		}
+		answer(decision)
 	}
 	decision, ok := s.Schedule(d.cfg.Now(), req)
 	d.recordChanges(service, s)
--- a/internal/daemon/placer/versions.go
+++ b/internal/daemon/placer/versions.go
@@ -8,10 +8,11 @@
 
 	"camphorspoke/internal/routing/incarnation"
 	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/routing/view"
 )
 
-// assumedListAge is how long after a freeze what happened during it counts as known, if it is not known
-// how old the list is.
+// assumedListAge is how long after a start or a freeze what happened before its end counts as known, if it is
+// not known how old the list is.
 const assumedListAge = 5 * time.Second
 
 // hasOtherVersion reports whether the server of a grant is not known to have the version that a request
@@ -20,22 +21,46 @@
 	return version != "" && (g.Version != version || g.VersionUnknown)
 }
 
-// missedNothing reports whether this instance knows of all servers that may have gone down: it has not
-// been frozen since the list was read, or only before, by more than the lag of the list. The caller
-// holds mu.
-func (d *Schedulers) missedNothing() bool {
-	f := &d.freezes
+// missedNothing reports whether this instance knows of all servers of a service that may have gone down: the
+// list was read after its start and its last freeze, by more than the lag of the list. After a start
+// that is not needed while one version serves, so that streams outlive a restart of all instances. The
+// caller holds mu.
+func (d *Schedulers) missedNothing(service string) bool {
 	now := d.cfg.Now()
-	switch {
-	case f.receivedAt(now) != now:
+	if d.freezes.receivedAt(now) != now {
 		return false
-	case f.ended == 0 || d.cfg.ListReadAt == nil:
+	}
+	return d.listReadSince(max(d.startedAt, d.freezes.ended)) || d.freezes.ended == 0 && d.oneVersion[service]
+}
+
+// listReadSince reports whether the list shows the servers as they were at a time, as far as is known. The
+// caller holds mu.
+func (d *Schedulers) listReadSince(at time.Duration) bool {
+	switch {
+	case d.cfg.ListReadAt == nil:
 		return true
 	case d.listReadAt == 0:
-		return now-f.ended >= assumedListAge
+		return d.cfg.Now()-at >= assumedListAge
 	default:
-		return d.listReadAt >= f.ended+incarnation.ListLag
+		return d.listReadAt >= at+incarnation.ListLag
+	}
+}
+
+// doubtsDecision reports whether the version of a server of a service that this instance grants is unknown, as
+// the server may have gone down without its knowledge. The caller holds mu.
+func (d *Schedulers) doubtsDecision(service string) bool {
+	return !d.missedNothing(service) && !d.oneVersion[service]
+}
+
+// servicesOfOneVersion returns the services of which all servers have had one version for as long as records
+// are kept.
+func servicesOfOneVersion(v *view.View, retention time.Duration) map[string]bool {
+	since := time.Now().Add(-retention)
+	out := make(map[string]bool, len(v.Rules.Services))
+	for name := range v.Rules.Services {
+		_, out[name] = onlyVersion(v, name, since)
 	}
+	return out
 }
 
 // versionKnown reports whether the version in the list is known to be that of a server.
@@ -51,7 +76,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.services[service]
-	return d.missedNothing() && (s == nil || s.VersionsKnown())
+	return d.missedNothing(service) && (s == nil || s.VersionsKnown())
 }
 
 // recordListRead passes the age of the list on to the schedulers.
@@ -70,12 +95,23 @@
 	}
 }
 
-// viewIsCurrent reports whether the version in the view of this instance may be taken for that of a server
-// which begins a stream.
-func (d *Schedulers) viewIsCurrent() bool {
+// doubtBegun makes the version of a grant unknown that a stream of a request may begin with, if the view of
+// this instance is outdated. What a request is bound to is known.
+func (p *Placer) doubtBegun(g *Grant, version string) {
+	if version == "" && g.Version != "" && !p.schedulers.viewIsCurrent(g) {
+		g.VersionUnknown = true
+	}
+}
+
+// viewIsCurrent reports whether the version in the view of this instance may be taken for that of the server
+// of a grant. An instance that has just started takes it from a decider that lists the same version: it
+// has not asked that before its start.
+func (d *Schedulers) viewIsCurrent(g *Grant) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.missedNothing()
+	now := d.cfg.Now()
+	started := d.freezes.ended == 0 && d.freezes.receivedAt(now) == now
+	return d.missedNothing(g.service) || started && g.stream != nil && g.ListedVersion == g.Version
 }
 
 // ConfirmVersion finds out the version of the server of a grant of which it was unknown, and records the
--- a/internal/daemon/placer/versionsources_test.go
+++ b/internal/daemon/placer/versionsources_test.go
@@ -1,13 +1,18 @@
 package placer_test
 
-// This file tests the version of a server where what an instance knows of it is out of date.
+// This file tests the version of a server where what an instance knows of it is out of date:
+// it has just started, or its view is stale.
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"camphorspoke/internal/base/fault"
+	"camphorspoke/internal/routing/incarnation"
+	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/rules/parse"
 )
 
 // TestStaleViewNamesNoVersion: an instance is cut off from the control group and lists e0 with v1, while the
@@ -32,3 +37,96 @@
 	require.NoError(t, err)
 	require.False(t, g.VersionUnknown)
 }
+
+// TestStartedInstanceKnowsNoCrash: an instance that has just started does not know which servers went down
+// before. It guards against streams that go on, or are recorded, by a list that was read before a crash.
+func TestStartedInstanceKnowsNoCrash(t *testing.T) {
+	fleet, order, v := startFleet(t, 3, 0, nil, nil)
+	decider, second, relay := fleet[order[0]], fleet[order[1]], fleet[order[2]]
+	started := decider.now()
+	for _, in := range fleet {
+		in.readList(started)
+	}
+	updateVersions(fleet, v, "v1", "v2", "v1")
+	requireKnown := func(in *instance, unique uint64) {
+		t.Helper()
+		require.Eventually(t, func() bool {
+			unique += 2
+			begun, err := placeOnlyAt(t, in, "e0", "", unique)
+			require.NoError(t, err)
+			begun.Report(scheduler.Report{
+				Event: scheduler.Done,
+			})
+			bound, err := placeOnlyAt(t, in, "e0", "v1", unique+1)
+			if err != nil {
+				return false
+			}
+			bound.Report(scheduler.Report{
+				Event: scheduler.Done,
+			})
+			return !begun.VersionUnknown
+		}, 5*time.Second, 20*time.Millisecond)
+	}
+	for i, in := range []*instance{decider, relay} {
+		_, err := placeOnlyAt(t, in, "e0", "v1", uint64(1000+i))
+		require.Error(t, err)
+		g, err := placeOnlyAt(t, in, "e0", "", uint64(2000+i))
+		require.NoError(t, err)
+		require.True(t, g.VersionUnknown)
+		require.False(t, g.ConfirmVersion(in.now()), "the list was read before its connection was opened")
+		require.True(t, g.ConfirmVersion(started-incarnation.ListLag))
+	}
+	second.readList(started + incarnation.ListLag + time.Second)
+	require.Eventually(t, func() bool {
+		g, err := placeOnlyAt(t, relay, "e0", "v1", 3000)
+		return err == nil && g.Decider == order[1]
+	}, 5*time.Second, 20*time.Millisecond, "the next decider has run for longer")
+	g, err := placeOnlyAt(t, relay, "e0", "", 3001)
+	require.NoError(t, err)
+	require.True(t, g.VersionUnknown, "the decider does not know of a crash")
+	decider.readList(started + incarnation.ListLag + time.Second)
+	requireKnown(relay, 4000)
+	relay.readList(started + incarnation.ListLag + time.Second)
+	requireKnown(relay, 5000)
+}
+
+// TestRestartOfAllWhileOneVersionServes guards against streams that have to wait for the list although only
+// one version has served: after a restart of all instances they go on at once.
+func TestRestartOfAllWhileOneVersionServes(t *testing.T) {
+	fleet, order, v := startFleet(t, 3, 0, nil, nil)
+	for _, in := range fleet {
+		in.readList(in.now())
+	}
+	updateVersions(fleet, v, "v1", "v1", "v1")
+	for i, name := range order {
+		version, known := fleet[name].placer.StreamVersion(t.Context(), service, 99, true)
+		require.True(t, known)
+		require.Equal(t, "v1", version)
+		for _, version := range []string{"v1", ""} {
+			g, err := placeOnlyAt(t, fleet[name], "e0", version, uint64(1000+i))
+			require.NoError(t, err)
+			require.False(t, g.VersionUnknown)
+		}
+	}
+}
+
+// TestCopyAtAFrozenInstance guards against a copy of a request that begins a stream and is taken for one of the
+// version in a view that may be as old as a freeze.
+func TestCopyAtAFrozenInstance(t *testing.T) {
+	fleet, order, v := newVersionFleet(t, 3)
+	rules := "service llm type=engine slots=8 cache-tokens=100000 hedge=50% # t: t\n"
+	f, err := parse.Rules("r", []byte(rules))
+	require.NoError(t, err)
+	updateVersions(fleet, v.WithRules(2, []byte(rules), f), "v1", "v2", "v1")
+	relay := fleet[order[2]]
+	placeAndFinish(t, relay.placer, 10)
+	time.Sleep(100 * time.Millisecond) // the ticker runs before the freeze
+	for _, frozenFor := range []time.Duration{0, 6 * time.Second} {
+		relay.frozenFor.Store(int64(frozenFor))
+		g, err := relay.placer.PlaceHedge(t.Context(), service, scheduler.Request{
+			Tried: []string{"e2"},
+		})
+		require.NoError(t, err)
+		require.Equal(t, frozenFor > 0, g.VersionUnknown)
+	}
+}
