A version that changes in place is a version that has served

Callers see a stream that holds events of two versions. A stream without a record goes on if all servers have had one version for as long as records are kept. A server that comes back under its name with another version leaves no trace of the one before: the row is overwritten, with the time of its departure if it was gone in between. Once all servers have come back so, a stream of the old version goes on at the new one. An instance that lists no server of the service took that for one version, too, and let the stream go on wherever the decider sent it.

The row of a server has the time at which the leader found its version, if its name had another one before (version_changed_ms).

Cost: nine bytes in the rows of servers whose version has changed in place; a pass over the rows for each stream that is taken up without a record.

--- a/internal/control/manager/partiallist_test.go
+++ b/internal/control/manager/partiallist_test.go
@@ -167,8 +167,9 @@
 }
 
 // TestVersionFollowsTheList: a server is listed with another version of its software under the
-// same name, and then no longer. The row of the server must follow, as streams go on by it, and
-// must tell since when the server is gone.
+// same name, and then no longer, and then with another one again. The row of the server must follow, as
+// streams go on by it, and must tell since when the server is gone, and when its version changed: else
+// nothing shows that the name had another version.
 func TestVersionFollowsTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		list := &partialList{}
@@ -179,18 +180,27 @@
 		defer stop()
 		time.Sleep(20 * time.Second)
 		require.Equal(t, "v1", r.Ledger.Server("a").GetVersion())
+		require.Zero(t, r.Ledger.Server("a").GetVersionChangedMs())
 		newer := listed("a", false)
 		newer.Version = "v2"
+		before := time.Now()
 		list.set(false, newer, b)
 		time.Sleep(10 * time.Second)
 		require.Equal(t, "v2", r.Ledger.Server("a").GetVersion())
 		require.Zero(t, r.Ledger.Server("a").GetGoneMs())
-		before := time.Now()
+		changed := r.Ledger.Server("a").GetVersionChangedMs()
+		require.WithinRange(t, time.UnixMilli(changed), before, time.Now())
+		require.Zero(t, r.Ledger.Server("b").GetVersionChangedMs())
+		before = time.Now()
 		list.set(false, b)
 		time.Sleep(40 * time.Second)
 		gone := r.Ledger.Server("a")
 		require.True(t, gone.GetGone())
 		require.Equal(t, "v2", gone.GetVersion())
 		require.WithinRange(t, time.UnixMilli(gone.GetGoneMs()), before, time.Now())
+		require.Equal(t, changed, gone.GetVersionChangedMs())
+		list.set(false, listed("a", false), b)
+		time.Sleep(10 * time.Second)
+		require.Greater(t, r.Ledger.Server("a").GetVersionChangedMs(), gone.GetGoneMs())
 	})
 }
--- a/internal/control/manager/platform.go
+++ b/internal/control/manager/platform.go
@@ -184,6 +184,8 @@
 		Leaving:       s.GetLeaving(),
 		JoinedMs:      joined,
 		Version:       s.GetVersion(),
+
+		VersionChangedMs: versionChangedMs(old, s),
 	}
 	coldChanges := m.copyCold(now, old, row, s)
 	if old != nil && !coldChanges && !old.GetGone() && old.GetAddress() == s.GetAddress() && old.GetLeaving() == s.GetLeaving() &&
@@ -194,6 +196,14 @@
 	return row
 }
 
+// versionChangedMs returns when the version of a listed server was found, if its name had another one before.
+func versionChangedMs(old *pb.BackendServer, s *pb.ListedServer) int64 {
+	if old == nil || old.GetVersion() == s.GetVersion() {
+		return old.GetVersionChangedMs()
+	}
+	return time.Now().UnixMilli()
+}
+
 // expireClaims deletes claims that are older than the longest retention in the
 // rules by at least an hour.
 func (m *Manager) expireClaims(ctx context.Context) {
--- a/internal/daemon/placer/versions.go
+++ b/internal/daemon/placer/versions.go
@@ -58,11 +58,28 @@
 	since := time.Now().Add(-retention)
 	out := make(map[string]bool, len(v.Rules.Services))
 	for name := range v.Rules.Services {
-		_, out[name] = onlyVersion(v, name, since)
+		out[name] = servedOneVersion(v, name, since)
 	}
 	return out
 }
 
+// servedOneVersion reports whether servers of a service are listed, or were after since, and all of them have
+// had one version since then.
+func servedOneVersion(v *view.View, service string, since time.Time) bool {
+	listed := false
+	for _, s := range v.Servers {
+		if s.GetService() != service || s.GetGone() && s.GetGoneMs() < since.UnixMilli() {
+			continue
+		}
+		if s.GetVersionChangedMs() >= since.UnixMilli() {
+			return false
+		}
+		listed = true
+	}
+	_, only := onlyVersion(v, service, since)
+	return listed && only
+}
+
 // versionKnown reports whether the version in the list is known to be that of a server.
 func (d *Schedulers) versionKnown(service, server string) bool {
 	d.mu.Lock()
@@ -71,12 +88,14 @@
 	return s == nil || s.VersionKnown(server)
 }
 
-// versionsKnown reports whether the versions of all servers of a service are known.
+// versionsKnown reports whether the versions of all servers of a service are known, and have been the same
+// for as long as records are kept.
 func (d *Schedulers) versionsKnown(service string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.services[service]
-	return d.missedNothing(service) && (s == nil || s.VersionsKnown())
+	since := time.Now().Add(-d.streamRetention)
+	return d.missedNothing(service) && (s == nil || s.VersionsKnown()) && servedOneVersion(d.view, service, since)
 }
 
 // recordListRead passes the age of the list on to the schedulers.
--- a/internal/daemon/placer/versionsources_test.go
+++ b/internal/daemon/placer/versionsources_test.go
@@ -1,7 +1,7 @@
 package placer_test
 
 // This file tests the version of a server where what an instance knows of it is out of date:
-// it has just started, or its view is stale.
+// it has just started, or its view is stale, or the version changed under the name of the server.
 
 import (
 	"testing"
@@ -130,3 +130,32 @@
 		require.Equal(t, frozenFor > 0, g.VersionUnknown)
 	}
 }
+
+// TestStreamWithoutRecordAfterAChangeInPlace: all servers have one version, but one of them had another under
+// its name lately. It guards against a stream of that version that goes on at the present one, and
+// against one that goes on anywhere, as the instance lists no server.
+func TestStreamWithoutRecordAfterAChangeInPlace(t *testing.T) {
+	fleet, order, v := newVersionFleet(t, 1)
+	p := fleet[order[0]].placer
+	for _, c := range []struct {
+		ago   time.Duration
+		gone  bool
+		known bool
+	}{
+		{ago: time.Second},
+		{ago: time.Hour, known: true},
+		{ago: time.Hour, gone: true},
+	} {
+		v = withVersions(v, "v2", "v2", "v2")
+		for _, s := range v.Servers {
+			s.VersionChangedMs = time.Now().Add(-c.ago).UnixMilli()
+			if c.gone {
+				s.Gone, s.GoneMs = true, s.VersionChangedMs
+			}
+		}
+		p.Update(v)
+		version, known := p.StreamVersion(t.Context(), service, 99, true)
+		require.Equal(t, c.known, known, "%v", c)
+		require.Equal(t, c.known, version == "v2")
+	}
+}
