--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -226,6 +226,7 @@
 	p.view, p.order = v, order
 	p.mu.Unlock()
 	p.schedulers.update(v, order)
+	p.schedulers.recordListRead()
 	for name := range v.Rules.Services {
 		// Open the stream now, so that the first request does not wait for it.
 		if order := p.deciders(name); len(order) > 0 && order[0].GetName() != p.cfg.Instance {
@@ -269,8 +270,7 @@
 		}
 		if !u.any() {
 			g.Waited = p.cfg.Now() - start
-			// What a request is bound to is known; what it begins need not be, by an outdated view.
-			g.VersionUnknown = g.VersionUnknown || req.Version == "" && g.Version != "" && !p.schedulers.viewIsCurrent()
+			p.doubtBegun(g, req.Version)
 			return g, nil
 		}
 		if u.limit.Named {
@@ -376,7 +376,9 @@
 	}
 	g.Decision, g.Address, g.Version, g.Decider = d, s.GetAddress(), s.GetVersion(), decider
 	g.joinedMs = s.GetJoinedMs()
-	g.VersionUnknown = s.GetVersion() != "" && (d.VersionUnknown || !p.schedulers.versionKnown(g.service, d.Server))
+	// Where two views differ, either may be the older one.
+	differs := d.ListedVersion != "" && d.ListedVersion != s.GetVersion()
+	g.VersionUnknown = s.GetVersion() != "" && (differs || d.VersionUnknown || !p.schedulers.versionKnown(g.service, d.Server))
 	g.sentAt = p.cfg.Now()
 	g.FetchAddress = ""
 	if from := p.view.Servers[d.FetchFrom]; from != nil && !from.GetGone() {
