--- a/internal/daemon/placer/grant.go
+++ b/internal/daemon/placer/grant.go
@@ -64,7 +64,7 @@
 		r.LeavingAt = max(g.p.schedulers.receivedAt(), g.sentAt)
 	}
 	r.JoinedMs = g.joinedMs
-	if r.Event == scheduler.Started && !r.HasLoad && !g.hasPrompt && r.RetryAfter == 0 && !r.Leaving && r.ColdFor == 0 && !g.changesLimit(r) {
+	if r.Event == scheduler.Started && !g.versionMatters() && !r.HasLoad && !g.hasPrompt && r.RetryAfter == 0 && !r.Leaving && r.ColdFor == 0 && !g.changesLimit(r) {
 		// The start of such a request changes nothing that the schedulers know.
 		return
 	}
@@ -79,6 +79,10 @@
 	}
 }
 
+// versionMatters reports whether the schedulers have to know that the server has begun its response, so that
+// its version stays known if it refuses another connection meanwhile.
+func (g *Grant) versionMatters() bool { return g.Stream != 0 && g.Version != "" }
+
 // begunStream is a stream that has begun, and the version that has begun it; the zero value is none.
 type begunStream struct {
 	stream  uint64
--- a/internal/daemon/placer/streams.go
+++ b/internal/daemon/placer/streams.go
@@ -38,14 +38,14 @@
 	// queriedHolders is the number of instances that are asked for a record: the decider and the
 	// holders, and some more, as an instance may not know yet which of them have stopped.
 	queriedHolders = 6
-	// queryStagger is the pause before each further instance is asked, while there is no answer,
-	// and versionTimeout the time after which a stream counts as unknown.
-	queryStagger   = 15 * time.Millisecond
-	versionTimeout = 250 * time.Millisecond
+	// queryStagger is the pause before each further instance is asked, while there is no answer.
+	queryStagger = 15 * time.Millisecond
 	// queryRounds is how often the instances are asked, as the record of a stream that has just begun
-	// may be on its way to them, and queryPause the pause between.
-	queryRounds = 2
-	queryPause  = 30 * time.Millisecond
+	// may be on its way to them, roundTimeout how long at most each time, and queryPause the pause
+	// between.
+	queryRounds  = 2
+	roundTimeout = 120 * time.Millisecond
+	queryPause   = 30 * time.Millisecond
 	// flushStreamsInterval is the time between two messages to each holder.
 	flushStreamsInterval = 100 * time.Millisecond
 	// maxUnsentStreams limits the records that are kept for the next message to the holders.
@@ -225,8 +225,6 @@
 	if stream == 0 {
 		return p.listedOnlyVersion(service, viewConfirmed)
 	}
-	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
-	defer cancel()
 	for round := range queryRounds {
 		if round > 0 {
 			time.Sleep(queryPause)
@@ -294,6 +292,8 @@
 	if p.cfg.Records == nil {
 		return f
 	}
+	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
+	defer cancel()
 	instances := p.nextInstances(service, queriedHolders)
 	type answer struct {
 		record streamversion.Record
--- a/internal/daemon/placer/streams_test.go
+++ b/internal/daemon/placer/streams_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -164,6 +165,34 @@
 	require.Equal(t, "v2", version)
 }
 
+// TestCallerIsBackBeforeTheRecord guards against refusing a stream that has just begun, as its record is still on
+// its way, and against waiting in vain for an instance that does not answer meanwhile.
+func TestCallerIsBackBeforeTheRecord(t *testing.T) {
+	fleet, order, v := newVersionFleet(t, 7)
+	taker := fleet[order[6]].placer
+	_, known := taker.StreamVersion(t.Context(), service, 1, true) // connects to all instances
+	require.False(t, known)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	for stream := uint64(2); stream <= 3; stream++ {
+		time.AfterFunc(10*time.Millisecond, func() {
+			fleet[order[0]].record.Store(&streamversion.Record{
+				Version: "v1",
+				Begun:   true,
+			})
+		})
+		version, known := taker.StreamVersion(t.Context(), service, stream, true)
+		require.True(t, known)
+		require.Equal(t, "v1", version)
+		fleet[order[0]].record.Store(nil)
+		taker.Update(v.WithTables(v.Index+1, false, nil, []*pb.Instance{{
+			Name:        order[3],
+			PeerAddress: silent.Addr().String(),
+		}}))
+	}
+}
+
 // TestUnknownStreamWhileVersionsChange: a stream of which there is no record goes on if all servers
 // that were listed lately have one version, and not otherwise: a version that has just gone may
 // have begun it, and an instance whose view is not confirmed does not know the versions.
--- a/internal/daemon/placer/versions_test.go
+++ b/internal/daemon/placer/versions_test.go
@@ -87,6 +87,38 @@
 	}, 5*time.Second, 20*time.Millisecond)
 }
 
+// TestServerThatRespondsHasNotGoneDown guards against a version that becomes unknown while the server responds
+// to a stream, without a prompt or a reported load, and refuses another connection.
+func TestServerThatRespondsHasNotGoneDown(t *testing.T) {
+	fleet, order, _ := newVersionFleet(t, 3)
+	for i, name := range []string{order[0], order[2]} {
+		in := fleet[name]
+		place := func(version string) (*placer.Grant, error) {
+			return in.placer.Place(t.Context(), service, scheduler.Request{
+				MaxWait: time.Second,
+				Version: version,
+				Tried:   []string{"e1", "e2"},
+			})
+		}
+		g, err := place("")
+		require.NoError(t, err)
+		g.Stream = uint64(10 + i)
+		g.Report(scheduler.Report{
+			Event: scheduler.Started,
+		})
+		require.True(t, g.RecordEvent(0))
+		time.Sleep(100 * time.Millisecond) // the report is on its way to the decider
+		refused, err := place("")
+		require.NoError(t, err)
+		refused.Report(scheduler.Report{
+			Event: scheduler.Unreachable,
+		})
+		time.Sleep(100 * time.Millisecond)
+		_, err = place("v1")
+		require.NoError(t, err)
+	}
+}
+
 // TestFrozenInstanceDecidesOnNoBoundStream: an instance that wakes does not know which servers have gone down
 // meanwhile. The next decider places streams that go on, until the list has been read after the freeze.
 func TestFrozenInstanceDecidesOnNoBoundStream(t *testing.T) {
