--- a/internal/daemon/placer/versions_test.go
+++ b/internal/daemon/placer/versions_test.go
@@ -107,13 +107,11 @@
 			Event: scheduler.Started,
 		})
 		require.True(t, g.RecordEvent(0))
-		time.Sleep(100 * time.Millisecond) // the report is on its way to the decider
 		refused, err := place("")
 		require.NoError(t, err)
 		refused.Report(scheduler.Report{
 			Event: scheduler.Unreachable,
 		})
-		time.Sleep(100 * time.Millisecond)
 		_, err = place("v1")
 		require.NoError(t, err)
 	}
