--- a/internal/daemon/placer/schedulers.go
+++ b/internal/daemon/placer/schedulers.go
@@ -268,7 +268,7 @@
 	defer d.mu.Unlock()
 	d.engines, d.view, d.order, d.ranks = engines, v, order, ranks
 	d.streamRetention = longestStream(v.Rules)
-	d.oneVersion = servicesOfOneVersion(v, d.streamRetention)
+	d.oneVersion = servicesOfOneVersion(v, time.Now().Add(-d.streamRetention))
 	for name, rule := range v.Rules.Services {
 		svc := d.settings(name, rule)
 		s := d.services[name]
--- a/internal/daemon/placer/versions.go
+++ b/internal/daemon/placer/versions.go
@@ -53,32 +53,22 @@
 	return !d.missedNothing(service) && !d.oneVersion[service]
 }
 
-// servicesOfOneVersion returns the services of which all servers have had one version for as long as records
-// are kept.
-func servicesOfOneVersion(v *view.View, retention time.Duration) map[string]bool {
-	since := time.Now().Add(-retention)
-	out := make(map[string]bool, len(v.Rules.Services))
-	for name := range v.Rules.Services {
-		out[name] = servedOneVersion(v, name, since)
-	}
-	return out
-}
-
-// servedOneVersion reports whether servers of a service are listed, or were after since, and all of them have
-// had one version since then.
-func servedOneVersion(v *view.View, service string, since time.Time) bool {
-	listed := false
+// servicesOfOneVersion returns the services of which servers are listed, or were after since, and all of them
+// have had the same version since.
+func servicesOfOneVersion(v *view.View, since time.Time) map[string]bool {
+	versions := make(map[string]string)
+	out := make(map[string]bool)
 	for _, s := range v.Servers {
-		if s.GetService() != service || s.GetGone() && s.GetGoneMs() < since.UnixMilli() {
+		if s.GetGone() && s.GetGoneMs() < since.UnixMilli() {
 			continue
 		}
-		if s.GetVersionChangedMs() >= since.UnixMilli() {
-			return false
-		}
-		listed = true
+		service := s.GetService()
+		version, seen := versions[service]
+		versions[service] = s.GetVersion()
+		unchanged := s.GetVersionChangedMs() < since.UnixMilli()
+		out[service] = unchanged && (!seen || out[service] && version == s.GetVersion())
 	}
-	_, only := onlyVersion(v, service, since)
-	return listed && only
+	return out
 }
 
 // versionKnown reports whether the version in the list is known to be that of a server.
@@ -96,7 +86,7 @@
 	defer d.mu.Unlock()
 	s := d.services[service]
 	since := time.Now().Add(-d.streamRetention)
-	return d.missedNothing(service) && (s == nil || s.VersionsKnown()) && servedOneVersion(d.view, service, since)
+	return d.missedNothing(service) && (s == nil || s.VersionsKnown()) && servicesOfOneVersion(d.view, since)[service]
 }
 
 // recordListRead passes the age of the list on to the schedulers.
--- a/internal/routing/scheduler/incarnations.go
+++ b/internal/routing/scheduler/incarnations.go
@@ -196,7 +196,8 @@
 		s.doubtVersion(now, next)
 		next.doubt.back, next.doubt.backAt = true, now
 	} else {
-		delete(s.doubted, next.name)
+		// The list may have been read before the server went down.
+		next.doubt = old.doubt
 	}
 	if e == incarnation.JoinedAgain {
 		next.pauses = old.pauses
--- a/internal/routing/scheduler/versions_test.go
+++ b/internal/routing/scheduler/versions_test.go
@@ -146,3 +146,27 @@
 	})
 	require.Equal(t, scheduler.NoServer, d.Refusal)
 }
+
+// TestListReadBeforeACrashNamesNoVersion guards against a stream that goes on at a server which has crashed,
+// as a list that was read before shows it as another incarnation after that.
+func TestListReadBeforeACrashNamesNoVersion(t *testing.T) {
+	for name, change := range map[string]func(l *scheduler.Server){
+		"joined again": func(l *scheduler.Server) { l.JoinedMs++ },
+		"new address":  func(l *scheduler.Server) { l.Address = "a:2" },
+		"ready again":  func(l *scheduler.Server) { l.Leaving = false },
+	} {
+		s := newVersionedService(t)
+		s.list[0].Leaving = name == "ready again"
+		s.SetServers(s.now, s.list)
+		s.NoteCrash(s.now, "a", s.now, 0)
+		change(&s.list[0])
+		s.SetServers(s.now, s.list)
+		require.False(t, s.VersionKnown("a"), name)
+		s.now += time.Second
+		s.report(scheduler.Report{
+			Event: scheduler.Done,
+		})
+		s.RecordListRead(s.now, s.now+2*time.Second)
+		require.True(t, s.VersionKnown("a"), name)
+	}
+}
