--- /dev/null
+++ b/internal/daemon/ingress/idlecrash_test.go
@@ -0,0 +1,59 @@
+package ingress_test
+
+// This file tests streams at a server that has crashed while it had no request.
+
+import (
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"camphorspoke/internal/daemon/placer"
+)
+
+// TestStreamIsNotTakenUpAtAServerThatCrashedIdle: a server crashes while no request is in progress there, and is
+// back with another version of its software before any request tries it and before the list shows it. It
+// guards against a stream that its caller takes up there, with events of two versions.
+func TestStreamIsNotTakenUpAtAServerThatCrashedIdle(t *testing.T) {
+	var listReadAt atomic.Int64
+	server := newStoppableServer(t, versionedStream("v1"))
+	e := &testEnv{
+		t: t,
+	}
+	e.startVersions(1, []string{"v1"}, []string{server.address})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	p, stop := placer.New(placer.Config{
+		Now:         e.handler.Now,
+		LoadBound:   2,
+		RetryWindow: e.retryWindow,
+		RetryRatio:  e.retryRatio,
+		RetrySlack:  e.retrySlack,
+		Instance:    "i",
+		Logger:      log,
+		ListReadAt:  func() time.Duration { return time.Duration(listReadAt.Load()) },
+	})
+	t.Cleanup(stop)
+	p.Update(e.membership.View())
+	e.handler.Placer = p
+	listReadAt.Store(int64(e.handler.Now()))
+
+	_, body, err := e.do("/chat/", "Id", "first")
+	require.Error(t, err, "the stream broke off")
+	require.Equal(t, []string{"v1"}, versionsIn(body))
+	time.Sleep(100 * time.Millisecond)
+
+	server.stop()
+	time.Sleep(300 * time.Millisecond)
+	other := versionedStream("v2")
+	server.respond.Store(&other)
+	server.start()
+	// The list has been read meanwhile, and lags.
+	listReadAt.Store(int64(e.handler.Now()))
+
+	_, body, _ = e.do("/chat/", "Resumes", "first", "Last", "4")
+	require.Empty(t, versionsIn(body), "the stream goes on at another version")
+}
