--- a/cmd/camphord/main.go
+++ b/cmd/camphord/main.go
@@ -86,6 +86,9 @@
 
 // platformAdapters returns the adapters to the users' platform.
 func platformAdapters(set *settings.Settings, log logrus.FieldLogger) server.PlatformAdapters {
+	engines := &engine.Client{
+		HTTP: link.HTTPClient(),
+	}
 	return server.PlatformAdapters{
 		Dialect: dialect.Dialect{},
 		List: &serverlist.Client{
@@ -94,9 +97,8 @@
 			Logger:  log,
 			Limiter: listLimiter(set.Entry.ListRate),
 		},
-		CacheReader: &engine.Client{
-			HTTP: link.HTTPClient(),
-		},
+		CacheReader: engines,
+		BirthReader: engines,
 		Endpoints: func(d edge.Directory, r edge.RuleStore, ev edge.Evacuator) edge.Endpoints {
 			return &endpoints.Endpoints{
 				Directory: d,
--- a/internal/daemon/ingress/forwardversion_test.go
+++ b/internal/daemon/ingress/forwardversion_test.go
@@ -26,6 +26,8 @@
 	address string
 	// respond serves all requests but those for the server's health.
 	respond atomic.Pointer[responder]
+	// born is what the server says of its start.
+	born birth
 
 	mu       sync.Mutex
 	listener net.Listener
--- a/internal/daemon/ingress/idlecrash_test.go
+++ b/internal/daemon/ingress/idlecrash_test.go
@@ -3,6 +3,7 @@
 // This file tests streams at a server that has crashed while it had no request.
 
 import (
+	"context"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -14,12 +15,19 @@
 	"camphorspoke/internal/daemon/placer"
 )
 
+// birth is the time of a server's start in Unix milliseconds.
+type birth struct{ atomic.Int64 }
+
+// ReadBirth returns the time of the start.
+func (b *birth) ReadBirth(context.Context, string) (int64, error) { return b.Load(), nil }
+
 // TestStreamIsNotTakenUpAtAServerThatCrashedIdle: a server crashes while no request is in progress there, and is
 // back with another version of its software before any request tries it and before the list shows it. It
 // guards against a stream that its caller takes up there, with events of two versions.
 func TestStreamIsNotTakenUpAtAServerThatCrashedIdle(t *testing.T) {
 	var listReadAt atomic.Int64
 	server := newStoppableServer(t, versionedStream("v1"))
+	server.born.Store(time.Now().Add(-time.Hour).UnixMilli())
 	e := &testEnv{
 		t: t,
 	}
@@ -35,6 +43,7 @@
 		Instance:    "i",
 		Logger:      log,
 		ListReadAt:  func() time.Duration { return time.Duration(listReadAt.Load()) },
+		Births:      &server.born,
 	})
 	t.Cleanup(stop)
 	p.Update(e.membership.View())
@@ -50,6 +59,7 @@
 	time.Sleep(300 * time.Millisecond)
 	other := versionedStream("v2")
 	server.respond.Store(&other)
+	server.born.Store(time.Now().UnixMilli())
 	server.start()
 	// The list has been read meanwhile, and lags.
 	listReadAt.Store(int64(e.handler.Now()))
--- a/internal/daemon/placer/crashes.go
+++ b/internal/daemon/placer/crashes.go
@@ -23,21 +23,26 @@
 	if fingerprint == 0 && g.Version == "" {
 		return
 	}
-	p := g.p
+	g.p.sendCrash(&pb.PlaceCrash{
+		Service:       g.service,
+		BackendServer: g.Server,
+		Fingerprint:   fingerprint,
+		SentAgoMs:     uint32((g.p.cfg.Now() - g.sentAt).Milliseconds()),
+	}, g.Decider)
+}
+
+// sendCrash tells the first instances in the order of a service's deciders of a crash, but for this
+// one and one that knows of it.
+func (p *Placer) sendCrash(c *pb.PlaceCrash, informed string) {
 	p.mu.Lock()
-	order := p.order[g.service]
+	order := p.order[c.GetService()]
 	p.mu.Unlock()
 	for _, i := range order[:min(len(order), notedDeciders)] {
-		if i.GetName() == p.cfg.Instance || i.GetName() == g.Decider {
+		if i.GetName() == p.cfg.Instance || i.GetName() == informed {
 			continue
 		}
 		p.streamTo(i).send(&pb.PlaceRequest{
-			Crash: &pb.PlaceCrash{
-				Service:       g.service,
-				BackendServer: g.Server,
-				Fingerprint:   fingerprint,
-				SentAgoMs:     uint32((p.cfg.Now() - g.sentAt).Milliseconds()),
-			},
+			Crash: c,
 		})
 	}
 }
--- a/internal/daemon/placer/hedge.go
+++ b/internal/daemon/placer/hedge.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.completeHedge(g, d, decider, req.Version); err != nil {
+	if err := p.completeHedge(ctx, g, d, decider, req.Version); err != nil {
 		return nil, err
 	}
 	if g.stream != nil {
@@ -77,7 +77,7 @@
 
 // completeHedge fills in a grant of a request that may be bound to a version. If the decision is a refusal or its server can't be used,
 // it returns the reason and releases the grant.
-func (p *Placer) completeHedge(g *Grant, d scheduler.Decision, decider, version string) error {
+func (p *Placer) completeHedge(ctx context.Context, g *Grant, d scheduler.Decision, decider, version string) error {
 	if d.Server == "" || !p.completeGrant(g, d, decider) {
 		g.Report(scheduler.Report{
 			Event: scheduler.Cancelled,
@@ -89,7 +89,7 @@
 	}
 	u := p.unavailable(g.service, g.Server)
 	u.limit = p.unreportedLimit(g)
-	u.otherVersion = p.hasOtherVersion(g, version)
+	u.otherVersion = p.hasOtherVersion(g, version) || version != "" && p.hasStartedLately(ctx, g)
 	if u.any() {
 		p.withdraw(g, u)
 		return hedgeFault(g.service, "the chosen backend server has asked for a pause, named a limit, leaves, is evacuated or has another version")
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -107,6 +107,8 @@
 	// CacheReader queries engines for the prefixes that they have cached; nil if the
 	// engines do not support it.
 	CacheReader edge.CacheReader
+	// Births queries servers for the time of their start; nil if they do not say it.
+	Births edge.BirthReader
 	// ListReadAt returns a time by which the platform's list was read that the last view shows, zero if
 	// unknown; it may be nil.
 	ListReadAt func() time.Duration
@@ -263,7 +265,7 @@
 			return nil, err
 		}
 		u := p.unavailable(service, g.Server)
-		u.otherVersion = p.hasOtherVersion(g, req.Version)
+		u.otherVersion = p.hasOtherVersion(g, req.Version) || req.Version != "" && p.hasStartedLately(ctx, g)
 		if withdrawnForLimit == 0 && n < maxPlacements-1 {
 			// Once at most, so that a disagreement on a limit refuses no request.
 			u.limit = p.unreportedLimit(g)
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -97,6 +97,8 @@
 	Endpoints func(edge.Directory, edge.RuleStore, edge.Evacuator) edge.Endpoints
 	// CacheReader queries engines for the prefixes that they have cached.
 	CacheReader edge.CacheReader
+	// BirthReader queries servers for the time of their start; it may be nil.
+	BirthReader edge.BirthReader
 	// Reload signals that the settings may have changed; Settings reads them.
 	Reload   <-chan os.Signal
 	Settings func() (*settings.Settings, error)
@@ -270,6 +272,7 @@
 		Unresponsive: in.agent.Unresponsive,
 		Leader:       in.agent.Leader,
 		CacheReader:  in.adapters.CacheReader,
+		Births:       in.adapters.BirthReader,
 		ListReadAt:   in.agent.ListReadAt,
 		CheckHealth:  e.checkHealth,
 		OnRestart:    func(service string) { e.meters.ServerRestart(context.Background(), service) },
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -259,6 +259,13 @@
 	ReadCache(ctx context.Context, address string) (Cache, error)
 }
 
+// BirthReader reads when a server was started.
+type BirthReader interface {
+	// ReadBirth returns when the server at address was started, in Unix milliseconds; zero if it does
+	// not say.
+	ReadBirth(ctx context.Context, address string) (bornMs int64, err error)
+}
+
 // Cache is the content of an engine's prefix cache.
 type Cache struct {
 	Parts []Part
