--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -47,6 +47,8 @@
 	// server.
 	Leaving  bool
 	Isolated bool
+	// RemovesServers is set if a replica of the holder applies the removal of rows of servers.
+	RemovesServers bool
 	// FailureDomain and RequestRate are the failure domain of the holder and the rate
 	// of its callers' requests, in requests per second.
 	FailureDomain string
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -55,6 +55,12 @@
 	routerListIndex uint64
 	// rowsIndex is the log index of the last change of a row that routers receive.
 	rowsIndex uint64
+	// removedIndex is the highest log index at which a server changed last whose row was removed, and
+	// removedMs the latest Unix millisecond at which one of them joined or was marked gone.
+	removedIndex uint64
+	removedMs    int64
+	// removedServers counts the rows of servers that this process has removed.
+	removedServers uint64
 }
 
 // Apply applies the committed command at the given log index and returns its
@@ -108,6 +114,8 @@
 		return l.quarantine(index, k.Quarantine)
 	case *pb.Command_Evacuation:
 		return l.evacuate(index, k.Evacuation)
+	case *pb.Command_RemoveServers:
+		return l.removeServers(k.RemoveServers)
 	default:
 		return &pb.Result{}
 	}
@@ -135,6 +143,8 @@
 		ListIndex:           l.routerListIndex,
 		Revision:            l.revision,
 		Source:              l.source,
+		RemovedIndex:        l.removedIndex,
+		RemovedMs:           l.removedMs,
 	}
 	for _, name := range slices.Sorted(maps.Keys(l.servers)) {
 		s.Servers = append(s.Servers, l.servers[name])
@@ -189,6 +199,7 @@
 	l.routerListIndex = s.GetListIndex()
 	l.revision, l.source = s.GetRevision(), s.GetSource()
 	l.rowsIndex = s.GetAppliedIndex()
+	l.removedIndex, l.removedMs = s.GetRemovedIndex(), s.GetRemovedMs()
 	for _, b := range s.GetServers() {
 		l.servers[b.GetName()] = b
 	}
@@ -218,6 +229,7 @@
 	l.revision, l.source = 0, nil
 	l.lastFencingNumber, l.expiredBefore = 0, 0
 	l.routerListIndex, l.rowsIndex = 0, 0
+	l.removedIndex, l.removedMs = 0, 0
 	l.servers = nil
 	l.init()
 }
--- a/internal/control/ledger/tables.go
+++ b/internal/control/ledger/tables.go
@@ -13,10 +13,16 @@
 	pb "camphorspoke/internal/gen/camphorspoke/v1"
 )
 
-// ChangedRows holds the rows that changed after some log index. Index is the index of
-// the last command applied when they were read.
+// ChangedRows holds the rows that changed after some log index, or the whole tables.
 type ChangedRows struct {
-	Index       uint64
+	// Index is the index of the last command applied when the rows were read.
+	Index uint64
+	// Whole states that these are the whole tables.
+	Whole bool
+	// RemovedIndex is the highest log index at which a server changed last whose row was removed; zero
+	// if none was.
+	RemovedIndex uint64
+
 	Servers     []*pb.BackendServer
 	Instances   []*pb.Instance
 	Quarantines []*pb.Quarantine
@@ -29,13 +35,19 @@
 }
 
 // Changes returns the rows that changed after log index since; zero returns all
-// rows. Rows are replaced rather than modified, so they may be read without a
+// rows, and so does an index below that of a removed row: the reader may have its server as
+// one that is listed. Rows are replaced rather than modified, so they may be read without a
 // lock.
 func (l *Ledger) Changes(since uint64) ChangedRows {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
+	if since < l.removedIndex {
+		since = 0
+	}
 	t := ChangedRows{
-		Index: l.applied,
+		Index:        l.applied,
+		Whole:        since == 0,
+		RemovedIndex: l.removedIndex,
 	}
 	if since > 0 && since >= l.rowsIndex {
 		return t
--- a/internal/control/manager/manager.go
+++ b/internal/control/manager/manager.go
@@ -25,6 +25,7 @@
 
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/base/invariant"
+	"camphorspoke/internal/control/goneservers"
 	"camphorspoke/internal/control/lease"
 	"camphorspoke/internal/control/replica"
 	"camphorspoke/internal/control/rulechange"
@@ -96,6 +97,9 @@
 	// listPartial is set while a part of the list can't be read; it too is used by
 	// platformLoop only.
 	listPartial bool
+	// removalBlocked names the instances that keep rows of gone servers from being removed; only
+	// platformLoop uses it.
+	removalBlocked string
 
 	mu sync.Mutex
 	// listReadAt is when the last read of the whole list was begun whose changes are committed, and
@@ -119,6 +123,8 @@
 	missingSince map[string]time.Duration
 	// cold holds, by server, the cold period that was proposed last.
 	cold map[string]announcement
+	// gone holds since when this leader has seen servers as gone.
+	gone goneservers.Tracker
 	// seenIndex holds the log index up to which each router has the tables.
 	seenIndex map[lease.Holder]uint64
 	// registering holds the instances whose registration is being committed.
@@ -172,6 +178,7 @@
 		m.moves = make(map[string]*pb.Assignment)
 		m.missingSince = make(map[string]time.Duration)
 		m.cold = make(map[string]announcement)
+		m.gone = goneservers.Tracker{}
 		m.seenIndex = make(map[lease.Holder]uint64)
 		m.sizers, m.workingSets = make(map[string]*workingset.Sizer), nil
 		m.cfg.Logger.Infof("control: leading term %d", st.Term)
@@ -216,6 +223,7 @@
 	row := m.leases.Renew(now, h)
 	row.RuleVersion = req.GetRuleVersion()
 	row.Leaving, row.Isolated = req.GetLeaving(), req.GetIsolated()
+	row.RemovesServers = req.GetRemovesServers()
 	row.Loads = m.byService(req.GetLoads())
 	row.FailureDomain, row.RequestRate = req.GetFailureDomain(), float64(req.GetRequestMilliRate())/1000
 	m.seenIndex[h] = req.GetSeenIndex()
@@ -229,10 +237,11 @@
 		Servers:    changes.Servers,
 		Frozen:     slices.Sorted(maps.Keys(m.pending)),
 		Instances:  changes.Instances,
-		Whole:      req.GetSeenIndex() == 0,
+		Whole:      changes.Whole,
 
-		Quarantines: changes.Quarantines,
-		Evacuations: changes.Evacuations,
+		Quarantines:  changes.Quarantines,
+		Evacuations:  changes.Evacuations,
+		RemovedIndex: changes.RemovedIndex,
 
 		Term:  m.term,
 		Loads: m.otherLoads(now, h, row.Loads),
--- a/internal/control/manager/platform.go
+++ b/internal/control/manager/platform.go
@@ -55,6 +55,7 @@
 			nextExpiry = now + expireInterval
 			m.expireClaims(ctx)
 			m.removeUnresponsiveInstance(ctx)
+			m.removeGoneServers(ctx)
 		}
 	}
 }
@@ -147,6 +148,9 @@
 		if s.GetGone() {
 			delete(m.missingSince, s.GetName())
 		}
+		if s.GetGone() && !inList[s.GetName()] {
+			delete(m.cold, s.GetName())
+		}
 		if inList[s.GetName()] || s.GetGone() {
 			continue
 		}
@@ -167,12 +171,12 @@
 
 // updatedRow returns the new row for a listed server, or nil if nothing changed.
 // A server that is new, was gone, or is ready again after it was leaving, gets the current time as its
-// time of joining, and always a later one than before: instances that have not read it in between
-// recognise a new incarnation by it. The caller holds mu.
+// time of joining, and always a later one than before, also if its row was removed meanwhile: instances that
+// have not read it in between recognise a new incarnation by it. The caller holds mu.
 func (m *Manager) updatedRow(now time.Duration, old *pb.BackendServer, s *pb.ListedServer) *pb.BackendServer {
 	joined := old.GetJoinedMs()
 	if old == nil || old.GetGone() || old.GetLeaving() && !s.GetLeaving() {
-		joined = max(time.Now().UnixMilli(), joined+1)
+		joined = max(time.Now().UnixMilli(), joined+1, m.cfg.Replica.Ledger.RemovedMs()+1)
 	}
 	row := &pb.BackendServer{
 		Name:          s.GetName(),
--- a/internal/control/tables/tables.go
+++ b/internal/control/tables/tables.go
@@ -96,10 +96,11 @@
 	encoded, err := proto.Marshal(&pb.TableRows{
 		Servers:   changes.Servers,
 		Instances: changes.Instances,
-		Whole:     since == 0,
+		Whole:     changes.Whole,
 
-		Quarantines: changes.Quarantines,
-		Evacuations: changes.Evacuations,
+		Quarantines:  changes.Quarantines,
+		Evacuations:  changes.Evacuations,
+		RemovedIndex: changes.RemovedIndex,
 	})
 	if err != nil {
 		return nil, nil, fault.Wrap(fault.Internal, "tables", err)
@@ -108,7 +109,7 @@
 		Index: changes.Index,
 		Rows:  compress.Codec{}.Compress(encoded),
 	}
-	if since == 0 {
+	if changes.Whole {
 		s.whole, s.wholeAt = resp, now
 	}
 	return resp, s.limiter, nil
--- a/internal/daemon/membership/heartbeat.go
+++ b/internal/daemon/membership/heartbeat.go
@@ -59,6 +59,8 @@
 		CpuMilli:      a.cfg.CPUMilli,
 		ReadsRules:    true,
 		Isolated:      a.selfIsolated,
+
+		RemovesServers: true,
 	}
 	if a.cfg.Requests != nil {
 		r.RequestMilliRate = uint32(1000 * a.rate.measure(a.cfg.Now(), a.cfg.Requests()))
@@ -171,6 +173,8 @@
 		Whole:       resp.GetWhole(),
 		Quarantines: resp.GetQuarantines(),
 		Evacuations: resp.GetEvacuations(),
+
+		RemovedIndex: resp.GetRemovedIndex(),
 	})
 	a.cfg.Checker.Check(resp.GetRuleVersion() >= req.GetRuleVersion(), "ruleVersionRises",
 		"the leader answered with rule version %d, this router held %d when it sent the heartbeat", resp.GetRuleVersion(), req.GetRuleVersion())
--- a/internal/daemon/membership/tables.go
+++ b/internal/daemon/membership/tables.go
@@ -115,6 +115,9 @@
 	if index <= v.Index {
 		return v
 	}
+	if rows.GetRemovedIndex() > v.RemovedIndex {
+		v = v.WithoutGone(rows.GetRemovedIndex())
+	}
 	next := v.WithIndex(index)
 	if rows.GetWhole() || len(rows.GetServers()) > 0 || len(rows.GetInstances()) > 0 {
 		next = v.WithTables(index, rows.GetWhole(), rows.GetServers(), rows.GetInstances())
--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -75,6 +75,11 @@
 	// LossesBorne returns how many more voters of the control group may lose their disks, by the
 	// name of the leader; it is empty on other instances, and may be nil.
 	LossesBorne func() map[string]int
+	// ServerRows returns the number of rows of backend servers by their state; it may be nil.
+	ServerRows func() map[string]int
+	// RemovedRows returns the number of rows of gone backend servers that the replica of this instance
+	// has removed, by instance; it may be nil.
+	RemovedRows func() map[string]uint64
 	// AwaitedSeeds returns 1 by the address of the seed that the formation of the control group
 	// waits for; it may be nil.
 	AwaitedSeeds func() map[string]int
@@ -149,6 +154,12 @@
 	if callbacks.LossesBorne != nil {
 		b.observableGauge("camphorspoke.control.losses.borne", "Voters of the control group that may lose their disks while the others still elect a leader, by leader.", "leader", func() map[string]int64 { return toInt64(callbacks.LossesBorne()) })
 	}
+	if callbacks.ServerRows != nil {
+		b.observableGauge("camphorspoke.server.rows", "Rows of backend servers in the view of this instance, by whether the server is listed or gone.", "state", func() map[string]int64 { return toInt64(callbacks.ServerRows()) })
+	}
+	if callbacks.RemovedRows != nil {
+		b.observableCounter("camphorspoke.server.rows.removed", "Rows of gone backend servers that the replica of this instance has removed, by instance.", "instance", func() map[string]int64 { return toInt64(callbacks.RemovedRows()) })
+	}
 	if callbacks.AwaitedSeeds != nil {
 		b.observableGauge("camphorspoke.control.awaited.seeds", "1 for the seed that the formation of the control group waits for, by its address.", "seed", func() map[string]int64 { return toInt64(callbacks.AwaitedSeeds()) })
 	}
--- a/internal/daemon/server/entry.go
+++ b/internal/daemon/server/entry.go
@@ -178,6 +178,8 @@
 		Evacuated:    in.evacuatedDomains,
 		Connections:  e.connectionCounts,
 		LossesBorne:  in.lossesBorne,
+		ServerRows:   in.serverRows,
+		RemovedRows:  in.removedRows,
 		AwaitedSeeds: in.awaitedSeeds,
 		Versions:     in.serverVersions,
 		RuleBytes:    in.ruleBytes,
--- a/internal/daemon/server/entrygauges.go
+++ b/internal/daemon/server/entrygauges.go
@@ -57,6 +57,31 @@
 	return out
 }
 
+// serverRows returns the number of rows of backend servers by their state.
+func (in *instance) serverRows() map[string]int {
+	if in.agent == nil {
+		return nil
+	}
+	out := map[string]int{"listed": 0, "gone": 0}
+	for _, s := range in.agent.View().Servers {
+		if s.GetGone() {
+			out["gone"]++
+			continue
+		}
+		out["listed"]++
+	}
+	return out
+}
+
+// removedRows returns the number of rows of backend servers that the replica of this instance has removed,
+// by the name of the instance.
+func (in *instance) removedRows() map[string]uint64 {
+	if in.replica == nil {
+		return nil
+	}
+	return map[string]uint64{in.cfg.Instance: in.replica.Ledger.RemovedServers()}
+}
+
 // ruleBytes returns the size of the rules in force by the name of this instance.
 func (in *instance) ruleBytes() map[string]int {
 	if in.agent == nil {
--- a/internal/routing/view/view.go
+++ b/internal/routing/view/view.go
@@ -16,7 +16,8 @@
 
 // View is an immutable snapshot of the tables and rules. A change creates a new
 // View. A server that left the platform's list and an instance that stopped
-// sending heartbeats stay in the tables, marked gone.
+// sending heartbeats stay in the tables, marked gone; the server until the control
+// group removes its row.
 type View struct {
 	// Index is the log index up to which the tables include all changes.
 	Index       uint64
@@ -29,6 +30,9 @@
 	Quarantines map[string]map[uint64]*pb.Quarantine
 	// Evacuated holds the evacuated failure domains, each with its row.
 	Evacuated map[string]*pb.Evacuation
+	// RemovedIndex is the log index up to which servers that changed last, and are marked gone, have
+	// been removed.
+	RemovedIndex uint64
 
 	// byService lists the servers of each service not marked gone, sorted by name.
 	byService map[string][]*pb.BackendServer
@@ -50,6 +54,7 @@
 	for _, i := range instances {
 		next.Instances[i.GetName()] = i
 	}
+	next.removeGone()
 	next.buildServiceIndex()
 	return &next
 }
@@ -61,6 +66,26 @@
 	return &next
 }
 
+// WithoutGone returns a copy of v without the servers that are marked gone and changed last at the given
+// log index or before. Such rows of later tables are left out too.
+func (v *View) WithoutGone(removedIndex uint64) *View {
+	next := *v
+	next.RemovedIndex = removedIndex
+	next.Servers = maps.Clone(v.Servers)
+	next.removeGone()
+	return &next
+}
+
+// removeGone removes the servers that are marked gone and changed last at RemovedIndex or before.
+func (v *View) removeGone() {
+	if v.RemovedIndex == 0 {
+		return
+	}
+	maps.DeleteFunc(v.Servers, func(_ string, s *pb.BackendServer) bool {
+		return s.GetGone() && s.GetChangedIndex() <= v.RemovedIndex
+	})
+}
+
 // WithQuarantines returns a copy of v with the given quarantines added, replaced or, if
 // they are released, removed. If full is set, they replace the table.
 func (v *View) WithQuarantines(full bool, quarantines []*pb.Quarantine) *View {
