--- a/internal/control/manager/removal_test.go
+++ b/internal/control/manager/removal_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"camphorspoke/internal/base/fault"
 	"camphorspoke/internal/control/manager"
@@ -52,8 +53,8 @@
 	return seen
 }
 
-// runRemovals runs a fleet whose server b is gone, and calls test with the index that an instance has seen that
-// fell out of touch before that.
+// runRemovals runs a fleet whose server b has been gone for 55 minutes, of which the leader has seen one, and
+// calls test with the index that an instance has seen that fell out of touch before that.
 func runRemovals(t *testing.T, test func(f *removalFleet, lost uint64)) {
 	synctest.Test(t, func(t *testing.T) {
 		list := &partialList{}
@@ -69,8 +70,13 @@
 		time.Sleep(20 * time.Second)
 		lost := f.run(10 * time.Second)
 		list.set(false, listed("a", false))
-		f.run(time.Minute)
+		f.run(10 * time.Second)
 		require.True(t, r.Ledger.Server("b").GetGone())
+		gone := proto.Clone(r.Ledger.Server("b")).(*pb.BackendServer)
+		gone.GoneMs -= (54 * time.Minute).Milliseconds()
+		_, err := r.Propose(t.Context(), &pb.Command{Kind: &pb.Command_UpdateServers{UpdateServers: &pb.UpdateServers{Servers: []*pb.BackendServer{gone}}}})
+		require.NoError(t, err)
+		f.run(time.Minute)
 		test(f, lost)
 	})
 }
@@ -81,9 +87,9 @@
 func TestRowOfGoneServerIsRemoved(t *testing.T) {
 	runRemovals(t, func(f *removalFleet, lost uint64) {
 		joined := f.replica.Ledger.Server("b").GetJoinedMs()
-		f.run(50 * time.Minute)
+		f.run(8 * time.Minute)
 		require.NotNil(f.t, f.replica.Ledger.Server("b"))
-		f.run(15 * time.Minute)
+		f.run(4 * time.Minute)
 		require.Nil(f.t, f.replica.Ledger.Server("b"))
 		require.EqualValues(f.t, 1, f.replica.Ledger.RemovedServers())
 		// The heartbeats of run reported on b to the end.
@@ -110,7 +116,7 @@
 func TestOlderBuildKeepsRows(t *testing.T) {
 	runRemovals(t, func(f *removalFleet, _ uint64) {
 		f.older = true
-		f.run(70 * time.Minute)
+		f.run(15 * time.Minute)
 		require.NotNil(f.t, f.replica.Ledger.Server("b"))
 		f.older = false
 		f.run(2 * time.Minute)
