--- a/internal/daemon/membership/await_test.go
+++ b/internal/daemon/membership/await_test.go
@@ -80,7 +80,7 @@
 }
 
 // startAgentWithClock is like startAgent, with the clock of the agent.
-func startAgentWithClock(now func() time.Duration, l leader) (*membership.Agent, func()) {
+func startAgentWithClock(now func() time.Duration, l control.Client) (*membership.Agent, func()) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	a, stop := membership.New(membership.Config{
