--- a/internal/daemon/ingress/idlecrash_test.go
+++ b/internal/daemon/ingress/idlecrash_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"camphorspoke/internal/daemon/placer"
+	"camphorspoke/internal/rules/parse"
 )
 
 // birth is the time of a server's start in Unix milliseconds.
@@ -46,7 +48,10 @@
 		Births:      &server.born,
 	})
 	t.Cleanup(stop)
-	p.Update(e.membership.View())
+	engines := strings.Replace(ruleTextWithKey(), "service s type=plain", "service s type=engine slots=4 cache-tokens=100000", 1)
+	f, err := parse.Rules("rules", []byte(engines))
+	require.NoError(t, err)
+	p.Update(e.membership.View().WithRules(2, []byte(engines), f))
 	e.handler.Placer = p
 	listReadAt.Store(int64(e.handler.Now()))
 
--- a/internal/daemon/placer/births.go
+++ b/internal/daemon/placer/births.go
@@ -25,10 +25,10 @@
 )
 
 // hasStartedLately reports whether the server of a grant, whose version the list names, has started so
-// lately that the list may show the process before. It asks the server. The deciders learn of the start,
-// as of a crash.
+// lately that the list may show the process before. It asks the server, if it is a model engine: others
+// do not say it. The deciders learn of the start, as of a crash.
 func (p *Placer) hasStartedLately(ctx context.Context, g *Grant) bool {
-	if p.cfg.Births == nil || p.cfg.ListReadAt == nil || g.VersionUnknown {
+	if p.cfg.Births == nil || p.cfg.ListReadAt == nil || !p.schedulers.hasEngines(g.service) {
 		return false
 	}
 	readAt := p.cfg.ListReadAt()
@@ -61,3 +61,10 @@
 	p.sendCrash(start, "")
 	return true
 }
+
+// hasEngines reports whether the servers of a service are model engines.
+func (d *Schedulers) hasEngines(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.engines[service]) > 0
+}
--- a/internal/daemon/placer/hedge.go
+++ b/internal/daemon/placer/hedge.go
@@ -89,7 +89,10 @@
 	}
 	u := p.unavailable(g.service, g.Server)
 	u.limit = p.unreportedLimit(g)
-	u.otherVersion = p.hasOtherVersion(g, version) || version != "" && p.hasStartedLately(ctx, g)
+	u.otherVersion = p.hasOtherVersion(g, version)
+	if version != "" && !u.any() {
+		u.otherVersion = p.hasStartedLately(ctx, g)
+	}
 	if u.any() {
 		p.withdraw(g, u)
 		return hedgeFault(g.service, "the chosen backend server has asked for a pause, named a limit, leaves, is evacuated or has another version")
--- a/internal/daemon/placer/placer.go
+++ b/internal/daemon/placer/placer.go
@@ -265,11 +265,14 @@
 			return nil, err
 		}
 		u := p.unavailable(service, g.Server)
-		u.otherVersion = p.hasOtherVersion(g, req.Version) || req.Version != "" && p.hasStartedLately(ctx, g)
+		u.otherVersion = p.hasOtherVersion(g, req.Version)
 		if withdrawnForLimit == 0 && n < maxPlacements-1 {
 			// Once at most, so that a disagreement on a limit refuses no request.
 			u.limit = p.unreportedLimit(g)
 		}
+		if req.Version != "" && !u.any() {
+			u.otherVersion = p.hasStartedLately(ctx, g)
+		}
 		if !u.any() {
 			g.Waited = p.cfg.Now() - start
 			p.doubtBegun(g, req.Version)
--- a/internal/daemon/placer/versionsources_test.go
+++ b/internal/daemon/placer/versionsources_test.go
@@ -4,14 +4,21 @@
 // it has just started, or its view is stale, or the version changed under the name of the server.
 
 import (
+	"context"
+	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"camphorspoke/internal/base/boottime"
 	"camphorspoke/internal/base/fault"
+	"camphorspoke/internal/daemon/placer"
 	"camphorspoke/internal/routing/incarnation"
 	"camphorspoke/internal/routing/scheduler"
+	"camphorspoke/internal/routing/view"
 	"camphorspoke/internal/rules/parse"
 )
 
@@ -159,3 +166,42 @@
 		require.Equal(t, c.known, record.Version == "v2")
 	}
 }
+
+// TestPlainServersAreNotAskedForTheirStart guards against a query that a server of a plain service does not
+// know, before a stream goes on there; an engine is asked.
+func TestPlainServersAreNotAskedForTheirStart(t *testing.T) {
+	for rule, asked := range map[string]int64{"type=plain": 0, "type=engine slots=8 cache-tokens=100000": 1} {
+		content := []byte("service " + service + " " + rule + " # t: t\n")
+		f, err := parse.Rules("r", content)
+		require.NoError(t, err)
+		births := &countedBirths{}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		clock := boottime.New()
+		p, stop := placer.New(placer.Config{
+			Now:         clock.Now,
+			LoadBound:   2,
+			RetryWindow: time.Second,
+			Instance:    "i",
+			Births:      births,
+			ListReadAt:  clock.Now,
+			Logger:      log,
+		})
+		defer stop()
+		v := (&view.View{}).WithRules(1, content, f)
+		p.Update(withVersions(v, "v1", "v1", "v1"))
+		req := newRequest(1, 1)
+		req.Version = "v1"
+		_, err = p.Place(t.Context(), service, req)
+		require.NoError(t, err, rule)
+		require.Equal(t, asked, births.Load(), rule)
+	}
+}
+
+// countedBirths counts the queries for the start of servers, which do not say it.
+type countedBirths struct{ atomic.Int64 }
+
+func (b *countedBirths) ReadBirth(context.Context, string) (int64, error) {
+	b.Add(1)
+	return 0, nil
+}
